Add the workspace with the shared parts of the library

Cause: nothing existed.

Ruled out: msgspec Structs for settings, since the house style asks for frozen data classes.

Conclusion: the interfaces that later parts are written against are in place.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,42 @@
+PYTHON ?= python3
+VENV ?= .venv
+BIN := $(VENV)/bin
+PACKAGES := packages/pomeloglade-coordination packages/pomeloglade packages/pomeloglade-standins
+SOURCES := $(PACKAGES:%=$(CURDIR)/%/src)
+empty :=
+space := $(empty) $(empty)
+export PYTHONPATH := $(subst $(space),:,$(SOURCES)):$(CURDIR)
+export PIP_DISABLE_PIP_VERSION_CHECK := 1
+
+.PHONY: setup demo test lint format bench fuzz clean
+
+setup: $(VENV)/.installed
+
+$(VENV)/.installed: constraints.txt requirements-dev.txt $(PACKAGES:%=%/pyproject.toml)
+	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --constraint constraints.txt --requirement requirements-dev.txt
+	$(BIN)/pip install --quiet --no-build-isolation --no-deps $(PACKAGES:%=--editable %)
+	touch $@
+
+demo: setup
+	$(BIN)/python scripts/demo.py
+
+test: setup
+	$(BIN)/python -m pytest $$($(BIN)/python scripts/known_red.py)
+
+lint: setup
+	$(BIN)/ruff format --check packages tests bench scripts
+	$(BIN)/ruff check packages tests bench scripts
+
+format: setup
+	$(BIN)/ruff format packages tests bench scripts
+	$(BIN)/ruff check --fix packages tests bench scripts
+
+bench: setup
+	$(BIN)/python -m bench
+
+fuzz: setup
+	$(BIN)/python scripts/fuzz.py
+
+clean:
+	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks of the decisions in virtual time."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Coordination parts for fleets of diskless instances."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/key_value.py
@@ -0,0 +1,237 @@
+"""The platform's key-value service as an interface, and its in-memory twin."""
+
+import abc
+from dataclasses import dataclass
+from datetime import timedelta
+
+from twisted.internet.defer import Deferred, fail, succeed
+
+from .clock import Clock
+from .errors import LeaseNotFoundError, RevisionConflictError
+
+ABSENT = 0
+"""The revision of a key that does not exist."""
+
+MAX_VALUE_BYTES = 1_000_000
+
+
+@dataclass(frozen=True, slots=True)
+class Entry:
+    """A key with its value; an empty value at revision 0 means deleted."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+class KeyValueStore(abc.ABC):
+    """Compare-and-swap, leases and watches, as the platform offers them.
+
+    Every method returns a Deferred. It fails with ``KeyValueUnavailableError`` when
+    nothing was applied, with ``KeyValueOutcomeUnknownError`` when the answer was
+    lost, and with ``RevisionConflictError`` when a comparison failed.
+    """
+
+    @abc.abstractmethod
+    def get(self, key: str) -> "Deferred[Entry | None]":
+        """Return the entry of ``key``, or ``None``."""
+
+    @abc.abstractmethod
+    def list(self, prefix: str) -> "Deferred[tuple[Entry, ...]]":
+        """Return all entries whose key starts with ``prefix``, sorted by key."""
+
+    @abc.abstractmethod
+    def put(
+        self, key: str, value: bytes, *, expected: int | None = None, lease: str = ""
+    ) -> "Deferred[int]":
+        """Store ``value`` and return its revision.
+
+        ``expected`` is the revision that the key must have (``ABSENT`` to
+        create it); ``None`` writes unconditionally. With ``lease`` the key is
+        deleted when that lease expires.
+        """
+
+    @abc.abstractmethod
+    def delete(self, key: str, *, expected: int | None = None) -> "Deferred[None]":
+        """Delete ``key``; an absent key is no error without ``expected``."""
+
+    @abc.abstractmethod
+    def watch(
+        self, prefix: str, after: int, timeout: timedelta
+    ) -> "Deferred[tuple[Entry, ...]]":
+        """Wait for entries under ``prefix`` newer than revision ``after``.
+
+        Returns an empty tuple after ``timeout``. A waiting watch counts as one
+        call of the platform's budget.
+        """
+
+    @abc.abstractmethod
+    def grant_lease(self, time_to_live: timedelta) -> "Deferred[str]":
+        """Create a lease and return its id."""
+
+    @abc.abstractmethod
+    def renew_lease(self, lease: str) -> "Deferred[None]":
+        """Extend a lease by its time to live; ``LeaseNotFoundError`` if it lapsed."""
+
+
+@dataclass(slots=True)
+class _Lease:
+    time_to_live: float
+    expires: float
+
+
+@dataclass(frozen=True, slots=True)
+class _Watch:
+    prefix: str
+    after: int
+    waiting: "Deferred[tuple[Entry, ...]]"
+
+
+class MemoryKeyValueStore(KeyValueStore):
+    """Keeps everything in memory and answers at once.
+
+    It serves single-process deployments, the platform stand-in and the tests.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Expires leases and ends watches.
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._revision = 0
+        self._entries_by_key: dict[str, Entry] = {}
+        self._lease_by_key: dict[str, str] = {}
+        self._leases_by_id: dict[str, _Lease] = {}
+        self._deleted_by_key: dict[str, Entry] = {}
+        self._watches: list[_Watch] = []
+
+    def get(self, key: str) -> "Deferred[Entry | None]":
+        """Return the entry of ``key``, or ``None``."""
+        self._expire_leases()
+        return succeed(self._entries_by_key.get(key))
+
+    def list(self, prefix: str) -> "Deferred[tuple[Entry, ...]]":
+        """Return all entries whose key starts with ``prefix``, sorted by key."""
+        self._expire_leases()
+        return succeed(self._matching(prefix, after=-1))
+
+    def put(
+        self, key: str, value: bytes, *, expected: int | None = None, lease: str = ""
+    ) -> "Deferred[int]":
+        """Store ``value`` and return its revision."""
+        self._expire_leases()
+        if lease and lease not in self._leases_by_id:
+            return fail(
+                LeaseNotFoundError(f"lease {lease!r} does not exist", step="put")
+            )
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return fail(conflict)
+        self._revision += 1
+        self._entries_by_key[key] = Entry(key, value, self._revision)
+        self._deleted_by_key.pop(key, None)
+        self._lease_by_key.pop(key, None)
+        if lease:
+            self._lease_by_key[key] = lease
+        self._notify()
+        return succeed(self._revision)
+
+    def delete(self, key: str, *, expected: int | None = None) -> "Deferred[None]":
+        """Delete ``key``; an absent key is no error without ``expected``."""
+        self._expire_leases()
+        conflict = self._conflict(key, expected)
+        if conflict is not None:
+            return fail(conflict)
+        self._remove(key)
+        self._notify()
+        return succeed(None)
+
+    def watch(
+        self, prefix: str, after: int, timeout: timedelta
+    ) -> "Deferred[tuple[Entry, ...]]":
+        """Wait for entries under ``prefix`` newer than revision ``after``."""
+        self._expire_leases()
+        found = self._matching(prefix, after, deleted=True)
+        if found:
+            return succeed(found)
+        waiting: Deferred[tuple[Entry, ...]] = Deferred()
+        watch = _Watch(prefix, after, waiting)
+        self._watches.append(watch)
+        self._clock.callLater(timeout.total_seconds(), self._end_watch, watch)
+        return waiting
+
+    def grant_lease(self, time_to_live: timedelta) -> "Deferred[str]":
+        """Create a lease and return its id."""
+        self._revision += 1
+        lease = f"lease-{self._revision}"
+        seconds = time_to_live.total_seconds()
+        self._leases_by_id[lease] = _Lease(seconds, self._clock.seconds() + seconds)
+        self._clock.callLater(seconds, self._expire_leases)
+        return succeed(lease)
+
+    def renew_lease(self, lease: str) -> "Deferred[None]":
+        """Extend a lease by its time to live; ``LeaseNotFoundError`` if it lapsed."""
+        self._expire_leases()
+        found = self._leases_by_id.get(lease)
+        if found is None:
+            return fail(
+                LeaseNotFoundError(f"lease {lease!r} does not exist", step="renew")
+            )
+        found.expires = self._clock.seconds() + found.time_to_live
+        self._clock.callLater(found.time_to_live, self._expire_leases)
+        return succeed(None)
+
+    def _conflict(self, key: str, expected: int | None) -> RevisionConflictError | None:
+        entry = self._entries_by_key.get(key)
+        actual = entry.revision if entry else ABSENT
+        if expected is None or expected == actual:
+            return None
+        return RevisionConflictError(key, expected, actual)
+
+    def _matching(
+        self, prefix: str, after: int, *, deleted: bool = False
+    ) -> tuple[Entry, ...]:
+        found = [
+            entry
+            for key, entry in self._entries_by_key.items()
+            if key.startswith(prefix) and entry.revision > after
+        ]
+        if deleted:
+            found += [
+                entry
+                for key, entry in self._deleted_by_key.items()
+                if key.startswith(prefix) and entry.revision > after
+            ]
+        return tuple(sorted(found, key=lambda entry: entry.key))
+
+    def _remove(self, key: str) -> None:
+        if self._entries_by_key.pop(key, None) is None:
+            return
+        self._lease_by_key.pop(key, None)
+        self._revision += 1
+        self._deleted_by_key[key] = Entry(key, b"", self._revision)
+
+    def _expire_leases(self) -> None:
+        now = self._clock.seconds()
+        lapsed = {i for i, each in self._leases_by_id.items() if each.expires <= now}
+        if not lapsed:
+            return
+        for lease in lapsed:
+            del self._leases_by_id[lease]
+        for key in [k for k, lease in self._lease_by_key.items() if lease in lapsed]:
+            self._remove(key)
+        self._notify()
+
+    def _notify(self) -> None:
+        for watch in list(self._watches):
+            found = self._matching(watch.prefix, watch.after, deleted=True)
+            if found:
+                self._watches.remove(watch)
+                watch.waiting.callback(found)
+
+    def _end_watch(self, watch: _Watch) -> None:
+        if watch in self._watches:
+            self._watches.remove(watch)
+            watch.waiting.callback(())
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/members.py
@@ -0,0 +1,76 @@
+"""Live instances as the other parts see them."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Protocol
+
+
+@dataclass(frozen=True, slots=True)
+class Member:
+    """One run of an entry instance.
+
+    ``incarnation`` grows with every start of the instance, so that messages and
+    leases of an earlier run can be told from those of the present one.
+    """
+
+    instance: str
+    availability_zone: str
+    incarnation: int
+    address: str = ""
+
+
+class MembershipView(Protocol):
+    """What the parts need to know about the fleet."""
+
+    own: Member
+    availability_zones: tuple[str, ...]
+
+    def live(self, availability_zone: str | None = None) -> tuple[Member, ...]:
+        """Return the live members, sorted by instance, own one included."""
+
+    def member(self, instance: str) -> Member | None:
+        """Return the live member with this name."""
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call ``changed`` after each change of the live members."""
+
+
+class FixedMembership:
+    """A membership set by hand, for embedding without peers and for tests."""
+
+    def __init__(
+        self,
+        own: Member,
+        others: tuple[Member, ...] = (),
+        availability_zones: tuple[str, ...] = (),
+    ) -> None:
+        self.own = own
+        self._subscribers: list[Callable[[], None]] = []
+        self._by_instance: dict[str, Member] = {}
+        self.availability_zones = availability_zones
+        self.set_members(others)
+
+    def set_members(self, others: tuple[Member, ...]) -> None:
+        """Replace the other members and tell the subscribers."""
+        self._by_instance = {m.instance: m for m in (self.own, *others)}
+        if not self.availability_zones:
+            zones = {m.availability_zone for m in self._by_instance.values()}
+            self.availability_zones = tuple(sorted(zones))
+        for changed in self._subscribers:
+            changed()
+
+    def live(self, availability_zone: str | None = None) -> tuple[Member, ...]:
+        """Return the live members, sorted by instance, own one included."""
+        return tuple(
+            member
+            for _, member in sorted(self._by_instance.items())
+            if availability_zone in (None, member.availability_zone)
+        )
+
+    def member(self, instance: str) -> Member | None:
+        """Return the live member with this name."""
+        return self._by_instance.get(instance)
+
+    def subscribe(self, changed: Callable[[], None]) -> None:
+        """Call ``changed`` after each change of the live members."""
+        self._subscribers.append(changed)
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/rendezvous.py
@@ -0,0 +1,26 @@
+"""Rendezvous hashing: which members own a key, without any agreement."""
+
+from collections.abc import Iterable
+
+import xxhash
+
+
+def score(key: str, member: str) -> int:
+    """Return the 64-bit weight of ``member`` for ``key``."""
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}")
+
+
+def ranked(key: str, members: Iterable[str]) -> list[str]:
+    """Return the members from the first owner of ``key`` to the last.
+
+    A member that leaves moves only the keys that it owned.
+
+    >>> ranked("account-a", ["i1", "i2"]) == ranked("account-a", ["i2", "i1"])
+    True
+    """
+    return sorted(members, key=lambda member: (-score(key, member), member))
+
+
+def owner(key: str, members: Iterable[str]) -> str | None:
+    """Return the member that owns ``key``, or ``None`` without members."""
+    return max(members, key=lambda member: (score(key, member), member), default=None)
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/__init__.py
@@ -0,0 +1,1 @@
+"""A router for separate prefill and decode pools."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Joins the coordination library to the tasks of the router."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Typed messages and codecs, without I/O."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/state/__init__.py
@@ -0,0 +1,1 @@
+"""Data classes, state machines and in-memory stores."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets: HTTP servers and clients, peer connections."""
--- /dev/null
+++ b/scripts/known_red.py
@@ -0,0 +1,24 @@
+"""Prints the pytest options that pass over the entries of KNOWN-RED.txt."""
+
+import sys
+from pathlib import Path
+
+KNOWN_RED = Path(__file__).resolve().parent.parent / "KNOWN-RED.txt"
+FIELD_SEPARATOR = " | "
+
+
+def read_entries(text: str) -> list[list[str]]:
+    """Return the fields of each entry, comments and blank lines left out."""
+    lines = (line.strip() for line in text.splitlines())
+    return [line.split(FIELD_SEPARATOR) for line in lines if line and line[0] != "#"]
+
+
+def main() -> None:
+    """Print one ``--deselect`` per entry and name each entry on stderr."""
+    for fields in read_entries(KNOWN_RED.read_text()):
+        sys.stderr.write(f"known red: {FIELD_SEPARATOR.join(fields)}\n")
+        sys.stdout.write(f"--deselect={fields[0]}\n")
+
+
+if __name__ == "__main__":
+    main()
