--- /dev/null
+++ b/bench/__main__.py
@@ -0,0 +1,1 @@
+"""Runs every benchmark and checks its bounds."""
--- /dev/null
+++ b/bench/budget_bench.py
@@ -0,0 +1,1 @@
+"""Benchmark of the budget decision in virtual time."""
--- /dev/null
+++ b/bench/budget_model.py
@@ -0,0 +1,1 @@
+"""Model of a fleet that shares rates."""
--- /dev/null
+++ b/bench/claims_bench.py
@@ -0,0 +1,1 @@
+"""Benchmark of the claims decision in virtual time."""
--- /dev/null
+++ b/bench/membership_bench.py
@@ -0,0 +1,1 @@
+"""Control traffic of membership and configuration."""
--- /dev/null
+++ b/bench/placement_bench.py
@@ -0,0 +1,1 @@
+"""Benchmark of the placement decision in virtual time."""
--- /dev/null
+++ b/bench/placement_model.py
@@ -0,0 +1,1 @@
+"""Model of prefill and decode replicas."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/bucket.py
@@ -0,0 +1,1 @@
+"""Token buckets in exact integer arithmetic."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_baselines.py
@@ -0,0 +1,1 @@
+"""Simpler ways to record claims, kept to measure against."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claims.py
@@ -0,0 +1,1 @@
+"""At-most-once claims of idempotency keys with group commit."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
@@ -0,0 +1,1 @@
+"""Spread of the operators' configuration to every instance."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_messages.py
@@ -0,0 +1,1 @@
+"""Messages that spread the configuration."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/fairness.py
@@ -0,0 +1,1 @@
+"""Weighted fair queueing over accounts, in tokens."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/lease.py
@@ -0,0 +1,1 @@
+"""Leases that end early for their holder and late for everyone else."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
@@ -0,0 +1,1 @@
+"""Membership of instances by heartbeats between peers."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership_messages.py
@@ -0,0 +1,1 @@
+"""Messages of the membership protocol."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/orders.py
@@ -0,0 +1,1 @@
+"""Orders to engines from one lease holder a zone."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -0,0 +1,1 @@
+"""Choice of prefill and decode replicas."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_baselines.py
@@ -0,0 +1,1 @@
+"""Simpler ways to place requests, kept to measure against."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_messages.py
@@ -0,0 +1,1 @@
+"""Messages between the instances that share replicas."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/queueing.py
@@ -0,0 +1,1 @@
+"""Deadline-aware queue of requests that wait for a replica."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/recovery.py
@@ -0,0 +1,1 @@
+"""Release of engine memory held for instances that are gone."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/retries.py
@@ -0,0 +1,1 @@
+"""Retry budget as a share of successes."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_baselines.py
@@ -0,0 +1,1 @@
+"""Simpler ways to share a rate, kept to measure against."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_messages.py
@@ -0,0 +1,1 @@
+"""Messages between the holders and owners of shares."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/suspects.py
@@ -0,0 +1,1 @@
+"""Requests suspected or convicted of crashing backend servers."""
--- /dev/null
+++ b/packages/pomeloglade-standins/src/pomeloglade_standins/__main__.py
@@ -0,0 +1,1 @@
+"""Command line of the stand-ins."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -0,0 +1,1 @@
+"""The operators' command line."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
@@ -0,0 +1,1 @@
+"""Messages of the key-value service's HTTP protocol."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/protocol/peer_codec.py
@@ -0,0 +1,1 @@
+"""CBOR codec of the messages between instances."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/settings.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon from flags and environment variables."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/state/folder.py
@@ -0,0 +1,1 @@
+"""Reads a folder of TOML files into a deployment."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/key_value.py
@@ -0,0 +1,1 @@
+"""HTTP client of the platform's key-value service."""
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/peers.py
@@ -0,0 +1,1 @@
+"""Websocket connections between instances."""
--- /dev/null
+++ b/tests/test_claims_stateful.py
@@ -0,0 +1,1 @@
+"""Tests of claims_stateful."""
--- /dev/null
+++ b/tests/test_configuration_stateful.py
@@ -0,0 +1,1 @@
+"""Tests of configuration_stateful."""
--- /dev/null
+++ b/tests/test_http_key_value.py
@@ -0,0 +1,1 @@
+"""Tests of http_key_value."""
