--- a/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
@@ -1,1 +1,136 @@
-"""Messages of the key-value service's HTTP protocol."""
+"""Messages of the key-value service's HTTP protocol.
+
+All bodies are JSON; values are bytes written in base64. A key stands
+percent-encoded in the path, slashes included.
+
+=======  ==============================  ===============  ==================
+Method   Path                            Body             Answer
+=======  ==============================  ===============  ==================
+GET      /v1/keys/KEY                                     EntryMessage
+GET      /v1/keys?prefix=P                                EntriesMessage
+PUT      /v1/keys/KEY                    PutMessage       RevisionMessage
+DELETE   /v1/keys/KEY?expected=N                          DoneMessage
+GET      /v1/watch?prefix=P&after=N                       EntriesMessage
+         &timeout_ms=T
+POST     /v1/leases                      GrantMessage     LeaseMessage
+POST     /v1/leases/LEASE/renew                           DoneMessage
+=======  ==============================  ===============  ==================
+
+Every refusal is an ``ErrorMessage`` with the status that ``STATUS_BY_ERROR``
+gives; each of them promises that nothing was applied.
+"""
+
+from dataclasses import dataclass
+from typing import Literal, TypeVar
+
+import msgspec
+
+from pomeloglade_coordination.key_value import Entry
+
+ErrorName = Literal[
+    "bad_request",
+    "not_found",
+    "conflict",
+    "lease_not_found",
+    "too_large",
+    "unavailable",
+]
+
+STATUS_BY_ERROR: dict[ErrorName, int] = {
+    "bad_request": 400,
+    "not_found": 404,
+    "conflict": 409,
+    "lease_not_found": 410,
+    "too_large": 413,
+    "unavailable": 503,
+}
+
+Message = TypeVar("Message")
+
+
+@dataclass(frozen=True, slots=True)
+class EntryMessage:
+    """One key; an empty value at a deleted key's revision in watches."""
+
+    key: str
+    value: bytes
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class EntriesMessage:
+    """The keys under a prefix, sorted by key."""
+
+    entries: tuple[EntryMessage, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PutMessage:
+    """A change of one key; see ``KeyValueStore.put`` for the fields."""
+
+    value: bytes
+    expected: int | None = None
+    lease: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class RevisionMessage:
+    """The revision that a change was given."""
+
+    revision: int
+
+
+@dataclass(frozen=True, slots=True)
+class GrantMessage:
+    """A request for a lease with this time to live in milliseconds."""
+
+    time_to_live_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class LeaseMessage:
+    """The id of a new lease."""
+
+    lease: str
+
+
+@dataclass(frozen=True, slots=True)
+class DoneMessage:
+    """The answer of a change that returns nothing."""
+
+
+@dataclass(frozen=True, slots=True)
+class ErrorMessage:
+    """A refusal; ``actual`` is the revision found when it is a conflict."""
+
+    error: ErrorName
+    message: str
+    actual: int = 0
+
+
+def encode(message: object) -> bytes:
+    """Return ``message`` as a JSON body."""
+    return msgspec.json.encode(message)
+
+
+def decode(body: bytes, expected: type[Message]) -> Message:
+    """Return the ``expected`` message in ``body``.
+
+    Raises ``msgspec.MsgspecError`` naming the first bad field.
+    """
+    return msgspec.json.decode(body, type=expected)
+
+
+def entries_message(entries: tuple[Entry, ...]) -> EntriesMessage:
+    """Return the message that carries ``entries``."""
+    return EntriesMessage(tuple(entry_message(entry) for entry in entries))
+
+
+def entry_message(entry: Entry) -> EntryMessage:
+    """Return the message that carries ``entry``."""
+    return EntryMessage(entry.key, entry.value, entry.revision)
+
+
+def entry_of(message: EntryMessage) -> Entry:
+    """Return the entry that ``message`` carries."""
+    return Entry(message.key, message.value, message.revision)
--- a/packages/pomeloglade/src/pomeloglade/transport/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/key_value.py
@@ -1,1 +1,283 @@
 """HTTP client of the platform's key-value service."""
+
+from collections.abc import Awaitable, Callable
+from datetime import timedelta
+from typing import Any, Protocol, TypeVar
+from urllib.parse import quote, urlencode
+
+import msgspec
+from treq.client import HTTPClient
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectError, DNSLookupError
+from twisted.internet.interfaces import IReactorTime
+from twisted.web.client import Agent, HTTPConnectionPool, readBody
+
+from pomeloglade_coordination.errors import (
+    KeyValueError,
+    KeyValueOutcomeUnknownError,
+    KeyValueUnavailableError,
+    LeaseNotFoundError,
+    RevisionConflictError,
+)
+from pomeloglade_coordination.key_value import (
+    Entry,
+    KeyValueStore,
+)
+
+from ..protocol.key_value import (
+    DoneMessage,
+    EntriesMessage,
+    EntryMessage,
+    ErrorMessage,
+    GrantMessage,
+    LeaseMessage,
+    PutMessage,
+    RevisionMessage,
+    decode,
+    encode,
+    entry_of,
+)
+
+PEER = "key-value service"
+CLIENT_HEADER = "X-Client"
+CALL_TIMEOUT = timedelta(seconds=2)
+MAX_IDLE_CONNECTION_SECONDS = 30.0
+MAX_CONNECTIONS = 16
+HTTP_OK = 200
+
+Result = TypeVar("Result")
+
+
+class HttpClient(Protocol):
+    """The part of ``treq.client.HTTPClient`` that is used."""
+
+    def request(self, method: str, url: str, **options: Any) -> Deferred:
+        """Send a request and return a Deferred of its response."""
+
+
+def http_client(reactor: Any, timeout: timedelta) -> HTTPClient:
+    """Return a client that keeps connections and never resends a request.
+
+    It gives up connecting after half of ``timeout``, so that a call which has
+    not left can be told from one whose answer is missing.
+    """
+    pool = HTTPConnectionPool(reactor, persistent=True)
+    pool.retryAutomatically = False
+    pool.maxPersistentPerHost = MAX_CONNECTIONS
+    pool.cachedConnectionTimeout = MAX_IDLE_CONNECTION_SECONDS
+    connect_seconds = timeout.total_seconds() / 2
+    return HTTPClient(Agent(reactor, connectTimeout=connect_seconds, pool=pool))
+
+
+def open_key_value_store(
+    reactor: Any, url: str, *, timeout: timedelta = CALL_TIMEOUT, name: str = ""
+) -> "HttpKeyValueStore":
+    """Return a store at ``url`` with connections of its own."""
+    client = http_client(reactor, timeout)
+    return HttpKeyValueStore(reactor, url, client, timeout=timeout, name=name)
+
+
+class HttpKeyValueStore(KeyValueStore):
+    """Calls the service with a timeout on every call.
+
+    Errors carry the operation as their step. A call that never left, or that the
+    service refused, fails with ``KeyValueUnavailableError``; so does every read
+    without an answer. A change without an answer fails with
+    ``KeyValueOutcomeUnknownError`` and is never sent again.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Ends calls that take too long.
+    url : str
+        Address of the service, for example ``"http://10.0.0.9:2300"``.
+    client : HttpClient
+        Sends the requests; see ``http_client``.
+    timeout : timedelta
+        Bound on each call. A watch has it on top of the wait asked for.
+    name : str
+        Who calls, told to the service with each call.
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        url: str,
+        client: HttpClient,
+        *,
+        timeout: timedelta = CALL_TIMEOUT,
+        name: str = "",
+    ) -> None:
+        self._clock = clock
+        self._url = url.rstrip("/")
+        self._client = client
+        self._timeout = timeout
+        self._headers = {"Content-Type": "application/json", CLIENT_HEADER: name}
+
+    def get(self, key: str) -> "Deferred[Entry | None]":
+        """Return the entry of ``key``, or ``None``."""
+        found = self._read("get", _key_path(key), EntryMessage)
+        return found.addCallbacks(entry_of, _none_if_absent)
+
+    def list(self, prefix: str) -> "Deferred[tuple[Entry, ...]]":
+        """Return all entries whose key starts with ``prefix``, sorted by key."""
+        path = "/v1/keys?" + urlencode({"prefix": prefix})
+        return self._read("list", path, EntriesMessage).addCallback(_entries_of)
+
+    def put(
+        self, key: str, value: bytes, *, expected: int | None = None, lease: str = ""
+    ) -> "Deferred[int]":
+        """Store ``value`` and return its revision.
+
+        A value over ``MAX_VALUE_BYTES`` fails with ``KeyValueError``.
+        """
+        body = PutMessage(value, expected, lease)
+        stored = self._change("put", "PUT", _key_path(key), RevisionMessage, body)
+        stored.addErrback(_fill_in_conflict, key, expected)
+        return stored.addCallback(lambda message: message.revision)
+
+    def delete(self, key: str, *, expected: int | None = None) -> "Deferred[None]":
+        """Delete ``key``; an absent key is no error without ``expected``."""
+        query = "" if expected is None else "?" + urlencode({"expected": expected})
+        path = _key_path(key) + query
+        deleted = self._change("delete", "DELETE", path, DoneMessage)
+        deleted.addErrback(_fill_in_conflict, key, expected)
+        return deleted.addCallback(lambda _: None)
+
+    def watch(
+        self, prefix: str, after: int, timeout: timedelta
+    ) -> "Deferred[tuple[Entry, ...]]":
+        """Wait for entries under ``prefix`` newer than revision ``after``.
+
+        A watch that stays silent past ``timeout`` and the bound on a call fails
+        with ``KeyValueUnavailableError`` and gives its connection up.
+        """
+        milliseconds = int(timeout / timedelta(milliseconds=1))
+        query = {"prefix": prefix, "after": after, "timeout_ms": milliseconds}
+        path = "/v1/watch?" + urlencode(query)
+        bound = timeout + self._timeout
+        found = self._read("watch", path, EntriesMessage, bound=bound)
+        return found.addCallback(_entries_of)
+
+    def grant_lease(self, time_to_live: timedelta) -> "Deferred[str]":
+        """Create a lease and return its id."""
+        body = GrantMessage(int(time_to_live / timedelta(milliseconds=1)))
+        granted = self._change("grant", "POST", "/v1/leases", LeaseMessage, body)
+        return granted.addCallback(lambda message: message.lease)
+
+    def renew_lease(self, lease: str) -> "Deferred[None]":
+        """Extend a lease by its time to live; ``LeaseNotFoundError`` if it lapsed."""
+        path = f"/v1/leases/{quote(lease, safe='')}/renew"
+        renewed = self._change("renew", "POST", path, DoneMessage)
+        return renewed.addCallback(lambda _: None)
+
+    def _read(
+        self,
+        step: str,
+        path: str,
+        answer: type[Result],
+        *,
+        bound: timedelta | None = None,
+    ) -> "Deferred[Result]":
+        call = self._call(step, "GET", path, answer, b"")
+        return self._bounded(call, step, bound or self._timeout, _unavailable)
+
+    def _change(
+        self,
+        step: str,
+        method: str,
+        path: str,
+        answer: type[Result],
+        message: object = None,
+    ) -> "Deferred[Result]":
+        body = b"" if message is None else encode(message)
+        call = self._call(step, method, path, answer, body)
+        return self._bounded(call, step, self._timeout, _outcome_unknown)
+
+    def _bounded(
+        self,
+        call: Awaitable[Result],
+        step: str,
+        bound: timedelta,
+        lost: Callable[[str, object], KeyValueError],
+    ) -> "Deferred[Result]":
+        deferred = Deferred.fromCoroutine(call)
+        deferred.addTimeout(bound.total_seconds(), self._clock)
+
+        def translate(failure: Any) -> None:
+            if failure.check(KeyValueError):
+                failure.raiseException()
+            if failure.check(ConnectError, DNSLookupError):
+                raise _unavailable(step, failure.value) from failure.value
+            raise lost(step, failure.value) from failure.value
+
+        return deferred.addErrback(translate)
+
+    async def _call(
+        self, step: str, method: str, path: str, answer: type[Result], body: bytes
+    ) -> Result:
+        response = await self._client.request(
+            method,
+            self._url + path,
+            headers=self._headers,
+            data=body,
+            unbuffered=True,
+        )
+        content = await readBody(response)
+        if response.code == HTTP_OK:
+            return decode(content, answer)
+        raise _refusal(step, response.code, decode(content, ErrorMessage))
+
+
+class _AbsentKeyError(KeyValueError):
+    """The key that was read does not exist."""
+
+
+def _key_path(key: str) -> str:
+    return "/v1/keys/" + quote(key, safe="")
+
+
+def _entries_of(message: EntriesMessage) -> tuple[Entry, ...]:
+    return tuple(entry_of(each) for each in message.entries)
+
+
+def _none_if_absent(failure: Any) -> None:
+    failure.trap(_AbsentKeyError)
+
+
+def _fill_in_conflict(failure: Any, key: str, expected: int | None) -> None:
+    failure.trap(RevisionConflictError)
+    raise RevisionConflictError(key, expected or 0, failure.value.actual) from None
+
+
+def _refusal(step: str, status: int, refused: ErrorMessage) -> KeyValueError:
+    message = f"{PEER} refused to {step}: {refused.message} (status {status})"
+    if refused.error == "conflict":
+        return RevisionConflictError("", 0, refused.actual)
+    types_by_error: dict[str, type[KeyValueError]] = {
+        "not_found": _AbsentKeyError,
+        "lease_not_found": LeaseNotFoundError,
+        "unavailable": KeyValueUnavailableError,
+    }
+    return types_by_error.get(refused.error, KeyValueError)(
+        message, step=step, peer=PEER
+    )
+
+
+def _unavailable(step: str, cause: object) -> KeyValueUnavailableError:
+    message = f"cannot {step}: no answer from the {PEER}: {_describe(cause)}"
+    return KeyValueUnavailableError(message, step=step, peer=PEER)
+
+
+def _outcome_unknown(step: str, cause: object) -> KeyValueOutcomeUnknownError:
+    message = (
+        f"cannot tell whether {step} was applied: the answer of the {PEER} is"
+        f" missing: {_describe(cause)}"
+    )
+    return KeyValueOutcomeUnknownError(message, step=step, peer=PEER)
+
+
+def _describe(cause: object) -> str:
+    if isinstance(cause, msgspec.MsgspecError):
+        return f"answer not understood: {cause}"
+    return f"{type(cause).__name__}: {cause}" if str(cause) else type(cause).__name__
