Wrap the published deployment and keep withdrawn digests

A lost answer to a publish can only be resolved if the stored value tells whose publish it is, so the value under the key "configuration" is now a deployment with a publish id. A client account keeps the digests that were withdrawn, so that no later publish of an older folder brings them back.

Ruled out: a list of withdrawn digests apart from the accounts, because a caller with a withdrawn key is to be told so in its account's name. A value over the platform's megabyte is refused with its size and number of accounts.

--- a/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
@@ -1,21 +1,52 @@
-"""Encoding of a deployment as the value kept by the platform."""
+"""Encoding of the published configuration as the value kept by the platform."""
+
+from dataclasses import dataclass
 
 import msgspec
 
+from pomeloglade_coordination.key_value import MAX_VALUE_BYTES
+
 from ..state.deployment import Deployment
 
+CONFIGURATION_KEY = "configuration"
+"""The key of the platform's service that holds the published configuration."""
+
+
+@dataclass(frozen=True, slots=True)
+class Published:
+    """A deployment with the id of the publish that stored it.
+
+    Every publish has an id of its own, so that an operator whose answer was lost
+    can tell from the stored value whose publish it is.
+    """
+
+    publish_id: str
+    deployment: Deployment
+
+
+class DeploymentTooLargeError(ValueError):
+    """The encoded configuration is larger than the platform's largest value."""
+
 
-def encode(deployment: Deployment) -> bytes:
-    """Return the deployment as JSON with sorted keys.
+def encode(published: Published) -> bytes:
+    """Return the configuration as JSON with sorted keys.
 
-    Durations are written as ISO 8601 strings, for example ``"PT1.1S"``.
+    Durations are written as ISO 8601 strings, for example ``"PT1.1S"``. Raises
+    ``DeploymentTooLargeError`` over ``MAX_VALUE_BYTES``.
     """
-    return msgspec.json.encode(deployment, order="deterministic")
+    value = msgspec.json.encode(published, order="deterministic")
+    if len(value) > MAX_VALUE_BYTES:
+        raise DeploymentTooLargeError(
+            f"the configuration takes {len(value)} bytes with"
+            f" {len(published.deployment.accounts_by_name)} client accounts;"
+            f" the platform holds at most {MAX_VALUE_BYTES} bytes in one value"
+        )
+    return value
 
 
-def decode(value: bytes) -> Deployment:
-    """Return the deployment in ``value``.
+def decode(value: bytes) -> Published:
+    """Return the configuration in ``value``.
 
     Raises ``msgspec.ValidationError`` with the path of the first bad field.
     """
-    return msgspec.json.decode(value, type=Deployment)
+    return msgspec.json.decode(value, type=Published)
--- a/packages/pomeloglade/src/pomeloglade/state/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/state/deployment.py
@@ -16,9 +16,11 @@
 
     ``rate`` is in tokens a second and ``burst`` in tokens, both over all
     instances together. ``key_digests`` maps the name of each key to its digest;
-    the keys themselves are never stored. ``weight`` is the account's share in
-    fair queueing. ``when_cut_off`` tells what an instance that reaches neither
-    the platform nor a peer that does answers this account.
+    the keys themselves are never stored. ``withdrawn_digests`` are digests that
+    no publish may bring back; callers with such a key are told that it was
+    withdrawn. ``weight`` is the account's share in fair queueing.
+    ``when_cut_off`` tells what an instance that reaches neither the platform nor
+    a peer that does answers this account.
     """
 
     name: str
@@ -27,6 +29,7 @@
     weight: int = 1
     key_digests: dict[str, str] = field(default_factory=dict)
     when_cut_off: CutOffPolicy = "serve"
+    withdrawn_digests: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
