--- a/packages/pomeloglade/src/pomeloglade/settings.py
+++ b/packages/pomeloglade/src/pomeloglade/settings.py
@@ -10,10 +10,10 @@
 
 import typer
 
+from .state.addresses import MAX_PORT, parse_address
 from .state.durations import parse_duration
 
 ENVIRONMENT_PREFIX = "POMELOGLADE_"
-MAX_PORT = 65_535
 MIN_SECRET_CHARACTERS = 16
 MAX_NAME_CHARACTERS = 64
 DEFAULT_MAX_BODY_BYTES = 4_000_000
@@ -82,16 +82,10 @@
 
 def parse_peer_address(text: str) -> str:
     """Return ``text`` if it is ``host:port`` with an IP number as host."""
-    host, _, port = text.rpartition(":")
     try:
-        ipaddress.ip_address(host.strip("[]"))
-        _whole_number(port, "a port", 1, MAX_PORT)
-    except (ValueError, typer.BadParameter):
-        raise typer.BadParameter(
-            f"{text!r} is not an address; allowed: HOST:PORT with an IP number"
-            f" (IPv6 in brackets) and a port from 1 to {MAX_PORT}"
-        ) from None
-    return text
+        return parse_address(text)
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
 
 
 def parse_url(text: str) -> str:
