Add placement with one placing owner per group, suspects and retries

Six instances share each replica, so per-instance views of free slots go stale within a request. The placing owner of a group (rendezvous over the live instances of its zones) queues the asks of all instances and is alone in granting decode and prefill slots, decode together with prefill. It asks every live instance what it has in flight before its first grant, and starts over after a pause. Suspects are told to every instance before their slots are freed, so the owner knows of a first crash before it can place a copy elsewhere.

Ruled out so far: one owner per replica without a common queue, since a request would have to choose a replica before one is free, and fairness over accounts would hold only within one instance.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_messages.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_messages.py
@@ -1,1 +1,156 @@
 """Messages between the instances that share replicas."""
+
+from dataclasses import dataclass
+
+from .peer import PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementAsk(PeerMessage):
+    """Asks the placing owner of a group for an assignment.
+
+    Durations are in seconds from the sending, as the instances' clocks differ.
+    ``unreachable`` names the replicas that the sender can't use. ``alone`` keeps
+    other suspects off the assigned replicas.
+    """
+
+    group: str
+    number: int
+    request_id: str
+    account: str
+    weight: int
+    plain: bool
+    prompt_tokens: int
+    output_tokens: int
+    time_left: float
+    patient: bool
+    give_up_left: float
+    prefix: tuple[int, ...] = ()
+    fingerprint: str = ""
+    alone: bool = False
+    unreachable: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementGrant(PeerMessage):
+    """Assigns replicas to the ask with this number."""
+
+    group: str
+    number: int
+    request_id: str
+    prefill: str
+    decode: str
+    server: str
+    alone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementDecline(PeerMessage):
+    """Refuses the ask with this number; ``retry_after`` is in seconds."""
+
+    group: str
+    number: int
+    request_id: str
+    reason: str
+    retry_after: float
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementCancel(PeerMessage):
+    """Takes back a queued ask, or the grant that crossed this message."""
+
+    group: str
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementFreed(PeerMessage):
+    """Frees the prefill slots, or everything, of the requests named.
+
+    ``completed`` names those of the released that were answered in full.
+    """
+
+    group: str
+    prefilled: tuple[str, ...] = ()
+    released: tuple[str, ...] = ()
+    completed: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementRefused(PeerMessage):
+    """Tells the owner that the engine refused a request it had granted."""
+
+    group: str
+    request_id: str
+    replica: str
+
+
+@dataclass(frozen=True, slots=True)
+class Holding(PeerMessage):
+    """One request in flight with its replicas; ``prefill`` empties when done."""
+
+    request_id: str
+    prefill: str
+    decode: str
+    server: str
+    fingerprint: str = ""
+    alone: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class HoldingsWanted(PeerMessage):
+    """Asks an instance for all it has in flight on a group's replicas."""
+
+    group: str
+    number: int
+
+
+@dataclass(frozen=True, slots=True)
+class Holdings(PeerMessage):
+    """Everything that an instance has in flight on a group's replicas.
+
+    ``lost_seconds`` tells how long ago the sender last saw an instance vanish;
+    negative when it has seen none.
+    """
+
+    group: str
+    number: int
+    holdings: tuple[Holding, ...]
+    lost_seconds: float
+
+
+@dataclass(frozen=True, slots=True)
+class HoldingsCount(PeerMessage):
+    """How many requests an instance has in flight, to find lost messages."""
+
+    group: str
+    count: int
+
+
+@dataclass(frozen=True, slots=True)
+class CrashReport(PeerMessage):
+    """A request that was in flight on a backend server that crashed.
+
+    ``age`` is in seconds at the sending. ``alone`` tells that the run started
+    when the request was already a suspect.
+    """
+
+    fingerprint: str
+    server: str
+    age: float
+    alone: bool
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectsFound(PeerMessage):
+    """Tells other instances of requests that may have crashed a server."""
+
+    reports: tuple[CrashReport, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class SuspectCleared(PeerMessage):
+    """Tells other instances that a suspect has run alone and finished."""
+
+    fingerprint: str
+    age: float
--- a/tests/test_retries.py
+++ b/tests/test_retries.py
@@ -1,1 +1,1 @@
-"""Tests of retries."""
+"""Tests of the retry budget."""
