--- a/bench/budget_model.py
+++ b/bench/budget_model.py
@@ -1,1 +1,376 @@
 """Model of a fleet that shares rates."""
+
+import random
+from collections import Counter
+from collections.abc import Callable, Mapping
+from dataclasses import astuple, dataclass, field
+from datetime import timedelta
+
+import cbor2
+from twisted.internet.defer import Deferred, fail
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.internet.task import Clock
+from zope.interface import implementer
+
+from pomeloglade_coordination.bucket import Limit
+from pomeloglade_coordination.errors import KeyValueUnavailableError
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.members import FixedMembership, Member
+from pomeloglade_coordination.peer import PeerMessage
+from pomeloglade_coordination.shares import TICK_SECONDS
+
+MESSAGE_SECONDS = 0.0005
+"""One way between two instances."""
+
+PLATFORM_SECONDS = 0.004
+"""One way to the platform's key-value service and back."""
+
+DETECTION_SECONDS = 2.0
+"""How long the fleet takes to notice that an instance is gone or back."""
+
+FRAME_BYTES = 6
+"""Header of a masked websocket frame of up to 125 bytes."""
+
+
+def run_until(clock: Clock, instant: float) -> None:
+    """Run every call of ``clock`` at its own time, up to ``instant``."""
+    while clock.calls and clock.calls[0].getTime() <= instant:
+        clock.advance(max(0.0, clock.calls[0].getTime() - clock.seconds()))
+    clock.advance(max(0.0, instant - clock.seconds()))
+
+
+@implementer(IReactorTime)
+class DriftingClock:
+    """The monotonic clock of one instance, fast or slow by a fixed ratio."""
+
+    def __init__(self, clock: Clock, ratio: float, process: "Process") -> None:
+        self._clock = clock
+        self._ratio = ratio
+        self._process = process
+
+    def seconds(self) -> float:
+        """Return the instance's own time; it runs on while frozen."""
+        return self._clock.seconds() * self._ratio
+
+    def callLater(  # noqa: N802
+        self, seconds: float, function: Callable, *args: object, **kwargs: object
+    ) -> IDelayedCall:
+        """Call within the process, so not while frozen and never after a kill."""
+
+        def call() -> None:
+            function(*args, **kwargs)
+
+        return self._clock.callLater(seconds / self._ratio, self._process.run, call)
+
+    def getDelayedCalls(self) -> list[IDelayedCall]:  # noqa: N802
+        """Return the calls of all instances."""
+        return self._clock.getDelayedCalls()
+
+
+class Process:
+    """One run of an instance: what reaches it while frozen waits."""
+
+    def __init__(self) -> None:
+        self.alive = True
+        self.frozen = False
+        self._waiting: list[Callable[[], None]] = []
+
+    def run(self, call: Callable[[], None]) -> None:
+        """Call at once, after the wake, or never."""
+        if not self.alive:
+            return
+        if self.frozen:
+            self._waiting.append(call)
+            return
+        call()
+
+    def wake(self) -> None:
+        """Run what has waited, in order."""
+        self.frozen = False
+        waiting, self._waiting = self._waiting, []
+        for call in waiting:
+            self.run(call)
+
+
+class StoreLink(MemoryKeyValueStore):
+    """One instance's way to the shared store, which may be cut."""
+
+    def __init__(self, fleet: "Fleet", instance: "Instance") -> None:
+        self._fleet = fleet
+        self._instance = instance
+
+    def _call(self, method: str, *args: object, **kwargs: object) -> Deferred:
+        self._fleet.store_calls[method] += 1
+        answer: Deferred = Deferred()
+        process = self._instance.process
+        if not self._fleet.reaches_platform(self._instance.zone):
+            error = KeyValueUnavailableError("no answer", step=method)
+            later = self._fleet.clock.callLater
+            later(PLATFORM_SECONDS, process.run, lambda: answer.errback(error))
+            return answer
+        self._fleet.clock.callLater(
+            PLATFORM_SECONDS / 2, self._apply, process, answer, method, args, kwargs
+        )
+        return answer
+
+    def _apply(
+        self,
+        process: Process,
+        answer: Deferred,
+        method: str,
+        args: tuple,
+        kwargs: dict,
+    ) -> None:
+        done = getattr(self._fleet.store, method)(*args, **kwargs)
+
+        def deliver(result: object) -> None:
+            later = self._fleet.clock.callLater
+            later(PLATFORM_SECONDS / 2, process.run, lambda: answer.callback(result))
+
+        done.addBoth(deliver)
+
+    def get(self, key: str) -> Deferred:
+        """Read through the link."""
+        return self._call("get", key)
+
+    def list(self, prefix: str) -> Deferred:
+        """Read through the link."""
+        return self._call("list", prefix)
+
+    def put(
+        self, key: str, value: bytes, *, expected: int | None = None, lease: str = ""
+    ) -> Deferred:
+        """Write through the link."""
+        return self._call("put", key, value, expected=expected, lease=lease)
+
+    def delete(self, key: str, *, expected: int | None = None) -> Deferred:
+        """Delete through the link."""
+        return self._call("delete", key, expected=expected)
+
+    def watch(self, prefix: str, after: int, timeout: timedelta) -> Deferred:
+        """Not modelled."""
+        return fail(NotImplementedError())
+
+
+@dataclass(slots=True)
+class Instance:
+    """An entry instance with its present run."""
+
+    name: str
+    zone: str
+    clock_ratio: float = 1.0
+    incarnation: int = 0
+    process: Process = field(default_factory=Process)
+    members: FixedMembership | None = None
+    shares: object = None
+
+
+class _Sender:
+    def __init__(self, fleet: "Fleet", instance: str) -> None:
+        self._fleet = fleet
+        self._instance = instance
+
+    def send(self, instance: str, message: PeerMessage) -> None:
+        self._fleet.carry(self._instance, instance, message)
+
+
+@dataclass(slots=True)
+class Parts:
+    """What a way of sharing is built from, for one run of an instance."""
+
+    clock: DriftingClock
+    members: FixedMembership
+    sender: _Sender
+    store: StoreLink
+    fleet: "Fleet"
+
+
+class Fleet:
+    """Instances in zones, the links between them, and their faults.
+
+    Parameters
+    ----------
+    build : callable
+        Makes one instance's shares from ``Parts``.
+    instances_by_zone : mapping of str to tuple of str
+        The fleet.
+    limits : mapping of str to Limit
+        The limits in force from the start.
+    seed : int
+        Of everything random in the model.
+    clock_ratios : mapping of str to float, optional
+        Clocks that run fast or slow, by instance.
+    """
+
+    def __init__(
+        self,
+        build: Callable[[Parts], object],
+        instances_by_zone: Mapping[str, tuple[str, ...]],
+        limits: Mapping[str, Limit],
+        seed: int = 1,
+        clock_ratios: Mapping[str, float] | None = None,
+    ) -> None:
+        self.clock = Clock()
+        self.random = random.Random(seed)
+        self.store = MemoryKeyValueStore(self.clock)
+        self.platform_up = True
+        self.loss = 0.0
+        self.cuts: set[frozenset[str]] = set()
+        self.cut_from_platform: set[str] = set()
+        self.sent_messages: Counter[str] = Counter()
+        self.sent_bytes: Counter[str] = Counter()
+        self.store_calls: Counter[str] = Counter()
+        self.limits = dict(limits)
+        self.revision = 1
+        self.instances_by_zone = dict(instances_by_zone)
+        self._build = build
+        ratios = clock_ratios or {}
+        self.instances_by_name = {
+            name: Instance(name, zone, ratios.get(name, 1.0))
+            for zone, names in instances_by_zone.items()
+            for name in names
+        }
+        for name in self.instances_by_name:
+            self.start(name)
+        self._update_members()
+
+    def start(self, name: str) -> None:
+        """Start a new run of an instance, without any state."""
+        instance = self.instances_by_name[name]
+        instance.incarnation += 1
+        instance.process = Process()
+        own = Member(name, instance.zone, instance.incarnation)
+        others = tuple(
+            Member(other.name, other.zone, other.incarnation)
+            for other in self.instances_by_name.values()
+            if other.name != name
+        )
+        instance.members = FixedMembership(own, others, tuple(self.instances_by_zone))
+        clock = DriftingClock(self.clock, instance.clock_ratio, instance.process)
+        instance.shares = self._build(
+            Parts(
+                clock,
+                instance.members,
+                _Sender(self, name),
+                StoreLink(self, instance),
+                self,
+            )
+        )
+        instance.shares.configure(self.limits, self.revision)
+        offset = self.random.uniform(0.0, TICK_SECONDS)
+        clock.callLater(offset, self._tick, instance, instance.shares, clock)
+        self._update_members_later()
+
+    def kill(self, name: str) -> None:
+        """End the run of an instance at once."""
+        self.instances_by_name[name].process.alive = False
+        self._update_members_later()
+
+    def freeze(self, name: str) -> None:
+        """Stop an instance; its clock and its incoming messages go on."""
+        self.instances_by_name[name].process.frozen = True
+        self._update_members_later()
+
+    def wake(self, name: str) -> None:
+        """Let a frozen instance go on."""
+        self.instances_by_name[name].process.wake()
+        self._update_members_later()
+
+    def cut(self, zone: str, *, platform: bool = True) -> None:
+        """Cut a zone from the other zones and from the platform."""
+        self.cuts |= {
+            frozenset((zone, other))
+            for other in self.instances_by_zone
+            if other != zone
+        }
+        if platform:
+            self.cut_from_platform.add(zone)
+        self._update_members_later()
+
+    def heal(self) -> None:
+        """Mend all cuts and the platform."""
+        self.cuts.clear()
+        self.cut_from_platform.clear()
+        self.platform_up = True
+        self._update_members_later()
+
+    def configure(self, limits: Mapping[str, Limit]) -> None:
+        """Publish limits that reach running instances at once."""
+        self.limits = dict(limits)
+        self.revision += 1
+        for instance in self.instances_by_name.values():
+            shares = instance.shares
+            instance.process.run(
+                lambda shares=shares: shares.configure(self.limits, self.revision)
+            )
+
+    def running(self, name: str) -> bool:
+        """Return whether callers reach this instance."""
+        process = self.instances_by_name[name].process
+        return process.alive and not process.frozen
+
+    def reaches_platform(self, zone: str) -> bool:
+        """Return whether the platform answers instances of this zone."""
+        return self.platform_up and zone not in self.cut_from_platform
+
+    def carry(self, sender: str, receiver: str, message: PeerMessage) -> None:
+        """Deliver a message after the link's delay, unless it is lost."""
+        self.sent_messages[sender] += 1
+        size = len(cbor2.dumps([type(message).__name__, *astuple(message)]))
+        self.sent_bytes[sender] += size + FRAME_BYTES
+        target = self.instances_by_name.get(receiver)
+        if target is None or self._cut_between(sender, receiver):
+            return
+        if self.loss and self.random.random() < self.loss:
+            return
+        process, shares = target.process, target.shares
+        self.clock.callLater(
+            MESSAGE_SECONDS, process.run, lambda: shares.receive(sender, message)
+        )
+
+    def _cut_between(self, one: str, other: str) -> bool:
+        zones = (self.instances_by_name[name].zone for name in (one, other))
+        return frozenset(zones) in self.cuts
+
+    def _tick(self, instance: Instance, shares: object, clock: DriftingClock) -> None:
+        shares.tick()
+        clock.callLater(TICK_SECONDS, self._tick, instance, shares, clock)
+
+    def _update_members_later(self) -> None:
+        self.clock.callLater(DETECTION_SECONDS, self._update_members)
+
+    def _update_members(self) -> None:
+        for instance in self.instances_by_name.values():
+            others = tuple(
+                Member(other.name, other.zone, other.incarnation)
+                for other in self.instances_by_name.values()
+                if other.name != instance.name
+                and self.running(other.name)
+                and not self._cut_between(instance.name, other.name)
+            )
+            instance.members.set_members(others)
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Tokens admitted (positive) or refunded (negative) at an instant."""
+
+    at: float
+    tokens: int
+
+
+def tokens_over(events: list[Event], limit: Limit, since: float = 0.0) -> float:
+    """Return the most that any window holds above ``burst + rate x window``."""
+    # The worst window that ends at an event starts where the running sum of
+    # tokens less what the rate has earned was lowest before it.
+    lowest = 0.0
+    total = 0
+    most_over = float("-inf")
+    for event in events:
+        if event.at < since:
+            continue
+        earned = limit.rate * (event.at - since)
+        lowest = min(lowest, total - earned)
+        total += event.tokens
+        most_over = max(most_over, total - earned - lowest - limit.burst)
+    return max(0.0, most_over)
