--- a/Makefile
+++ b/Makefile
@@ -19,7 +19,7 @@
 	touch $@
 
 demo: setup
-	$(BIN)/python scripts/demo.py
+	$(BIN)/python -m scripts.demo
 
 test: setup
 	$(BIN)/python -m pytest $$($(BIN)/python scripts/known_red.py)
@@ -36,7 +36,7 @@
 	$(BIN)/python -m bench
 
 fuzz: setup
-	$(BIN)/python scripts/fuzz.py
+	$(BIN)/python -m scripts.fuzz
 
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/refusals.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/refusals.py
@@ -57,7 +57,8 @@
 
     ``not_run`` is true only when no earlier attempt at the request, at any
     instance, can have run. ``retry_after`` tells the caller when coming back
-    can help; ``None`` means that it does not.
+    can help; ``None`` means that it does not. ``detail`` says more where the
+    reason is not enough, for example which field of a body is wrong.
 
     >>> Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=timedelta(seconds=2))
     ... # doctest: +ELLIPSIS
@@ -69,3 +70,4 @@
     peer: str = ""
     not_run: bool = True
     retry_after: timedelta | None = None
+    detail: str = ""
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/rendezvous.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/rendezvous.py
@@ -7,7 +7,7 @@
 
 def score(key: str, member: str) -> int:
     """Return the 64-bit weight of ``member`` for ``key``."""
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}")
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode())
 
 
 def ranked(key: str, members: Iterable[str]) -> list[str]:
--- /dev/null
+++ b/packages/pomeloglade-standins/src/pomeloglade_standins/engine.py
@@ -0,0 +1,230 @@
+"""Stand-in of a model engine: prefill, transfer and decode with real memory limits."""
+
+import itertools
+from collections.abc import Iterator
+from dataclasses import dataclass, field
+
+import msgspec
+import treq
+from klein import Klein
+from twisted.internet.defer import Deferred, ensureDeferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.task import deferLater
+from twisted.web.iweb import IRequest
+from twisted.web.server import Site
+
+BYTES_PER_TOKEN = 4
+TOKENS_PER_PIECE = 16
+DEFAULT_PIECES = 2000
+DEFAULT_SLOTS = 20
+HANDLE_SECONDS = 0.9
+CRASH_WORD = "crash-the-engine"
+
+
+@dataclass(slots=True)
+class EngineSpeed:
+    """How long the engine takes, in seconds."""
+
+    prefill_per_token: float = 0.00005
+    decode_per_token: float = 0.002
+
+
+@dataclass(slots=True)
+class Held:
+    """Memory held for one request."""
+
+    pieces: int
+    prompt: str = ""
+    imported: bool = False
+    output: tuple[str, ...] = field(default=())
+
+
+class EngineStandIn:
+    """Serves the engines' HTTP protocol and counts what it holds.
+
+    The "model" answers with the first sentence of each paragraph of the prompt,
+    one word a token. A prompt with ``CRASH_WORD`` ends the process, as a request
+    that crashes its engine does.
+    """
+
+    app = Klein()
+
+    def __init__(
+        self,
+        reactor: IReactorTime,
+        *,
+        pieces: int = DEFAULT_PIECES,
+        slots: int = DEFAULT_SLOTS,
+        speed: EngineSpeed | None = None,
+    ) -> None:
+        self._reactor = reactor
+        self._pieces = pieces
+        self._slots = slots
+        self._speed = speed or EngineSpeed()
+        self._held_by_id: dict[str, Held] = {}
+        self._prompts_by_handle: dict[str, tuple[str, str]] = {}
+        self._handles = itertools.count(1)
+        self._last_order = 0
+        self._orders: list[str] = []
+        self.crash = self._stop_reactor
+
+    @property
+    def held(self) -> tuple[str, ...]:
+        """Ids of the requests that hold memory."""
+        prefills = (request_id for request_id, _ in self._prompts_by_handle.values())
+        return tuple(sorted({*self._held_by_id, *prefills}))
+
+    @app.route("/v1/reserve", methods=["POST"])
+    def reserve(self, http: IRequest) -> bytes:
+        """Reserve memory for a request, or answer 409 when there is none."""
+        body = _body(http)
+        pieces = -(-int(body["tokens"]) // TOKENS_PER_PIECE)
+        used = sum(held.pieces for held in self._held_by_id.values())
+        if used + pieces > self._pieces or len(self._held_by_id) >= self._slots:
+            return _error(http, 409, "full")
+        self._held_by_id[body["request_id"]] = Held(pieces)
+        return _ok(http, {"pieces": pieces})
+
+    @app.route("/v1/prefill", methods=["POST"])
+    async def prefill(self, http: IRequest) -> bytes:
+        """Compute a prompt's cache and keep it under a handle for a short time."""
+        body = _body(http)
+        prompt = body["prompt"]
+        if CRASH_WORD in prompt:
+            self.crash()
+        tokens = -(-len(prompt.encode()) // BYTES_PER_TOKEN)
+        await deferLater(
+            self._reactor, tokens * self._speed.prefill_per_token, lambda: None
+        )
+        handle = f"h{next(self._handles)}"
+        self._prompts_by_handle[handle] = (body["request_id"], prompt)
+        self._reactor.callLater(HANDLE_SECONDS, self._drop_handle, handle)
+        answer = {
+            "request_id": body["request_id"],
+            "handle": handle,
+            "prompt_tokens": tokens,
+        }
+        return _ok(http, answer)
+
+    @app.route("/v1/export/<handle>", methods=["GET"])
+    def export(self, http: IRequest, handle: str) -> bytes:
+        """Give a cache to the engine that imports it, and release it here."""
+        found = self._prompts_by_handle.pop(handle, None)
+        if found is None:
+            return _error(http, 404, "handle expired")
+        return _ok(http, {"prompt": found[1]})
+
+    @app.route("/v1/import", methods=["POST"])
+    async def import_cache(self, http: IRequest) -> bytes:
+        """Fetch a cache from the engine that computed it."""
+        body = _body(http)
+        held = self._held_by_id.get(body["request_id"])
+        if held is None:
+            return _error(http, 404, "not reserved")
+        url = f"{body['source']}/v1/export/{body['handle']}"
+        response = await treq.get(url, timeout=2)
+        if response.code != 200:
+            return _error(http, 410, "handle expired")
+        content = await treq.json_content(response)
+        held.prompt = content["prompt"]
+        held.output = tuple(summarize(held.prompt))
+        held.imported = True
+        return _ok(http, {})
+
+    @app.route("/v1/decode", methods=["POST"])
+    def decode(self, http: IRequest) -> "Deferred[None] | bytes":
+        """Stream tokens from ``first_index`` on."""
+        body = _body(http)
+        held = self._held_by_id.get(body["request_id"])
+        if held is None or not held.imported:
+            return _error(http, 404, "no cache")
+        http.setHeader("Content-Type", "application/x-ndjson")
+        stream = self._stream(http, body["request_id"], held, body)
+        return ensureDeferred(stream)
+
+    @app.route("/v1/cancel", methods=["POST"])
+    def cancel(self, http: IRequest) -> bytes:
+        """Release everything held for a request."""
+        request_id = _body(http)["request_id"]
+        self._held_by_id.pop(request_id, None)
+        for handle, (owner, _) in list(self._prompts_by_handle.items()):
+            if owner == request_id:
+                self._drop_handle(handle)
+        return _ok(http, {})
+
+    @app.route("/v1/held", methods=["GET"])
+    def list_held(self, http: IRequest) -> bytes:
+        """List the requests that hold memory."""
+        return _ok(http, {"request_ids": self.held})
+
+    @app.route("/v1/load", methods=["GET"])
+    def load(self, http: IRequest) -> bytes:
+        """Report the load."""
+        answer = {"held": len(self._held_by_id), "waiting": 0, "slots": self._slots}
+        return _ok(http, answer)
+
+    @app.route("/v1/orders", methods=["POST"])
+    def order(self, http: IRequest) -> bytes:
+        """Take an order unless its fencing number is older than the last one."""
+        body = _body(http)
+        if body["fencing"] < self._last_order:
+            return _error(http, 412, "old fencing number")
+        self._last_order = body["fencing"]
+        self._orders.append(body["state"])
+        return _ok(http, {"state": body["state"]})
+
+    def site(self) -> Site:
+        """Return the site to listen with."""
+        return Site(self.app.resource())
+
+    async def _stream(
+        self, http: IRequest, request_id: str, held: Held, body: dict
+    ) -> None:
+        words = held.output[: body["output_tokens"]]
+        for index in range(body["first_index"], len(words)):
+            await deferLater(self._reactor, self._speed.decode_per_token, lambda: None)
+            if request_id not in self._held_by_id:
+                http.loseConnection()
+                return
+            text = words[index] if index == 0 else " " + words[index]
+            line = {"request_id": request_id, "index": index, "text": text}
+            http.write(msgspec.json.encode(line) + b"\n")
+        self._held_by_id.pop(request_id, None)
+        end = {
+            "request_id": request_id,
+            "done": True,
+            "prompt_tokens": -(-len(held.prompt.encode()) // BYTES_PER_TOKEN),
+            "output_tokens": len(words),
+            "finish_reason": "stop" if len(words) == len(held.output) else "length",
+        }
+        http.write(msgspec.json.encode(end) + b"\n")
+
+    def _drop_handle(self, handle: str) -> None:
+        self._prompts_by_handle.pop(handle, None)
+
+    def _stop_reactor(self) -> None:
+        self._reactor.crash()
+
+
+def summarize(text: str) -> Iterator[str]:
+    """Yield the words of the first sentence of each paragraph."""
+    for paragraph in text.split("\n"):
+        sentence, _, _ = paragraph.strip().partition(". ")
+        words = sentence.split()
+        if words:
+            yield from words[:-1]
+            yield words[-1].rstrip(".") + "."
+
+
+def _body(http: IRequest) -> dict:
+    return msgspec.json.decode(http.content.read())
+
+
+def _ok(http: IRequest, answer: dict) -> bytes:
+    http.setHeader("Content-Type", "application/json")
+    return msgspec.json.encode(answer)
+
+
+def _error(http: IRequest, status: int, text: str) -> bytes:
+    http.setResponseCode(status)
+    return _ok(http, {"error": text})
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -0,0 +1,251 @@
+"""One entry instance: builds the parts, joins them and runs their clocks."""
+
+import random
+from collections.abc import Callable
+
+import eliot
+from twisted.internet.task import LoopingCall
+
+from pomeloglade_coordination import (
+    configuration_messages,
+    membership_messages,
+    placement_messages,
+    recovery,
+    share_messages,
+)
+from pomeloglade_coordination.bucket import Limit
+from pomeloglade_coordination.claims import Claims
+from pomeloglade_coordination.clock import Clock
+from pomeloglade_coordination.configuration import ConfigurationSpread
+from pomeloglade_coordination.key_value import KeyValueStore
+from pomeloglade_coordination.members import Member
+from pomeloglade_coordination.membership import ListedInstance, Membership
+from pomeloglade_coordination.peer import PeerSender
+from pomeloglade_coordination.placement import Placement
+from pomeloglade_coordination.placement_owner import Replica
+from pomeloglade_coordination.recovery import Recovery
+from pomeloglade_coordination.retries import RetryBudget
+from pomeloglade_coordination.shares import Shares
+from pomeloglade_coordination.suspects import Suspects
+
+from ..state.counters import CounterPage
+from ..state.deployment import BackendServer, Deployment
+from ..state.metrics import Metrics
+from .engine import Engines, Services
+from .engine_directory import EngineDirectory
+from .health import Health
+from .in_force import InForce
+from .instance_list import InstanceList, PlatformInstance
+from .open_requests import OpenRequests
+from .owner_table import OwnerTable
+from .parts import Parts
+from .peer_dispatch import PeerDispatch
+from .request_tasks import RequestTasks
+
+TICK_SECONDS = 0.2
+
+
+class EntryInstance:
+    """Everything of an instance but its sockets.
+
+    Parameters
+    ----------
+    own : Member
+        This run of the instance.
+    clock : IReactorTime
+        Drives every part.
+    store : KeyValueStore
+        The platform's key-value service.
+    sender : PeerSender
+        Carries messages to other instances.
+    engines, services : Engines, Services
+        The backend servers.
+    decode : callable
+        Turns the platform's value into a deployment.
+    """
+
+    def __init__(
+        self,
+        *,
+        own: Member,
+        clock: Clock,
+        store: KeyValueStore,
+        sender: PeerSender,
+        engines: Engines,
+        services: Services,
+        decode: Callable[[bytes], Deployment],
+    ) -> None:
+        self.clock = clock
+        self.metrics = Metrics()
+        self.counters = CounterPage()
+        self.in_force = InForce()
+        self.peers = PeerDispatch(self.metrics)
+        self._owners = OwnerTable()
+        self._decode = decode
+        self._randomness = random.Random(f"{own.instance}/{own.incarnation}")
+        self._build_fleet(own, store, sender)
+        self._build_parts(store, sender, engines, services)
+        self._build_upkeep(store, engines, sender)
+        self._register()
+
+    def start(self) -> None:
+        """Start the parts that act on their own."""
+        self.instance_list.start()
+        self.spread.start()
+        self.parts.health.start()
+        self.recovery.start()
+        self._ticker.start(TICK_SECONDS, now=False)
+
+    def begin_drain(self) -> None:
+        """Tell the peers that this instance is leaving."""
+        self.members.leaving()
+
+    def stop(self) -> None:
+        """Hand back what is borrowed and stop acting."""
+        self.parts.shares.hand_back()
+        self.parts.health.stop()
+        self.recovery.stop()
+        self.spread.stop()
+        self.instance_list.stop()
+        self._ticker.stop()
+
+    def _build_fleet(
+        self, own: Member, store: KeyValueStore, sender: PeerSender
+    ) -> None:
+        self.members = Membership(
+            own=own, clock=self.clock, sender=sender, random=self._randomness
+        )
+        self.spread = ConfigurationSpread(
+            clock=self.clock,
+            members=self.members,
+            sender=sender,
+            store=store,
+            adopt=self._adopt,
+            random=self._randomness,
+        )
+        self.instance_list = InstanceList(self.clock, store, self.metrics)
+        self.instance_list.subscribe(self._listed)
+
+    def _build_parts(
+        self,
+        store: KeyValueStore,
+        sender: PeerSender,
+        engines: Engines,
+        services: Services,
+    ) -> None:
+        clock, members = self.clock, self.members
+        suspects = Suspects(clock=clock, members=members, sender=sender)
+        placement = Placement(
+            clock=clock,
+            members=members,
+            sender=sender,
+            random=self._randomness,
+            suspects=suspects,
+        )
+        self.parts = Parts(
+            clock=clock,
+            in_force=self.in_force,
+            shares=Shares(
+                clock=clock, members=members, sender=sender, owners=self._owners
+            ),
+            placement=placement,
+            suspects=suspects,
+            retries=RetryBudget(clock=clock, random=self._randomness),
+            claims=Claims(
+                clock=clock,
+                store=store,
+                own=members.own,
+                random=self._randomness,
+                members=members,
+                sender=sender,
+            ),
+            engines=engines,
+            services=services,
+            health=Health(
+                clock, members, self.in_force, engines, placement, self.metrics
+            ),
+            metrics=self.metrics,
+        )
+        self.open_requests = OpenRequests(self.in_force, self.metrics.changed)
+        self.tasks = RequestTasks(self.parts, self.members, self.open_requests)
+
+    def _build_upkeep(
+        self, store: KeyValueStore, engines: Engines, sender: PeerSender
+    ) -> None:
+        directory = EngineDirectory(self.in_force, engines)
+        self.recovery = Recovery(
+            clock=self.clock,
+            members=self.members,
+            engines=directory,
+            random=self._randomness,
+            availability_zones_by_server=directory.availability_zones_by_server,
+            known=self.open_requests.__contains__,
+            sender=sender,
+        )
+        self.members.subscribe_death(lambda dead: self.recovery.died(dead.member))
+        self._ticker = LoopingCall(self._tick)
+        self._ticker.clock = self.clock
+
+    def _register(self) -> None:
+        register = self.peers.register
+        register(membership_messages, self.members.receive)
+        register(configuration_messages, self.spread.receive)
+        register(share_messages, self.parts.shares.receive)
+        register(placement_messages, self.parts.placement.receive)
+        register(recovery, self.recovery.receive)
+        self.counters.add("membership", lambda: self.members.counters)
+        self.counters.add("configuration", lambda: self.spread.counters)
+        self.counters.add("shares", self.parts.shares.counters)
+        self.counters.add("placement", self.parts.placement.counters)
+        self.counters.add("suspects", self.parts.suspects.counters)
+        self.counters.add("claims", lambda: self.parts.claims.counters)
+        self.counters.add("recovery", lambda: self.recovery.counters)
+
+    def _tick(self) -> None:
+        self.members.tick()
+        self.parts.shares.tick()
+        self.parts.placement.tick()
+        self.parts.suspects.tick()
+
+    def _adopt(self, revision: int, value: bytes) -> None:
+        deployment = self._decode(value)
+        if not self.in_force.adopt(revision, deployment):
+            return
+        self._owners.configure(deployment)
+        self.parts.shares.configure(_limits(deployment), revision)
+        self.parts.placement.configure(_replicas(deployment))
+        eliot.log_message("pomeloglade:in_force", revision=revision)
+
+    def _listed(self, instances: tuple[PlatformInstance, ...]) -> None:
+        self.members.listed(
+            ListedInstance(
+                each.instance,
+                each.availability_zone,
+                each.peer_address,
+                each.state == "leaving",
+            )
+            for each in instances
+        )
+
+
+def _limits(deployment: Deployment) -> dict[str, Limit]:
+    return {
+        account.name: Limit(account.rate, account.burst)
+        for account in deployment.accounts_by_name.values()
+    }
+
+
+def _replicas(deployment: Deployment) -> list[Replica]:
+    servers = deployment.backend_servers_by_name
+    return [_replica(server) for _, server in sorted(servers.items())]
+
+
+def _replica(server: BackendServer) -> Replica:
+    return Replica(
+        server.name,
+        server.pool,
+        server.role,
+        server.availability_zone,
+        server.slots,
+        server.state == "serving",
+    )
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/coordination/failures.py
@@ -0,0 +1,46 @@
+"""Turns backend errors into refusals."""
+
+from datetime import timedelta
+from functools import singledispatch
+
+from pomeloglade_coordination.refusals import Reason, Refusal, Step
+
+from ..errors import (
+    BackendError,
+    BackendFullError,
+    BackendNonsenseError,
+    BackendUnreachableError,
+)
+
+RETRY_AFTER = timedelta(seconds=1)
+
+
+@singledispatch
+def refusal_of(error: Exception, dispatched: bool) -> Refusal:
+    """Return the refusal that tells a caller about ``error``."""
+    raise error
+
+
+@refusal_of.register
+def _(error: BackendError, dispatched: bool) -> Refusal:
+    return _refusal(Reason.BACKEND_FAILED, error, dispatched)
+
+
+@refusal_of.register
+def _(error: BackendUnreachableError, dispatched: bool) -> Refusal:
+    return _refusal(Reason.NO_BACKEND_SERVER, error, dispatched)
+
+
+@refusal_of.register
+def _(error: BackendFullError, dispatched: bool) -> Refusal:
+    return _refusal(Reason.NO_ENGINE_MEMORY, error, dispatched)
+
+
+@refusal_of.register
+def _(error: BackendNonsenseError, dispatched: bool) -> Refusal:
+    return _refusal(Reason.BACKEND_NONSENSE, error, dispatched)
+
+
+def _refusal(reason: Reason, error: BackendError, dispatched: bool) -> Refusal:
+    step = Step(error.step)
+    return Refusal(reason, step, error.peer, not dispatched, RETRY_AFTER, str(error))
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
@@ -0,0 +1,79 @@
+"""Reads the platform's lagging list of live and leaving instances."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Literal
+
+import msgspec
+from twisted.internet.defer import Deferred
+from twisted.internet.task import LoopingCall
+
+from pomeloglade_coordination.clock import Clock
+from pomeloglade_coordination.errors import KeyValueError
+from pomeloglade_coordination.key_value import Entry, KeyValueStore
+
+from ..state.metrics import Metrics
+
+INSTANCES_PREFIX = "instances/"
+READ_SECONDS = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformInstance:
+    """One entry of the platform's list.
+
+    ``address`` is where callers connect and ``peer_address`` where other
+    instances do.
+    """
+
+    instance: str
+    availability_zone: str
+    address: str
+    peer_address: str
+    state: Literal["live", "leaving"] = "live"
+
+
+class InstanceList:
+    """Polls the list and tells subscribers of what it read last."""
+
+    def __init__(self, clock: Clock, store: KeyValueStore, metrics: Metrics) -> None:
+        self._store = store
+        self._metrics = metrics
+        self._subscribers: list[Callable[[tuple[PlatformInstance, ...]], None]] = []
+        self._loop = LoopingCall(self._read)
+        self._loop.clock = clock
+
+    def subscribe(
+        self, changed: Callable[[tuple[PlatformInstance, ...]], None]
+    ) -> None:
+        """Call ``changed`` after each read."""
+        self._subscribers.append(changed)
+
+    def start(self) -> None:
+        """Read now and then every ``READ_SECONDS``."""
+        self._loop.start(READ_SECONDS)
+
+    def stop(self) -> None:
+        """Stop reading."""
+        if self._loop.running:
+            self._loop.stop()
+
+    async def _read_entries(self) -> None:
+        try:
+            entries = await self._store.list(INSTANCES_PREFIX)
+        except KeyValueError:
+            self._metrics.event("instance_list", "unavailable")
+            return
+        found = tuple(each for each in map(self._decode, entries) if each)
+        for changed in self._subscribers:
+            changed(found)
+
+    def _read(self) -> "Deferred[None]":
+        return Deferred.fromCoroutine(self._read_entries())
+
+    def _decode(self, entry: Entry) -> PlatformInstance | None:
+        try:
+            return msgspec.json.decode(entry.value, type=PlatformInstance)
+        except (msgspec.DecodeError, msgspec.ValidationError):
+            self._metrics.event("instance_list", "bad_entry")
+            return None
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -0,0 +1,160 @@
+"""The daemon of one entry instance: sockets, start and graceful shutdown."""
+
+import sys
+import time
+
+import eliot
+from twisted.internet import reactor
+from twisted.internet.defer import Deferred, DeferredList
+from twisted.internet.endpoints import TCP4ServerEndpoint
+from twisted.internet.task import deferLater
+
+from pomeloglade_coordination.members import Member
+
+from .coordination.entry_instance import EntryInstance
+from .coordination.instance_list import PlatformInstance
+from .protocol.deployment import decode
+from .settings import Settings, run_with_settings
+from .transport.engines import HttpEngines
+from .transport.http_client import HttpClient
+from .transport.key_value import open_key_value_store
+from .transport.peers import PeerLinks
+from .transport.services import HttpServices
+from .transport.site import RouterSite
+from .transport.status_page import StatusPage
+
+LISTING_SECONDS = 10.0
+"""Longest wait in a shutdown until the platform's list shows it."""
+
+MILLISECONDS_PER_SECOND = 1000
+
+
+class Daemon:
+    """Runs one entry instance on a reactor."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        own = Member(
+            settings.instance,
+            settings.availability_zone,
+            int(time.time() * MILLISECONDS_PER_SECOND),
+        )
+        self._http = HttpClient(reactor)
+        self._links = PeerLinks(
+            reactor=reactor,
+            own=lambda: self._instance.members.own,
+            listen_host=settings.peer_host,
+            listen_port=settings.peer_port,
+            on_message=lambda instance, message: self._instance.peers.receive(
+                instance, message
+            ),
+            secret=settings.peer_secret,
+            on_connected=lambda member: self._instance.members.connected(member),
+        )
+        self._instance = EntryInstance(
+            own=own,
+            clock=reactor,
+            store=open_key_value_store(
+                reactor,
+                settings.platform_url,
+                timeout=settings.platform_timeout,
+                name=settings.instance,
+            ),
+            sender=self._links,
+            engines=HttpEngines(self._http, reactor),
+            services=HttpServices(self._http, reactor),
+            decode=lambda value: decode(value).deployment,
+        )
+        self._status = StatusPage(
+            self._instance.members,
+            self._instance.in_force,
+            self._instance.spread,
+            self._instance.open_requests,
+            self._instance.counters,
+        )
+        self._listed_leaving: Deferred[None] = Deferred()
+
+    async def start(self) -> None:
+        """Listen, connect to the peers and start the parts."""
+        instance = self._instance
+        site = RouterSite(
+            instance.in_force, instance.tasks, instance.metrics, self._status
+        )
+        endpoint = TCP4ServerEndpoint(
+            reactor, self._settings.listen_port, interface=self._settings.listen_host
+        )
+        self._listener = await endpoint.listen(site.site(self._settings.max_body_bytes))
+        for address in self._settings.peer_addresses:
+            self._links.connect(address)
+        instance.instance_list.subscribe(self._listed)
+        instance.start()
+        reactor.addSystemEventTrigger("before", "shutdown", self._drain)
+        eliot.log_message(
+            "pomeloglade:listening",
+            port=self._listener.getHost().port,
+            peer_port=self._links.listening_port,
+        )
+
+    def _listed(self, instances: tuple[PlatformInstance, ...]) -> None:
+        own = self._settings.instance
+        partners = self._instance.members.partners()
+        self._links.set_peers(
+            [*self._settings.peer_addresses, *(each.address for each in partners)],
+            {each.instance: each.peer_address for each in instances},
+        )
+        live = any(each.instance == own and each.state == "live" for each in instances)
+        if self._status.draining and not live and not self._listed_leaving.called:
+            self._listed_leaving.callback(None)
+
+    def _drain(self) -> "Deferred[None]":
+        return Deferred.fromCoroutine(self._shut_down())
+
+    async def _shut_down(self) -> None:
+        """Finish every request, then hand back what the instance holds.
+
+        New requests are taken until the platform's list shows that the instance
+        is leaving, since its balancer sends them until then.
+        """
+        eliot.log_message("pomeloglade:draining")
+        self._status.draining = True
+        self._instance.begin_drain()
+        listed = DeferredList(
+            [self._listed_leaving, deferLater(reactor, LISTING_SECONDS)],
+            fireOnOneCallback=True,
+        )
+        await listed
+        await self._listener.stopListening()
+        idle = self._instance.open_requests.when_idle()
+        idle.addTimeout(
+            self._settings.drain_timeout.total_seconds(), reactor, lambda *_: None
+        )
+        await idle
+        self._instance.stop()
+        await self._links.close()
+        eliot.log_message(
+            "pomeloglade:stopped", cut_requests=len(self._instance.open_requests)
+        )
+
+
+def run(settings: Settings) -> None:
+    """Run the daemon until it is told to stop."""
+    eliot.to_file(sys.stdout)
+    daemon = Daemon(settings)
+    reactor.callWhenRunning(
+        lambda: Deferred.fromCoroutine(daemon.start()).addErrback(_give_up)
+    )
+    reactor.run()
+
+
+def _give_up(failure: object) -> None:
+    eliot.log_message("pomeloglade:not_started", reason=str(failure))
+    reactor.stop()
+
+
+def main() -> None:
+    """Run ``pomelogladed``."""
+    run_with_settings(run)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/errors.py
@@ -0,0 +1,35 @@
+"""Exceptions of the router."""
+
+from pomeloglade_coordination.errors import CoordinationError
+
+
+class RouterError(CoordinationError):
+    """Base of the router's errors; carries the step and the peer."""
+
+
+class BadRequestError(RouterError):
+    """A caller's request that can't be understood."""
+
+
+class BackendError(RouterError):
+    """Base of the errors of a call to a backend server."""
+
+
+class BackendUnreachableError(BackendError):
+    """No connection was made, so the backend server has received nothing."""
+
+
+class BackendLostError(BackendError):
+    """The connection broke after bytes were sent, so the call may have run."""
+
+
+class BackendFullError(BackendError):
+    """The engine has no memory left for the request."""
+
+
+class BackendNonsenseError(BackendError):
+    """The backend server's answer does not follow its protocol."""
+
+
+class BackendRefusedError(BackendError):
+    """The backend server understood the call and declined it."""
--- a/packages/pomeloglade/src/pomeloglade/state/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/state/deployment.py
@@ -81,6 +81,18 @@
     pool: str
 
 
+@dataclass(frozen=True, slots=True)
+class FleetInstance:
+    """The name of an entry instance and the zone that it runs in.
+
+    A replacement takes over the name. Shares of rates and bursts are divided
+    over these names, so no two processes may run under one name at a time.
+    """
+
+    name: str
+    availability_zone: str
+
+
 @dataclass(frozen=True, slots=True)
 class Deployment:
     """One accepted configuration; collections are keyed by name."""
@@ -90,6 +102,7 @@
     routes_by_name: dict[str, Route] = field(default_factory=dict)
     backend_servers_by_name: dict[str, BackendServer] = field(default_factory=dict)
     models_by_name: dict[str, Model] = field(default_factory=dict)
+    instances_by_name: dict[str, FleetInstance] = field(default_factory=dict)
 
     def pool(self, pool: str, role: BackendRole) -> tuple[BackendServer, ...]:
         """Return the backend servers of ``pool`` with ``role``, sorted by name."""
--- a/packages/pomeloglade/src/pomeloglade/state/folder.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder.py
@@ -30,7 +30,14 @@
 
 import msgspec
 
-from .deployment import BackendServer, ClientAccount, Deployment, Model, Route
+from .deployment import (
+    BackendServer,
+    ClientAccount,
+    Deployment,
+    FleetInstance,
+    Model,
+    Route,
+)
 from .durations import parse_duration
 from .folder_checks import Problem, check_deployment
 from .toml_lines import KeyPath, flatten, keys_by_line, line_of, syntax_problems
@@ -38,6 +45,7 @@
 SUFFIX = ".toml"
 ZONES_KEY = "availability_zones"
 CLASSES_BY_TABLE: dict[str, type] = {
+    "instances": FleetInstance,
     "accounts": ClientAccount,
     "routes": Route,
     "backend_servers": BackendServer,
@@ -147,6 +155,7 @@
         }
         return Deployment(
             availability_zones=self._zones(),
+            instances_by_name=records_by_table["instances"],
             accounts_by_name=records_by_table["accounts"],
             routes_by_name=records_by_table["routes"],
             backend_servers_by_name=records_by_table["backend_servers"],
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/state/metrics.py
@@ -0,0 +1,86 @@
+"""Counters and latencies of one instance in Prometheus' text format."""
+
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, Counter, Gauge, generate_latest
+
+from pomeloglade_coordination.refusals import Reason, Refusal
+
+LOWEST_MICROSECONDS = 1
+HIGHEST_MICROSECONDS = 600_000_000
+SIGNIFICANT_DIGITS = 2
+MICROSECONDS_PER_SECOND = 1_000_000
+QUANTILES = (50.0, 95.0, 99.0)
+SHARED_ACCOUNTS = ""
+"""Account label of latencies once ``MAX_HISTOGRAMS`` pairs have been seen."""
+MAX_HISTOGRAMS = 128
+
+
+class Metrics:
+    """Counts answers, refusals and retries, and records latencies."""
+
+    def __init__(self) -> None:
+        self._registry = CollectorRegistry()
+        self._answers = self._counter("answers", "Whole answers", "route")
+        self._refusals = self._counter("refusals", "Refusals", "reason", "step")
+        self._retries = self._counter("retries", "Retries by reason", "reason")
+        self._events = self._counter("events", "Other events", "part", "event")
+        self._open = Gauge(
+            "pomeloglade_open_requests", "Requests open now", registry=self._registry
+        )
+        self._histograms_by_route: dict[tuple[str, str], HdrHistogram] = {}
+        for reason in Reason:
+            self._retries.labels(reason.value)
+
+    def answered(self, route: str, account: str, seconds: float) -> None:
+        """Count a whole answer that took ``seconds`` from its arrival."""
+        self._answers.labels(route).inc()
+        micros = max(LOWEST_MICROSECONDS, int(seconds * MICROSECONDS_PER_SECOND))
+        histogram = self._histogram(route, account)
+        histogram.record_value(min(micros, HIGHEST_MICROSECONDS))
+
+    def refused(self, refusal: Refusal) -> None:
+        """Count a refusal by reason and step."""
+        self._refusals.labels(refusal.reason.value, refusal.step.value).inc()
+
+    def retried(self, reason: Reason) -> None:
+        """Count a retry by the reason that caused it."""
+        self._retries.labels(reason.value).inc()
+
+    def event(self, part: str, event: str) -> None:
+        """Count another event of a part."""
+        self._events.labels(part, event).inc()
+
+    def changed(self, opened: int) -> None:
+        """Add to the number of open requests; negative when they close."""
+        self._open.inc(opened)
+
+    def render(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        lines = [
+            "# HELP pomeloglade_latency_seconds Latency of whole answers",
+            "# TYPE pomeloglade_latency_seconds gauge",
+        ]
+        for (route, account), histogram in sorted(self._histograms_by_route.items()):
+            for quantile in QUANTILES:
+                value = histogram.get_value_at_percentile(quantile)
+                seconds = value / MICROSECONDS_PER_SECOND
+                labels = f'route="{route}",account="{account}"'
+                labels += f',quantile="{quantile / 100:g}"'
+                lines.append(f"pomeloglade_latency_seconds{{{labels}}} {seconds:g}")
+        return generate_latest(self._registry) + "\n".join(lines).encode() + b"\n"
+
+    def _counter(self, name: str, text: str, *labels: str) -> Counter:
+        return Counter(f"pomeloglade_{name}", text, labels, registry=self._registry)
+
+    def _histogram(self, route: str, account: str) -> HdrHistogram:
+        key = (route, account)
+        if key not in self._histograms_by_route:
+            if len(self._histograms_by_route) >= MAX_HISTOGRAMS:
+                key = (route, SHARED_ACCOUNTS)
+            self._histograms_by_route.setdefault(
+                key,
+                HdrHistogram(
+                    LOWEST_MICROSECONDS, HIGHEST_MICROSECONDS, SIGNIFICANT_DIGITS
+                ),
+            )
+        return self._histograms_by_route[key]
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/answers.py
@@ -0,0 +1,96 @@
+"""Writes answers to model calls on HTTP requests, streamed or whole.
+
+The site finishes each HTTP request once its task has ended.
+"""
+
+from twisted.web.iweb import IRequest
+
+from pomeloglade_coordination.refusals import Refusal
+
+from ..protocol import completions
+from ..state.call import Token, Usage
+
+JSON_TYPE = "application/json"
+STREAM_TYPE = "text/event-stream"
+
+
+def write_refusal(http: IRequest, refusal: Refusal, request_id: str) -> bytes:
+    """Set status and headers of a refusal and return its body."""
+    http.setResponseCode(completions.status_of(refusal))
+    http.setHeader("Content-Type", JSON_TYPE)
+    retry_after = completions.retry_after_of(refusal)
+    if retry_after is not None:
+        http.setHeader("Retry-After", str(retry_after))
+    return completions.encode_refusal(refusal, request_id)
+
+
+class StreamedAnswer:
+    """Sends each token as an event; a refusal after the first is an event too."""
+
+    def __init__(self, http: IRequest, request_id: str, model: str, chat: bool) -> None:
+        self._http = http
+        self._request_id = request_id
+        self._model = model
+        self._chat = chat
+        self._started = False
+
+    def token(self, token: Token) -> None:
+        """Send the next token."""
+        self._start()
+        self._http.write(
+            completions.encode_token(
+                token, self._request_id, self._model, chat=self._chat
+            )
+        )
+
+    def finish(self, usage: Usage) -> None:
+        """Send the end of a whole answer."""
+        self._start()
+        self._http.write(
+            completions.encode_end(
+                usage, self._request_id, self._model, chat=self._chat
+            )
+        )
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal; a stream that has begun ends without ``[DONE]``."""
+        if self._started:
+            body = completions.encode_refusal(refusal, self._request_id)
+            self._http.write(completions.encode_event(body))
+        else:
+            self._http.write(write_refusal(self._http, refusal, self._request_id))
+
+    def _start(self) -> None:
+        if not self._started:
+            self._http.setHeader("Content-Type", STREAM_TYPE)
+            self._http.setHeader("Cache-Control", "no-store")
+            self._started = True
+
+
+class WholeAnswer:
+    """Collects the tokens and sends one JSON body."""
+
+    def __init__(self, http: IRequest, request_id: str, model: str, chat: bool) -> None:
+        self._http = http
+        self._request_id = request_id
+        self._model = model
+        self._chat = chat
+        self._texts: list[str] = []
+
+    def token(self, token: Token) -> None:
+        """Take the next token."""
+        self._texts.append(token.text)
+
+    def finish(self, usage: Usage) -> None:
+        """Send the whole answer."""
+        text = "".join(self._texts)
+        self._http.setHeader("Content-Type", JSON_TYPE)
+        self._http.write(
+            completions.encode_answer(
+                text, usage, self._request_id, self._model, chat=self._chat
+            )
+        )
+
+    def refuse(self, refusal: Refusal) -> None:
+        """Send a refusal; none of the collected tokens are sent."""
+        self._http.write(write_refusal(self._http, refusal, self._request_id))
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/engines.py
@@ -0,0 +1,299 @@
+"""Model engines over HTTP."""
+
+from collections.abc import Callable
+from datetime import timedelta
+from typing import TypeVar
+
+import treq
+from twisted.internet.defer import CancelledError, Deferred
+from twisted.internet.interfaces import IReactorTime
+from twisted.internet.protocol import Protocol
+from twisted.python.failure import Failure
+from twisted.web.iweb import IResponse
+
+from pomeloglade_coordination.recovery import HeldRequest, RequestId
+
+from ..coordination.engine import Engines
+from ..errors import (
+    BackendError,
+    BackendFullError,
+    BackendLostError,
+    BackendNonsenseError,
+    BackendRefusedError,
+)
+from ..protocol import engine
+from ..state.call import EngineLoad, ModelCall, Prefilled, Token, Usage
+from ..state.deployment import BackendServer
+from .http_client import Exchange, HttpClient, base_url
+
+T = TypeVar("T")
+FULL_STATUS = 409
+OK_STATUS = 200
+SHORT_CALL = timedelta(seconds=2)
+TRANSFER_TIMEOUT = timedelta(seconds=2)
+STREAM_SILENCE = timedelta(seconds=5)
+MAX_RESUMES = 2
+INTERACTIVE_PRIORITY = 1
+PATIENT_PRIORITY = 0
+
+
+class HttpEngines(Engines):
+    """Calls engines by their HTTP protocol.
+
+    A decode stream that breaks or goes silent is resumed on a new connection
+    from the first token not received, at most ``MAX_RESUMES`` times.
+    """
+
+    def __init__(self, http: HttpClient, reactor: IReactorTime) -> None:
+        self._http = http
+        self._reactor = reactor
+
+    async def _post(
+        self,
+        server: BackendServer,
+        path: str,
+        body: object,
+        kind: type[T] | None,
+        step: str,
+        timeout: timedelta = SHORT_CALL,
+    ) -> T | None:
+        exchange = Exchange(
+            "POST",
+            base_url(server) + path,
+            step,
+            server.name,
+            engine.encode(body),
+            (("content-type", "application/json"),),
+            timeout,
+        )
+        content = await self._exchange(exchange)
+        if kind is None:
+            return None
+        return engine.decode(content, kind, step=step, peer=server.name)
+
+    async def _get(
+        self, server: BackendServer, path: str, kind: type[T], step: str
+    ) -> T:
+        exchange = Exchange(
+            "GET", base_url(server) + path, step, server.name, timeout=SHORT_CALL
+        )
+        content = await self._exchange(exchange)
+        return engine.decode(content, kind, step=step, peer=server.name)
+
+    async def _exchange(self, exchange: Exchange) -> bytes:
+        response = await self._http.send(exchange)
+        try:
+            body = treq.content(response)
+            body.addTimeout(exchange.timeout.total_seconds(), self._reactor)
+            content = await body
+        except CancelledError:
+            raise
+        except Exception as error:
+            raise BackendLostError(
+                f"the answer of backend server {exchange.peer!r} broke off: {error!r}",
+                step=exchange.step,
+                peer=exchange.peer,
+            ) from error
+        _check_status(response, exchange.step, exchange.peer)
+        return content
+
+    def reserve(
+        self, server: BackendServer, request_id: str, tokens: int
+    ) -> "Deferred[None]":
+        """Reserve memory for ``tokens`` on a decode engine."""
+        body = engine.ReserveBody(request_id, tokens)
+        return Deferred.fromCoroutine(
+            self._post(server, "/v1/reserve", body, None, "reserve")
+        )
+
+    def prefill(
+        self, server: BackendServer, request_id: str, call: ModelCall
+    ) -> "Deferred[Prefilled]":
+        """Compute the prompt's KV cache on a prefill engine."""
+        return Deferred.fromCoroutine(self._prefill(server, request_id, call))
+
+    async def _prefill(
+        self, server: BackendServer, request_id: str, call: ModelCall
+    ) -> Prefilled:
+        priority = PATIENT_PRIORITY if call.route.patient else INTERACTIVE_PRIORITY
+        body = engine.PrefillBody(request_id, call.model, call.prompt, priority)
+        answer = await self._post(
+            server,
+            "/v1/prefill",
+            body,
+            engine.PrefillAnswer,
+            "prefill",
+            call.route.timeout,
+        )
+        if answer.request_id != request_id:
+            raise BackendNonsenseError(
+                f"backend server {server.name!r} answered the prefill of request "
+                f"{answer.request_id!r} to request {request_id!r}",
+                step="prefill",
+                peer=server.name,
+            )
+        return Prefilled(answer.handle, answer.prompt_tokens)
+
+    def transfer(
+        self,
+        source: BackendServer,
+        target: BackendServer,
+        request_id: str,
+        prefilled: Prefilled,
+    ) -> "Deferred[None]":
+        """Have ``target`` import the KV cache that ``source`` exports."""
+        body = engine.ImportBody(request_id, base_url(source), prefilled.handle)
+        return Deferred.fromCoroutine(
+            self._post(target, "/v1/import", body, None, "transfer", TRANSFER_TIMEOUT)
+        )
+
+    def decode(
+        self,
+        server: BackendServer,
+        request_id: str,
+        call: ModelCall,
+        on_token: Callable[[Token], None],
+    ) -> "Deferred[Usage]":
+        """Generate tokens, each given to ``on_token`` in order."""
+        return Deferred.fromCoroutine(self._decode(server, request_id, call, on_token))
+
+    async def _decode(
+        self,
+        server: BackendServer,
+        request_id: str,
+        call: ModelCall,
+        on_token: Callable[[Token], None],
+    ) -> Usage:
+        stream = engine.DecodeStream(request_id, server.name)
+        for resumes in range(MAX_RESUMES + 1):
+            try:
+                await self._stream(server, request_id, call, stream, on_token)
+            except BackendLostError:
+                if resumes == MAX_RESUMES:
+                    raise
+                stream.reconnected()
+            else:
+                break
+        if stream.usage is None:
+            raise BackendLostError(
+                f"backend server {server.name!r} ended the stream of request "
+                f"{request_id!r} before its last token",
+                step="decode",
+                peer=server.name,
+            )
+        return stream.usage
+
+    async def _stream(
+        self,
+        server: BackendServer,
+        request_id: str,
+        call: ModelCall,
+        stream: engine.DecodeStream,
+        on_token: Callable[[Token], None],
+    ) -> None:
+        body = engine.DecodeBody(request_id, call.output_tokens, stream.next_index)
+        exchange = Exchange(
+            "POST",
+            base_url(server) + "/v1/decode",
+            "decode",
+            server.name,
+            engine.encode(body),
+            (("content-type", "application/json"),),
+            STREAM_SILENCE,
+        )
+        response = await self._http.send(exchange)
+        if response.code != OK_STATUS:
+            await treq.content(response)
+            _check_status(response, "decode", server.name)
+        reader = _StreamReader(self._reactor, server.name, stream, on_token)
+        response.deliverBody(reader)
+        await reader.done
+        if stream.usage is None:
+            raise BackendLostError(
+                f"the stream of backend server {server.name!r} broke off",
+                step="decode",
+                peer=server.name,
+            )
+
+    def cancel(self, server: BackendServer, request_id: str) -> "Deferred[None]":
+        """Release everything held for a request; unknown ones are no error."""
+        body = engine.CancelBody(request_id)
+        return Deferred.fromCoroutine(
+            self._post(server, "/v1/cancel", body, None, "cancel")
+        )
+
+    def held(self, server: BackendServer) -> "Deferred[tuple[HeldRequest, ...]]":
+        """Return the requests that the engine holds memory for."""
+        return Deferred.fromCoroutine(self._held(server))
+
+    async def _held(self, server: BackendServer) -> tuple[HeldRequest, ...]:
+        answer = await self._get(server, "/v1/held", engine.HeldAnswer, "recover")
+        parsed = (RequestId.parse(each) for each in answer.request_ids)
+        return tuple(
+            HeldRequest(str(found), found.instance, found.incarnation)
+            for found in parsed
+            if found is not None
+        )
+
+    def load(self, server: BackendServer) -> "Deferred[EngineLoad]":
+        """Return the engine's load report."""
+        return Deferred.fromCoroutine(self._load(server))
+
+    async def _load(self, server: BackendServer) -> EngineLoad:
+        answer = await self._get(server, "/v1/load", engine.LoadAnswer, "load")
+        return EngineLoad(answer.held, answer.waiting, answer.slots)
+
+
+class _StreamReader(Protocol):
+    """Feeds a response body to a decode stream and watches for silence."""
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        peer: str,
+        stream: engine.DecodeStream,
+        on_token: Callable[[Token], None],
+    ) -> None:
+        self._clock = clock
+        self._peer = peer
+        self._stream = stream
+        self._on_token = on_token
+        self.done: Deferred[None] = Deferred(lambda _: self._abort())
+        self._silence = clock.callLater(STREAM_SILENCE.total_seconds(), self._abort)
+
+    def dataReceived(self, data: bytes) -> None:  # noqa: N802
+        """Pass the tokens in ``data`` on."""
+        self._silence.reset(STREAM_SILENCE.total_seconds())
+        try:
+            for token in self._stream.receive(data):
+                self._on_token(token)
+        except BackendError:
+            self._end(Failure())
+            self._abort()
+
+    def connectionLost(self, reason: Failure | None = None) -> None:  # noqa: N802
+        """End the stream; whether it was whole is for the decode stream to say."""
+        self._end(None)
+
+    def _abort(self) -> None:
+        transport = self.transport
+        if transport is not None:
+            transport.abortConnection()
+        self._end(None)
+
+    def _end(self, result: Failure | None) -> None:
+        if self._silence.active():
+            self._silence.cancel()
+        if not self.done.called:
+            self.done.callback(result)
+
+
+def _check_status(response: IResponse, step: str, peer: str) -> None:
+    if response.code == OK_STATUS:
+        return
+    kind = BackendFullError if response.code == FULL_STATUS else BackendRefusedError
+    raise kind(
+        f"backend server {peer!r} answered {step} with status {response.code}",
+        step=step,
+        peer=peer,
+    )
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/transport/status_page.py
@@ -0,0 +1,87 @@
+"""What one instance tells probes and operators about itself."""
+
+from dataclasses import dataclass
+from datetime import timedelta
+
+import msgspec
+
+from pomeloglade_coordination.configuration import ConfigurationSpread
+from pomeloglade_coordination.members import MembershipView
+from pomeloglade_coordination.refusals import Reason, Refusal, Step
+
+from ..coordination.in_force import InForce
+from ..coordination.open_requests import OpenRequests
+from ..state.call import Caller
+from ..state.counters import CounterPage
+
+CUT_OFF_RETRY = timedelta(seconds=5)
+
+
+@dataclass(frozen=True, slots=True)
+class StatusBody:
+    """Body of ``GET /admin/status``."""
+
+    instance: str
+    availability_zone: str
+    incarnation: int
+    revision: int
+    ready: bool
+    draining: bool
+    cut_off: bool
+    open_requests: int
+    live_instances: tuple[str, ...]
+    in_force_by_instance: dict[str, int]
+
+
+class StatusPage:
+    """Readiness, cut-off policy and status of this instance."""
+
+    def __init__(
+        self,
+        members: MembershipView,
+        in_force: InForce,
+        spread: ConfigurationSpread,
+        open_requests: OpenRequests,
+        counters: CounterPage,
+    ) -> None:
+        self._members = members
+        self._in_force = in_force
+        self._spread = spread
+        self._open = open_requests
+        self._counters = counters
+        self.draining = False
+
+    @property
+    def ready(self) -> bool:
+        """Whether a configuration is in force and no shutdown has begun."""
+        return self._in_force.revision > 0 and not self.draining
+
+    def refuses(self, caller: Caller) -> Refusal | None:
+        """Return the refusal of accounts that are not served while cut off."""
+        account = caller.account
+        if account is None or account.when_cut_off == "serve":
+            return None
+        if not self._spread.cut_off:
+            return None
+        return Refusal(Reason.CUT_OFF, Step.AUTHENTICATE, retry_after=CUT_OFF_RETRY)
+
+    def render(self) -> bytes:
+        """Return the status as JSON."""
+        own = self._members.own
+        body = StatusBody(
+            instance=own.instance,
+            availability_zone=own.availability_zone,
+            incarnation=own.incarnation,
+            revision=self._in_force.revision,
+            ready=self.ready,
+            draining=self.draining,
+            cut_off=self._spread.cut_off,
+            open_requests=len(self._open),
+            live_instances=tuple(each.instance for each in self._members.live()),
+            in_force_by_instance=dict(self._spread.in_force_by_instance()),
+        )
+        return msgspec.json.encode(body)
+
+    def render_counters(self) -> bytes:
+        """Return the library parts' counters in Prometheus' text format."""
+        return self._counters.render()
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,1 @@
+"""Programs for developers: the demo, load and fuzzing."""
--- /dev/null
+++ b/scripts/demo.py
@@ -0,0 +1,138 @@
+"""Runs the main job on stand-ins: a summary, a lookup and a booking."""
+
+import json
+import sys
+import tempfile
+from pathlib import Path
+
+from scripts.fleet import HOST, Fleet, Process, backend_override, call
+
+ROOT = Path(__file__).resolve().parent.parent
+EXAMPLE = ROOT / "examples" / "halvorsen"
+REPORT = ROOT / "examples" / "match-report.txt"
+ACCOUNT = "assessors-panel"
+ENGINES = {
+    "assessor-llm-prefill-1": "nordvik-a",
+    "assessor-llm-prefill-2": "nordvik-b",
+    "assessor-llm-decode-1": "nordvik-a",
+    "assessor-llm-decode-2": "nordvik-b",
+    "assessor-llm-decode-3": "nordvik-c",
+    "assessor-llm-decode-4": "nordvik-a",
+}
+SERVICES = ("roster-api-1", "roster-api-2", "roster-api-3")
+INSTANCES = {"entry-nordvik-a-1": "nordvik-a", "entry-nordvik-b-1": "nordvik-b"}
+
+
+def start_fleet(fleet: Fleet, folder: Path) -> None:
+    """Start stand-ins and instances, and publish the example to them."""
+    fleet.start_platform()
+    addresses = start_backend_servers(fleet)
+    copy_example(folder, addresses)
+    launched = {
+        name: fleet.launch_instance(name, zone) for name, zone in INSTANCES.items()
+    }
+    for name, process in launched.items():
+        fleet.adopt_instance(name, INSTANCES[name], process)
+    operate(fleet, "publish", str(folder))
+
+
+def start_backend_servers(fleet: Fleet) -> dict[str, str]:
+    """Start all engines and services; return their addresses by name."""
+    launched = {
+        name: fleet.start(name, "pomeloglade_standins", "engine") for name in ENGINES
+    }
+    for name in SERVICES:
+        launched[name] = fleet.start(
+            name, "pomeloglade_standins", "plain", f"--name={name}"
+        )
+    return {name: address_of(process) for name, process in launched.items()}
+
+
+def address_of(process: Process) -> str:
+    """Return where a stand-in listens."""
+    return f"{HOST}:{process.wait_for('stand-in:listening')['port']}"
+
+
+def copy_example(folder: Path, addresses: dict[str, str]) -> None:
+    """Copy the example's files and add one with the stand-ins' addresses."""
+    for source in sorted(EXAMPLE.glob("*.toml")):
+        (folder / source.name).write_text(source.read_text())
+    backend_override(addresses, folder / "90-stand-ins.toml")
+
+
+def operate(fleet: Fleet, *arguments: str) -> str:
+    """Run the operators' command line and show it."""
+    show(f"$ pomeloglade {' '.join(arguments)}")
+    done = fleet.operate(*arguments)
+    if done.returncode != 0:
+        raise SystemExit(f"{arguments} failed: {done.stdout}{done.stderr}")
+    return done.stdout
+
+
+def show(text: str) -> None:
+    """Print one line of the demo."""
+    sys.stdout.write(text + "\n")
+    sys.stdout.flush()
+
+
+def summarise(port: int, key: str) -> None:
+    """Stream the summary of a long match report."""
+    body = {
+        "model": "assessor-llm",
+        "prompt": REPORT.read_text(),
+        "max_tokens": 400,
+        "stream": True,
+    }
+    answer = call(port, "/v1/completions", key=key, body=json.dumps(body).encode())
+    events = [line[6:] for line in answer.body.decode().splitlines() if line]
+    if answer.status != 200 or events[-1] != "[DONE]":
+        raise SystemExit(f"summary: {answer.status} {answer.body!r}")
+    chunks = [json.loads(event)["choices"][0]["text"] for event in events[:-1]]
+    show(f"summary in {len(chunks)} events: {''.join(chunks)[:200]}…")
+
+
+def look_up(port: int, key: str) -> None:
+    """Look up the roster."""
+    answer = call(port, "/roster/grounds/eastfield?round=12", key=key)
+    if answer.status != 200:
+        raise SystemExit(f"lookup: {answer.status} {answer.body!r}")
+    show(f"lookup: {answer.body.decode()}")
+
+
+def book_twice(ports: list[int], key: str) -> None:
+    """Send one booking through two instances; it must run once."""
+    headers = {"Idempotency-Key": "round-12-eastfield-referee"}
+    body = b'{"official": "A. Lindqvist", "ground": "eastfield"}'
+    for port in ports:
+        answer = call(
+            port, "/bookings/appointments", key=key, body=body, headers=headers
+        )
+        if answer.status != 201 or answer.json["runs"] != 1:
+            raise SystemExit(f"booking: {answer.status} {answer.body!r}")
+        replayed = answer.headers.get("Idempotent-Replayed", "false")
+        show(f"booking: {answer.body.decode()} replayed={replayed}")
+
+
+def main() -> None:
+    """Run the demo and stop everything that it started."""
+    with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
+        start_fleet(fleet, Path(folder))
+        key = operate(fleet, "keys", "create", ACCOUNT, "demo").split()[-1]
+        instances = list(fleet.instances_by_name.values())
+        for instance in instances:
+            instance.process.wait_for("pomeloglade:in_force")
+        wait_for_key(fleet)
+        ports = [instance.port for instance in instances]
+        summarise(ports[0], key)
+        look_up(ports[1], key)
+        book_twice(ports, key)
+
+
+def wait_for_key(fleet: Fleet) -> None:
+    """Wait until every instance has the second revision in force."""
+    for instance in fleet.instances_by_name.values():
+        instance.process.wait_for("pomeloglade:in_force")
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/fakes.py
@@ -0,0 +1,202 @@
+"""Fakes at the router's interfaces, driven by a virtual clock."""
+
+from dataclasses import dataclass, field
+
+from twisted.internet.defer import Deferred, fail, succeed
+
+from pomeloglade.coordination.engine import Engines, Services
+from pomeloglade.coordination.entry_instance import EntryInstance
+from pomeloglade.errors import BackendFullError
+from pomeloglade.protocol.deployment import CONFIGURATION_KEY, Published, decode, encode
+from pomeloglade.state.call import EngineLoad, PlainAnswer, Prefilled, Token, Usage
+from pomeloglade.state.deployment import (
+    BackendServer,
+    ClientAccount,
+    Deployment,
+    FleetInstance,
+    Model,
+    Route,
+)
+from pomeloglade.state.keys import digest_key
+from pomeloglade_coordination.members import Member
+from pomeloglade_coordination.recovery import HeldRequest, RequestId
+
+KEY = "club-key"
+ZONE = "zone-a"
+
+
+def deployment(*, slots=4, **account):
+    limits = {"rate": 1000, "burst": 10_000} | account
+    servers = [
+        BackendServer("p1", ZONE, "10.0.0.1:1", "llm", "prefill", slots=slots),
+        BackendServer("d1", ZONE, "10.0.0.2:1", "llm", "decode", slots=slots),
+        BackendServer("d2", ZONE, "10.0.0.3:1", "llm", "decode", slots=slots),
+        BackendServer("s1", ZONE, "10.0.0.4:1", "api", "plain", slots=slots),
+    ]
+    routes = [
+        Route("models", "/v1", "model", "llm"),
+        Route("lookups", "/roster", "plain", "api"),
+        Route("bookings", "/bookings", "plain", "api", idempotent=False),
+        Route("public", "/public", "plain", "api", open=True),
+    ]
+    club = ClientAccount("club", key_digests={"main": digest_key(KEY)}, **limits)
+    return Deployment(
+        availability_zones=(ZONE,),
+        instances_by_name={"i1": FleetInstance("i1", ZONE)},
+        accounts_by_name={"club": club},
+        routes_by_name={route.name: route for route in routes},
+        backend_servers_by_name={server.name: server for server in servers},
+        models_by_name={"m": Model("m", "llm")},
+    )
+
+
+def put(store, found, publish_id="p"):
+    return store.put(CONFIGURATION_KEY, encode(Published(publish_id, found)))
+
+
+@dataclass
+class FakeEngines(Engines):
+    """Holds memory like engines do; ``errors_by_step`` fails single calls."""
+
+    held_by_server: dict = field(default_factory=dict)
+    errors_by_step: dict = field(default_factory=dict)
+    calls: list = field(default_factory=list)
+    streams: dict = field(default_factory=dict)
+    prefills: dict = field(default_factory=dict)
+    hold_prefill: bool = False
+    full: set = field(default_factory=set)
+
+    def _call(self, step, server, request_id):
+        self.calls.append((step, server.name, request_id))
+        return self.errors_by_step.pop((step, server.name), None)
+
+    def _hold(self, server, request_id):
+        self.held_by_server.setdefault(server.name, set()).add(request_id)
+
+    def reserve(self, server, request_id, tokens):
+        error = self._call("reserve", server, request_id)
+        if server.name in self.full:
+            error = BackendFullError("full", step="reserve", peer=server.name)
+        if error:
+            return fail(error)
+        self._hold(server, request_id)
+        return succeed(None)
+
+    def prefill(self, server, request_id, call):
+        error = self._call("prefill", server, request_id)
+        self._hold(server, request_id)
+        if error:
+            return fail(error)
+        if self.hold_prefill:
+            self.prefills[request_id] = Deferred()
+            return self.prefills[request_id]
+        return succeed(Prefilled("h1", call.prompt_tokens))
+
+    def transfer(self, source, target, request_id, prefilled):
+        error = self._call("transfer", target, request_id)
+        if error:
+            return fail(error)
+        self.held_by_server[source.name].discard(request_id)
+        return succeed(None)
+
+    def decode(self, server, request_id, call, on_token):
+        error = self._call("decode", server, request_id)
+        if error:
+            return fail(error)
+        done = Deferred()
+        self.streams[request_id] = (server.name, on_token, done)
+        return done
+
+    def send(self, request_id, count):
+        _, on_token, _ = self.streams[request_id]
+        for index in range(count):
+            on_token(Token(index, f"t{index} "))
+
+    def finish(self, request_id, usage):
+        server, _, done = self.streams.pop(request_id)
+        self.held_by_server[server].discard(request_id)
+        done.callback(usage)
+
+    def cancel(self, server, request_id):
+        error = self._call("cancel", server, request_id)
+        if error:
+            return fail(error)
+        self.held_by_server.get(server.name, set()).discard(request_id)
+        return succeed(None)
+
+    def held(self, server):
+        found = [RequestId.parse(r) for r in self.held_by_server.get(server.name, ())]
+        return succeed(
+            tuple(HeldRequest(str(r), r.instance, r.incarnation) for r in found)
+        )
+
+    def load(self, server):
+        error = self._call("load", server, "")
+        return fail(error) if error else succeed(EngineLoad(0, 0, server.slots))
+
+    @property
+    def all_held(self):
+        return set().union(*self.held_by_server.values())
+
+
+@dataclass
+class FakeServices(Services):
+    """Notes calls and answers them when told to."""
+
+    waiting: list = field(default_factory=list)
+    fresh: list = field(default_factory=list)
+
+    def call(self, server, call, *, fresh):
+        done = Deferred()
+        self.waiting.append(done)
+        self.fresh.append(fresh)
+        return done
+
+    def answer(self, body=b"booked"):
+        self.waiting.pop(0).callback(PlainAnswer(201, (), body))
+
+    def fail(self, error):
+        self.waiting.pop(0).errback(error)
+
+
+@dataclass
+class Sink:
+    """Collects one answer."""
+
+    texts: list = field(default_factory=list)
+    endings: list = field(default_factory=list)
+
+    def token(self, token):
+        self.texts.append(token.text)
+
+    def finish(self, usage):
+        self.endings.append(usage)
+
+    def refuse(self, refusal):
+        self.endings.append(refusal)
+
+
+class NoPeers:
+    """Sends nothing, for an instance on its own."""
+
+    def send(self, instance, message):
+        """Lose the message."""
+
+
+def lone_instance(clock, store, engines=None, services=None, incarnation=1):
+    """Return a started instance without peers."""
+    instance = EntryInstance(
+        own=Member("i1", ZONE, incarnation),
+        clock=clock,
+        store=store,
+        sender=NoPeers(),
+        engines=engines or FakeEngines(),
+        services=services or FakeServices(),
+        decode=lambda value: decode(value).deployment,
+    )
+    instance.start()
+    return instance
+
+
+def usage(output=2):
+    return Usage(5, output)
--- /dev/null
+++ b/tests/test_model_requests.py
@@ -0,0 +1,186 @@
+"""Tests of the life of a model call, with fake engines."""
+
+from datetime import timedelta
+
+import pytest
+from tests.fakes import KEY, FakeEngines, Sink, deployment, lone_instance, put, usage
+from twisted.internet.defer import Deferred
+
+from pomeloglade.errors import (
+    BackendLostError,
+    BackendNonsenseError,
+    BackendUnreachableError,
+)
+from pomeloglade.state.call import ModelCall, Usage
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.refusals import Reason
+
+
+@pytest.fixture
+def engines():
+    return FakeEngines()
+
+
+@pytest.fixture
+def store(clock):
+    store = MemoryKeyValueStore(clock)
+    put(store, deployment())
+    return store
+
+
+@pytest.fixture
+def instance(clock, store, engines):
+    instance = lone_instance(clock, store, engines)
+    clock.pump([0.5] * 40)
+    return instance
+
+
+def ask(instance, prompt="a short prompt", **changes):
+    route = instance.in_force.deployment.routes_by_name["models"]
+    caller = instance.in_force.keys.authenticate(route, KEY)
+    call = ModelCall(caller, route, "m", prompt, changes.get("output_tokens", 8))
+    request = instance.tasks.open(caller)
+    sink = Sink()
+    done = Deferred.fromCoroutine(instance.tasks.answer_model(request, call, sink))
+    done.addErrback(sink.endings.append)
+    return request, sink
+
+
+def steps(engines, request):
+    return [step for step, _, name in engines.calls if name == request.request_id]
+
+
+def test_memory_is_reserved_before_the_prefill_and_the_answer_is_whole(
+    instance, engines, clock
+):
+    request, sink = ask(instance)
+    clock.pump([0.01] * 5)
+    assert steps(engines, request) == ["reserve", "prefill", "transfer", "decode"]
+    engines.send(request.request_id, 2)
+    engines.finish(request.request_id, usage())
+    assert sink.texts == ["t0 ", "t1 "]
+    assert sink.endings == [Usage(5, 2)]
+    assert engines.all_held == set()
+    assert len(instance.open_requests) == 0
+
+
+def test_no_prefill_is_wasted_when_every_decode_engine_is_full(
+    instance, engines, clock
+):
+    engines.full = {"d1", "d2"}
+    request, sink = ask(instance)
+    clock.pump([0.01] * 300)
+    assert "prefill" not in steps(engines, request)
+    assert sink.endings[0].not_run
+    assert sink.endings[0].retry_after is not None
+
+
+def test_caller_that_goes_frees_engine_memory_and_refunds_once(
+    instance, engines, clock
+):
+    request, sink = ask(instance)
+    clock.pump([0.01] * 5)
+    engines.send(request.request_id, 1)
+    request.stop(Reason.CANCELLED, sink_step())
+    assert engines.all_held == set()
+    engines.streams.clear()
+    assert [ending.reason for ending in sink.endings] == [Reason.CANCELLED]
+    assert not sink.endings[0].not_run
+    assert len(instance.open_requests) == 0
+
+
+def sink_step():
+    from pomeloglade_coordination.refusals import Step
+
+    return Step.RECEIVE
+
+
+def test_withdrawn_key_ends_its_open_stream(instance, engines, store, clock):
+    request, sink = ask(instance)
+    clock.pump([0.01] * 5)
+    engines.send(request.request_id, 1)
+    without = deployment()
+    without.accounts_by_name["club"].key_digests.clear()
+    put(store, without, "q")
+    clock.pump([0.1] * 30)
+    assert [ending.reason for ending in sink.endings] == [Reason.KEY_WITHDRAWN]
+    assert engines.all_held == set()
+
+
+def test_prefill_that_never_answers_ends_at_the_timeout(instance, engines, clock):
+    engines.hold_prefill = True
+    _, sink = ask(instance)
+    clock.pump([1.0] * 70)
+    assert [ending.reason for ending in sink.endings] == [Reason.DEADLINE]
+    assert not sink.endings[0].not_run
+    assert engines.all_held == set()
+
+
+def test_refusal_after_a_prefill_never_says_not_run(instance, engines, clock):
+    lost = BackendLostError("lost", step="transfer", peer="d1")
+    engines.errors_by_step = {("transfer", "d1"): lost, ("transfer", "d2"): lost}
+    instance.parts.retries.allow = lambda: False
+    _, sink = ask(instance)
+    clock.pump([0.01] * 5)
+    assert [ending.reason for ending in sink.endings] == [Reason.BACKEND_FAILED]
+    assert not sink.endings[0].not_run
+    assert engines.all_held == set()
+
+
+def test_unreachable_engine_is_replaced_by_another(instance, engines, clock):
+    for name in ("d1", "d2"):
+        engines.errors_by_step[("reserve", name)] = BackendUnreachableError(
+            "down", step="reserve", peer=name
+        )
+    del engines.errors_by_step[("reserve", "d2")]
+    instance.parts.retries.allow = lambda: True
+    request, _ = ask(instance)
+    clock.pump([0.01] * 20)
+    assert request.request_id in engines.streams
+
+
+def test_nonsense_is_told_and_not_retried(instance, engines, clock):
+    nonsense = BackendNonsenseError("what", step="prefill", peer="p1")
+    engines.errors_by_step[("prefill", "p1")] = nonsense
+    request, sink = ask(instance)
+    clock.pump([0.01] * 5)
+    assert [ending.reason for ending in sink.endings] == [Reason.BACKEND_NONSENSE]
+    assert sink.endings[0].peer == "p1"
+    assert steps(engines, request).count("prefill") == 1
+
+
+def test_request_that_crashes_engines_costs_at_most_two(instance, engines, clock):
+    instance.parts.retries.allow = lambda: True
+    crashed = set()
+
+    def crash(server, request_id, call):
+        crashed.add(server.name)
+        engines.errors_by_step[("load", server.name)] = BackendUnreachableError(
+            "gone", step="load", peer=server.name
+        )
+        return original(server, request_id, call)
+
+    original = engines.prefill
+    engines.errors_by_step[("prefill", "p1")] = BackendLostError(
+        "lost", step="prefill", peer="p1"
+    )
+    engines.prefill = crash
+    for _ in range(4):
+        ask(instance, "the same crashing prompt")
+        clock.pump([0.05] * 40)
+    assert crashed == {"p1"}
+
+
+def test_over_burst_is_refused_at_once_and_over_rate_with_a_time(
+    instance, engines, clock
+):
+    _, sink = ask(instance, output_tokens=20_000)
+    clock.advance(0)
+    assert [ending.reason for ending in sink.endings] == [Reason.OVER_BURST]
+    sinks = [ask(instance, output_tokens=4000)[1] for _ in range(4)]
+    clock.pump([0.1] * 20)
+    refused = [sink.endings[0] for sink in sinks if sink.endings]
+    assert refused
+    assert {each.reason for each in refused} == {Reason.OVER_RATE}
+    assert all(each.not_run for each in refused)
+    assert all(each.retry_after > timedelta(0) for each in refused)
--- /dev/null
+++ b/tests/test_plain_requests.py
@@ -0,0 +1,114 @@
+"""Tests of calls to plain services, with a fake service."""
+
+import pytest
+from tests.fakes import KEY, FakeServices, deployment, lone_instance, put
+from twisted.internet.defer import Deferred
+
+from pomeloglade.errors import BackendLostError, BackendUnreachableError
+from pomeloglade.state.call import Header, PlainCall
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.refusals import Reason, Refusal
+
+
+@pytest.fixture
+def services():
+    return FakeServices()
+
+
+@pytest.fixture
+def store(clock):
+    store = MemoryKeyValueStore(clock)
+    put(store, deployment())
+    return store
+
+
+@pytest.fixture
+def instance(clock, store, services):
+    instance = lone_instance(clock, store, services=services)
+    clock.pump([0.5] * 40)
+    return instance
+
+
+def book(instance, clock, key="k1", body=b"referee", route="bookings"):
+    found = instance.in_force.deployment.routes_by_name[route]
+    caller = instance.in_force.keys.authenticate(found, KEY)
+    headers = (Header("Idempotency-Key", key),)
+    call = PlainCall(caller, found, "POST", "/bookings/a", headers, body, key)
+    request = instance.tasks.open(caller)
+    answers = []
+    done = Deferred.fromCoroutine(instance.tasks.answer_plain(request, call))
+    done.addBoth(answers.append)
+    clock.pump([0.01] * 10)
+    return answers
+
+
+def test_resend_gets_the_recorded_answer_and_runs_nothing(instance, services, clock):
+    first = book(instance, clock)
+    assert services.fresh == [True]
+    services.answer(b"booked")
+    clock.pump([0.01] * 10)
+    assert first[0].body == b"booked"
+    again = book(instance, clock)
+    assert (again[0].body, again[0].replayed) == (b"booked", True)
+    assert services.waiting == []
+
+
+def test_resend_through_another_instance_runs_nothing(instance, services, store, clock):
+    book(instance, clock)
+    services.answer()
+    clock.pump([0.1] * 5)
+    others = FakeServices()
+    other = lone_instance(clock, store, services=others, incarnation=2)
+    clock.pump([0.5] * 40)
+    again = book(other, clock)
+    assert again[0].replayed
+    assert others.waiting == []
+
+
+def test_lost_answer_is_unknown_and_is_never_sent_again(instance, services, clock):
+    first = book(instance, clock)
+    services.fail(BackendLostError("lost", step="call", peer="s1"))
+    clock.pump([0.1] * 5)
+    assert first[0].reason is Reason.OUTCOME_UNKNOWN
+    assert not first[0].not_run
+    again = book(instance, clock)
+    assert again[0].reason is Reason.OUTCOME_UNKNOWN
+    assert not again[0].not_run
+    assert services.waiting == []
+
+
+def test_unreachable_service_is_truly_not_run_and_may_be_booked_again(
+    instance, services, clock
+):
+    first = book(instance, clock)
+    services.fail(BackendUnreachableError("refused", step="call", peer="s1"))
+    clock.pump([0.1] * 50)
+    assert first[0].not_run
+    assert first[0].retry_after is not None
+    again = book(instance, clock)
+    services.answer()
+    assert again[0].status == 201
+
+
+def test_booking_without_an_idempotency_key_is_refused(instance, services, clock):
+    answers = book(instance, clock, key="")
+    assert answers[0].reason is Reason.IDEMPOTENCY_KEY_MISSING
+    assert services.waiting == []
+
+
+def test_key_of_another_body_is_refused(instance, services, clock):
+    book(instance, clock)
+    services.answer()
+    again = book(instance, clock, body=b"assistant")
+    assert isinstance(again[0], Refusal)
+    assert again[0].reason is Reason.IDEMPOTENCY_KEY_REUSED
+
+
+def test_lookup_is_retried_on_another_connection_only_within_the_budget(
+    instance, services, clock
+):
+    instance.parts.retries.allow = lambda: False
+    answers = book(instance, clock, route="lookups")
+    services.fail(BackendLostError("lost", step="call", peer="s1"))
+    assert answers[0].reason is Reason.BACKEND_FAILED
+    assert not answers[0].not_run
