--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -87,6 +87,7 @@
     assert first[0].retry_after is not None
     again = book(instance, clock)
     services.answer()
+    clock.pump([0.01] * 10)
     assert again[0].status == 201
 
 
