Let operators check, publish and watch configurations

Operators get check, diff, publish, show, status, keys, drain and join. A publish compares and swaps on the revision it was computed from. Each stored configuration lists the ids of the publishes before it, so that after a lost answer one read tells three cases apart: stored, stored and replaced since, and never stored. Keys, drains and joins are edits of one field, applied again to what a racing operator stored; a folder is refused instead.

Withdrawn digests stay withdrawn, also when their account leaves the folder and comes back.

Ruled out: taking a changed revision after a lost answer for a conflict, because the publish may have been in force before the other replaced it; withdrawing a key by its name alone after a race, because the name may stand for a new key.

--- a/packages/pomeloglade/src/pomeloglade/cli.py
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -1,1 +1,322 @@
 """The operators' command line."""
+
+from collections.abc import Callable, Coroutine
+from dataclasses import dataclass
+from datetime import timedelta
+from pathlib import Path
+from typing import Annotated, Any, NoReturn, Protocol
+
+import typer
+from twisted.internet.defer import Deferred
+
+from pomeloglade_coordination.errors import CoordinationError
+
+from . import porcelain, reports
+from .porcelain import Operations
+from .protocol.deployment import DeploymentTooLargeError
+from .rollout import Rollout
+from .settings import parse_peer_address, parse_platform_timeout, parse_url
+from .state.folder import BadFolderError
+from .transport.key_value import http_client, open_key_value_store
+from .transport.status import HttpStatusClient
+
+EXIT_REFUSED = 1
+EXIT_USAGE = 2
+
+CLIENT_NAME = "pomeloglade"
+
+Operate = Callable[[Operations], Coroutine[Any, Any, Any]]
+
+_PLATFORM_URL = typer.Option(
+    envvar="POMELOGLADE_PLATFORM_URL",
+    parser=parse_url,
+    help="Address of the key-value service.",
+)
+PlatformUrl = Annotated[str, _PLATFORM_URL]
+OptionalPlatformUrl = Annotated[str | None, _PLATFORM_URL]
+PlatformTimeout = Annotated[
+    timedelta,
+    typer.Option(
+        envvar="POMELOGLADE_PLATFORM_TIMEOUT",
+        parser=parse_platform_timeout,
+        help="Bound on each call to the key-value service and to instances.",
+    ),
+]
+Json = Annotated[bool, typer.Option("--json", help="Print JSON, one value a line.")]
+Wait = Annotated[
+    bool,
+    typer.Option("--wait", help="Wait until it is in force and tell where it is."),
+]
+WaitTimeout = Annotated[
+    timedelta,
+    typer.Option(
+        parser=parse_platform_timeout, help="How long --wait waits, at most 60s."
+    ),
+]
+FolderArgument = Annotated[Path, typer.Argument(metavar="FOLDER")]
+AccountArgument = Annotated[str, typer.Argument(metavar="ACCOUNT")]
+KeyNameArgument = Annotated[str, typer.Argument(metavar="NAME")]
+BackendArgument = Annotated[str, typer.Argument(metavar="BACKEND")]
+
+DEFAULT_TIMEOUT = "2s"
+DEFAULT_WAIT = "30s"
+
+
+class Runner(Protocol):
+    """Runs a command to its end; tests put one without sockets in its place."""
+
+    def __call__(self, operate: Operate, url: str, timeout: timedelta) -> Any:
+        """Return what ``operate`` results in, or raise what it fails with."""
+
+
+def run_in_reactor(operate: Operate, url: str, timeout: timedelta) -> Any:
+    """Run a command against the platform at ``url`` over the network."""
+    from twisted.internet import task
+
+    outcomes: list[Any] = []
+
+    def start(reactor: Any) -> Deferred:
+        store = open_key_value_store(reactor, url, timeout=timeout, name=CLIENT_NAME)
+        client = http_client(reactor, timeout)
+        statuses = HttpStatusClient(reactor, client, timeout)
+        operations = Operations(store, statuses, reactor)
+        operated = Deferred.fromCoroutine(operate(operations))
+        return operated.addBoth(outcomes.append)
+
+    try:
+        task.react(start)
+    except SystemExit:
+        if not outcomes:
+            raise
+    outcome = outcomes[0]
+    if hasattr(outcome, "raiseException"):
+        outcome.raiseException()
+    return outcome
+
+
+@dataclass(frozen=True, slots=True)
+class Target:
+    """The platform that a command is for, and how to print its result."""
+
+    url: str
+    timeout: timedelta
+    json: bool
+
+
+class Console:
+    """Runs commands, prints their results and turns errors into exit codes."""
+
+    def __init__(self, runner: Runner) -> None:
+        self._runner = runner
+
+    def run(
+        self,
+        target: Target,
+        call: Callable[[Operations], Deferred],
+        wait: timedelta | None = None,
+    ) -> None:
+        """Run a command on the platform and print its result.
+
+        With ``wait`` also tell where the result comes into force within that time.
+        A rollout that is not complete exits as refused.
+        """
+
+        async def operate(operations: Operations) -> Any:
+            result = await call(operations)
+            self.show(result, json=target.json)
+            if wait is None:
+                return result
+            rollout = await operations.wait_in_force(result.receipt, wait)
+            self.show(rollout, json=target.json)
+            return rollout
+
+        try:
+            result = self._runner(operate, target.url, target.timeout)
+        except (CoordinationError, BadFolderError, DeploymentTooLargeError) as error:
+            self.fail(error, json=target.json)
+        if isinstance(result, Rollout) and not result.complete:
+            raise typer.Exit(EXIT_REFUSED)
+
+    def show(self, result: Any, *, json: bool) -> None:
+        """Print ``result``."""
+        if json:
+            typer.echo(reports.json_text(result))
+            return
+        for line in reports.lines(result):
+            typer.echo(line)
+
+    def fail(self, error: Exception, *, json: bool) -> NoReturn:
+        """Print ``error`` and exit."""
+        report = reports.error_report(error)
+        if json:
+            typer.echo(reports.json_text(report))
+        else:
+            for line in reports.lines(report):
+                typer.echo(line, err=True)
+        bad_folder = isinstance(error, BadFolderError)
+        raise typer.Exit(EXIT_USAGE if bad_folder else EXIT_REFUSED)
+
+
+def build_app(runner: Runner = run_in_reactor) -> typer.Typer:
+    """Return the command line, with every command run by ``runner``."""
+    console = Console(runner)
+    app = typer.Typer(
+        name="pomeloglade",
+        no_args_is_help=True,
+        add_completion=False,
+        rich_markup_mode=None,
+        help="Drive a fleet of pomeloglade instances.",
+    )
+    _add_folder_commands(app, console)
+    _add_view_commands(app, console)
+    _add_backend_commands(app, console)
+    app.add_typer(_keys_app(console), name="keys")
+    return app
+
+
+def _add_folder_commands(app: typer.Typer, console: Console) -> None:
+    @app.command()
+    def check(folder: FolderArgument, json: Json = False) -> None:
+        """Check a folder and name every error in it."""
+        try:
+            contents = porcelain.check(folder)
+        except BadFolderError as error:
+            console.fail(error, json=json)
+        console.show(reports.folder_report(contents), json=json)
+
+    @app.command()
+    def diff(
+        folder: FolderArgument,
+        platform_url: PlatformUrl,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Show what publishing a folder would change."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.diff(folder),
+        )
+
+    @app.command()
+    def publish(
+        folder: FolderArgument,
+        platform_url: PlatformUrl,
+        expected_revision: Annotated[
+            int | None,
+            typer.Option(min=0, help="Refuse if another revision is published."),
+        ] = None,
+        wait: Wait = False,
+        wait_timeout: WaitTimeout = DEFAULT_WAIT,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Publish a folder."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.publish(folder, expected_revision),
+            wait_timeout if wait else None,
+        )
+
+
+def _add_view_commands(app: typer.Typer, console: Console) -> None:
+    @app.command()
+    def show(
+        platform_url: PlatformUrl,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Show the published configuration."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.show(),
+        )
+
+    @app.command()
+    def status(
+        platform_url: OptionalPlatformUrl = None,
+        instance: Annotated[
+            list[str] | None,
+            typer.Option(
+                parser=parse_peer_address,
+                metavar="HOST:PORT",
+                help="Ask this instance and not the platform; may be repeated.",
+            ),
+        ] = None,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Show who has the published configuration in force."""
+        if not platform_url and not instance:
+            raise typer.BadParameter("give --platform-url or --instance")
+        console.run(
+            Target(platform_url or "", platform_timeout, json),
+            lambda operations: operations.status(tuple(instance or ())),
+        )
+
+
+def _add_backend_commands(app: typer.Typer, console: Console) -> None:
+    def add(name: str, state: str, help_text: str) -> None:
+        @app.command(name=name, help=help_text)
+        def set_state(
+            backend: BackendArgument,
+            platform_url: PlatformUrl,
+            wait: Wait = False,
+            wait_timeout: WaitTimeout = DEFAULT_WAIT,
+            platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+            json: Json = False,
+        ) -> None:
+            console.run(
+                Target(platform_url, platform_timeout, json),
+                lambda operations: operations.set_backend_state(backend, state),
+                wait_timeout if wait else None,
+            )
+
+    add("drain", "leaving", "Mark a backend server as leaving.")
+    add("join", "serving", "Mark a backend server as serving.")
+
+
+def _keys_app(console: Console) -> typer.Typer:
+    app = typer.Typer(
+        no_args_is_help=True, rich_markup_mode=None, help="Make and withdraw keys."
+    )
+
+    @app.command()
+    def create(
+        account: AccountArgument,
+        name: KeyNameArgument,
+        platform_url: PlatformUrl,
+        wait: Wait = False,
+        wait_timeout: WaitTimeout = DEFAULT_WAIT,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Make a key, publish its digest and print the key once."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.create_key(account, name),
+            wait_timeout if wait else None,
+        )
+
+    @app.command()
+    def withdraw(
+        account: AccountArgument,
+        name: KeyNameArgument,
+        platform_url: PlatformUrl,
+        wait: Wait = False,
+        wait_timeout: WaitTimeout = DEFAULT_WAIT,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Withdraw a key for good."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.withdraw_key(account, name),
+            wait_timeout if wait else None,
+        )
+
+    return app
+
+
+def main() -> None:
+    """Run the operators' command line."""
+    build_app()()
--- a/packages/pomeloglade/src/pomeloglade/porcelain.py
+++ b/packages/pomeloglade/src/pomeloglade/porcelain.py
@@ -1,1 +1,295 @@
 """Easy calls for operators: check, diff, publish, show, status and keys."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from datetime import timedelta
+from pathlib import Path
+
+from twisted.internet.defer import Deferred
+
+from pomeloglade_coordination.clock import Clock
+from pomeloglade_coordination.errors import CoordinationError
+from pomeloglade_coordination.key_value import KeyValueStore
+
+from .keys import create_key, digest_key
+from .protocol.deployment import DeploymentTooLargeError, Published, encode
+from .publishing import (
+    Current,
+    Draft,
+    PublishConflictError,
+    Publisher,
+    Receipt,
+    receipt_of,
+)
+from .rollout import Rollout, RolloutReader
+from .state.deployment import BackendState, ClientAccount
+from .state.folder import BadFolderError, Folder, read_folder
+from .state.folder_checks import NAME_REASON, Problem, is_name
+from .state.folder_merge import FieldChange, Merged, diff_deployments, merge_folder
+from .transport.status import StatusClient
+
+DEFAULT_WAIT = timedelta(seconds=30)
+
+
+class OperationRefusedError(CoordinationError):
+    """A command that the published configuration does not allow."""
+
+
+@dataclass(frozen=True, slots=True)
+class Difference:
+    """What publishing a folder would change, computed from ``revision``."""
+
+    revision: int
+    publish_id: str
+    changes: tuple[FieldChange, ...]
+    notices: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class PublishResult:
+    """A folder that was published, with what it changed."""
+
+    receipt: Receipt
+    changes: tuple[FieldChange, ...]
+    notices: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class CreatedKey:
+    """A new key; this is the only place where it can be read."""
+
+    account: str
+    key_name: str
+    key: str
+    receipt: Receipt
+
+
+@dataclass(frozen=True, slots=True)
+class EditResult:
+    """A change by command, described in one sentence."""
+
+    description: str
+    receipt: Receipt
+
+
+def check(folder: Path) -> Folder:
+    """Return what ``folder`` says.
+
+    Raises ``BadFolderError`` with every error; nothing is published.
+    """
+    contents = read_folder(folder)
+    try:
+        encode(Published("", contents.deployment))
+    except DeploymentTooLargeError as error:
+        raise BadFolderError((Problem(str(folder), 0, "", str(error)),)) from error
+    return contents
+
+
+class Operations:
+    """The operators' commands on one platform.
+
+    Parameters
+    ----------
+    store : KeyValueStore
+        The platform's key-value service.
+    statuses : StatusClient
+        Asks instances what they have in force.
+    clock : IReactorTime
+        Spaces attempts and polls.
+    publisher : Publisher, optional
+        Replaces the published configuration.
+    """
+
+    def __init__(
+        self,
+        store: KeyValueStore,
+        statuses: StatusClient,
+        clock: Clock,
+        publisher: Publisher | None = None,
+    ) -> None:
+        self._publisher = publisher or Publisher(store, clock)
+        self._rollouts = RolloutReader(store, statuses, clock)
+
+    def show(self) -> "Deferred[Current]":
+        """Return the published configuration."""
+        return self._publisher.current()
+
+    def diff(self, folder: Path) -> "Deferred[Difference]":
+        """Return what publishing ``folder`` would change."""
+        return Deferred.fromCoroutine(self._diff(folder))
+
+    def publish(
+        self, folder: Path, expected_revision: int | None = None
+    ) -> "Deferred[PublishResult]":
+        """Publish ``folder`` over the current configuration.
+
+        With ``expected_revision``, that of an earlier ``diff``, it is refused if
+        anything was published since.
+        """
+        return Deferred.fromCoroutine(self._publish(folder, expected_revision))
+
+    def wait_in_force(
+        self, receipt: Receipt, timeout: timedelta = DEFAULT_WAIT
+    ) -> "Deferred[Rollout]":
+        """Wait until it is in force everywhere, or ``timeout`` is over."""
+        zones = receipt.availability_zones
+        waiting = self._rollouts.wait(receipt.revision, zones, timeout)
+        return Deferred.fromCoroutine(waiting)
+
+    def status(self, addresses: tuple[str, ...] = ()) -> "Deferred[Rollout]":
+        """Return who has the published configuration in force.
+
+        With ``addresses`` only those instances are asked and not the platform; the
+        newest revision that they know of then takes the place of the published one.
+        """
+        return Deferred.fromCoroutine(self._status(addresses))
+
+    def create_key(self, account: str, key_name: str) -> "Deferred[CreatedKey]":
+        """Make a key for ``account`` and publish its digest."""
+        return Deferred.fromCoroutine(self._create_key(account, key_name))
+
+    def withdraw_key(self, account: str, key_name: str) -> "Deferred[EditResult]":
+        """Withdraw a key for good."""
+        return Deferred.fromCoroutine(self._withdraw_key(account, key_name))
+
+    def set_backend_state(
+        self, backend: str, state: BackendState
+    ) -> "Deferred[EditResult]":
+        """Set the state of one backend server."""
+        return Deferred.fromCoroutine(self._set_backend_state(backend, state))
+
+    async def _diff(self, folder: Path) -> Difference:
+        contents = check(folder)
+        current = await self._publisher.current()
+        merged = _merge(contents, current)
+        return Difference(
+            current.revision,
+            current.published.publish_id,
+            diff_deployments(current.published.deployment, merged.deployment),
+            merged.notices,
+        )
+
+    async def _publish(
+        self, folder: Path, expected_revision: int | None
+    ) -> PublishResult:
+        contents = check(folder)
+        current = await self._publisher.current()
+        if expected_revision not in (None, current.revision):
+            raise PublishConflictError(
+                f"nothing was published: revision {current.revision} is published"
+                f" (publish {current.published.publish_id or 'none'}),"
+                f" expected {expected_revision}; compare the folder with it again",
+                step="publish",
+                peer="key-value service",
+            )
+        merged = _merge(contents, current)
+        before = current.published.deployment
+        changes = diff_deployments(before, merged.deployment)
+        receipt = receipt_of(current.published, current.revision, changed=False)
+        if changes:
+            draft = Draft(merged.deployment, merged.withdrawn_digests)
+            receipt = await self._publisher.publish(current, draft)
+        return PublishResult(receipt, changes, merged.notices)
+
+    async def _status(self, addresses: tuple[str, ...]) -> Rollout:
+        if addresses:
+            return await self._rollouts.ask(addresses)
+        current = await self._publisher.current()
+        zones = current.published.deployment.availability_zones
+        return await self._rollouts.read(current.revision, zones)
+
+    async def _create_key(self, account: str, key_name: str) -> CreatedKey:
+        if not is_name(key_name):
+            raise OperationRefusedError(
+                f"{key_name!r} is {NAME_REASON}", step="keys create"
+            )
+        key = create_key()
+        digest = digest_key(key)
+
+        def change(found: ClientAccount) -> ClientAccount | None:
+            present = found.key_digests.get(key_name)
+            if present == digest:
+                return None
+            if present is not None:
+                raise OperationRefusedError(
+                    f"account {account!r} already has a key named {key_name!r};"
+                    " withdraw it first, or use another name",
+                    step="keys create",
+                )
+            return replace(found, key_digests=found.key_digests | {key_name: digest})
+
+        receipt = await self._publisher.edit(_edit_account(account, change))
+        return CreatedKey(account, key_name, key, receipt)
+
+    async def _withdraw_key(self, account: str, key_name: str) -> EditResult:
+        target = ""
+
+        def change(found: ClientAccount) -> ClientAccount | None:
+            nonlocal target
+            digest = found.key_digests.get(key_name, "")
+            if target and digest != target:
+                return None
+            if not digest:
+                names = ", ".join(sorted(found.key_digests)) or "none"
+                raise OperationRefusedError(
+                    f"account {account!r} has no key named {key_name!r}; keys: {names}",
+                    step="keys withdraw",
+                )
+            target = digest
+            return _without_key(found, key_name)
+
+        receipt = await self._publisher.edit(_edit_account(account, change))
+        return EditResult(f"withdrew key {key_name!r} of account {account!r}", receipt)
+
+    async def _set_backend_state(self, backend: str, state: BackendState) -> EditResult:
+        def change(published: Published) -> Draft | None:
+            deployment = published.deployment
+            servers = deployment.backend_servers_by_name
+            if backend not in servers:
+                known = ", ".join(sorted(servers)) or "none"
+                raise OperationRefusedError(
+                    f"backend server {backend!r} does not exist; known: {known}",
+                    step="set state",
+                )
+            if servers[backend].state == state:
+                return None
+            changed = servers | {backend: replace(servers[backend], state=state)}
+            deployment = replace(deployment, backend_servers_by_name=changed)
+            return Draft(deployment, published.withdrawn_digests)
+
+        receipt = await self._publisher.edit(change)
+        return EditResult(f"backend server {backend!r} is {state}", receipt)
+
+
+def _merge(contents: Folder, current: Current) -> Merged:
+    published = current.published
+    return merge_folder(contents, published.deployment, published.withdrawn_digests)
+
+
+def _edit_account(
+    account: str, change: Callable[[ClientAccount], ClientAccount | None]
+) -> Callable[[Published], Draft | None]:
+    """Return the change of a configuration that changes one client account."""
+
+    def edit(published: Published) -> Draft | None:
+        deployment = published.deployment
+        accounts = deployment.accounts_by_name
+        if account not in accounts:
+            known = ", ".join(sorted(accounts)) or "none"
+            raise OperationRefusedError(
+                f"account {account!r} does not exist; known: {known}", step="keys"
+            )
+        changed = change(accounts[account])
+        if changed is None:
+            return None
+        deployment = replace(deployment, accounts_by_name=accounts | {account: changed})
+        return Draft(deployment, published.withdrawn_digests)
+
+    return edit
+
+
+def _without_key(account: ClientAccount, key_name: str) -> ClientAccount:
+    digests = dict(account.key_digests)
+    digest = digests.pop(key_name)
+    withdrawn = (*account.withdrawn_digests, digest)
+    return replace(account, key_digests=digests, withdrawn_digests=withdrawn)
--- a/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
@@ -16,12 +16,16 @@
 class Published:
     """A deployment with the id of the publish that stored it.
 
-    Every publish has an id of its own, so that an operator whose answer was lost
-    can tell from the stored value whose publish it is.
+    Every publish has an id of its own and lists those before it, newest first, so
+    that an operator whose answer was lost can tell from the stored value whether
+    the publish took effect. ``withdrawn_digests`` are those of client accounts
+    that are no longer in the deployment.
     """
 
     publish_id: str
     deployment: Deployment
+    recent_publish_ids: tuple[str, ...] = ()
+    withdrawn_digests: tuple[str, ...] = ()
 
 
 class DeploymentTooLargeError(ValueError):
--- a/packages/pomeloglade/src/pomeloglade/settings.py
+++ b/packages/pomeloglade/src/pomeloglade/settings.py
@@ -1,7 +1,6 @@
 """Settings of a daemon from flags and environment variables."""
 
 import ipaddress
-import re
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from datetime import timedelta
@@ -12,17 +11,15 @@
 
 from .state.addresses import MAX_PORT, parse_address
 from .state.durations import parse_duration
+from .state.folder_checks import NAME_REASON, is_name
 
 ENVIRONMENT_PREFIX = "POMELOGLADE_"
 MIN_SECRET_CHARACTERS = 16
-MAX_NAME_CHARACTERS = 64
 DEFAULT_MAX_BODY_BYTES = 4_000_000
 MAX_BODY_BYTES_BOUND = 64_000_000
 MAX_DRAIN_TIMEOUT = timedelta(hours=1)
 MAX_PLATFORM_TIMEOUT = timedelta(seconds=60)
 
-_NAME = re.compile(r"[a-z0-9][a-z0-9._-]*")
-
 
 @dataclass(frozen=True, slots=True)
 class Settings:
@@ -52,12 +49,9 @@
 
 def parse_name(text: str) -> str:
     """Return ``text`` if it can name an instance or availability zone."""
-    if _NAME.fullmatch(text) and len(text) <= MAX_NAME_CHARACTERS:
+    if is_name(text):
         return text
-    raise typer.BadParameter(
-        f"{text!r} is not a name; allowed: 1 to {MAX_NAME_CHARACTERS} lower-case"
-        " letters, digits, '.', '_' and '-', the first a letter or digit"
-    )
+    raise typer.BadParameter(f"{text!r} is {NAME_REASON}")
 
 
 def parse_host(text: str) -> str:
--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -29,6 +29,11 @@
 KeyPath = tuple[str, ...]
 
 
+def is_name(text: str) -> bool:
+    """Return whether ``text`` can name an account, key, route, server or zone."""
+    return _NAME.fullmatch(text) is not None
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class Problem:
     """One error of a folder; ``line`` is 0 when it is not known."""
@@ -99,7 +104,7 @@
     if len(set(zones)) < len(zones):
         yield _Finding(path, "an availability zone is named twice")
     for zone in zones:
-        if not _NAME.fullmatch(zone):
+        if not is_name(zone):
             yield _Finding(path, f"{zone!r} is {NAME_REASON}")
     for server in deployment.backend_servers_by_name.values():
         if server.availability_zone not in zones:
@@ -173,7 +178,7 @@
     path = ("backend_servers", server.name)
     yield from _check_name(path)
     yield from _check_range(path, "slots", server.slots, 1, MAX_SLOTS)
-    if not _NAME.fullmatch(server.pool):
+    if not is_name(server.pool):
         yield _Finding((*path, "pool"), f"{server.pool!r} is {NAME_REASON}")
     try:
         parse_address(server.address)
@@ -206,7 +211,7 @@
 
 
 def _check_name(path: KeyPath) -> Iterator[_Finding]:
-    if not _NAME.fullmatch(path[-1]):
+    if not is_name(path[-1]):
         yield _Finding(path, NAME_REASON)
 
 
--- a/packages/pomeloglade/src/pomeloglade/transport/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/key_value.py
@@ -37,6 +37,7 @@
     encode,
     entry_of,
 )
+from ..state.durations import format_duration
 
 PEER = "key-value service"
 CLIENT_HEADER = "X-Client"
@@ -199,17 +200,21 @@
         call: Awaitable[Result],
         step: str,
         bound: timedelta,
-        lost: Callable[[str, object], KeyValueError],
+        lost: Callable[[str, str], KeyValueError],
     ) -> "Deferred[Result]":
+        ends = self._clock.seconds() + bound.total_seconds()
         deferred = Deferred.fromCoroutine(call)
         deferred.addTimeout(bound.total_seconds(), self._clock)
 
         def translate(failure: Any) -> None:
+            cause = failure.value
             if failure.check(KeyValueError):
                 failure.raiseException()
             if failure.check(ConnectError, DNSLookupError):
-                raise _unavailable(step, failure.value) from failure.value
-            raise lost(step, failure.value) from failure.value
+                raise _unavailable(step, _describe(cause)) from cause
+            if self._clock.seconds() >= ends:
+                raise lost(step, f"none within {format_duration(bound)}") from cause
+            raise lost(step, _describe(cause)) from cause
 
         return deferred.addErrback(translate)
 
@@ -264,15 +269,15 @@
     )
 
 
-def _unavailable(step: str, cause: object) -> KeyValueUnavailableError:
-    message = f"cannot {step}: no answer from the {PEER}: {_describe(cause)}"
+def _unavailable(step: str, reason: str) -> KeyValueUnavailableError:
+    message = f"cannot {step}: no answer from the {PEER}: {reason}"
     return KeyValueUnavailableError(message, step=step, peer=PEER)
 
 
-def _outcome_unknown(step: str, cause: object) -> KeyValueOutcomeUnknownError:
+def _outcome_unknown(step: str, reason: str) -> KeyValueOutcomeUnknownError:
     message = (
         f"cannot tell whether {step} was applied: the answer of the {PEER} is"
-        f" missing: {_describe(cause)}"
+        f" missing: {reason}"
     )
     return KeyValueOutcomeUnknownError(message, step=step, peer=PEER)
 
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -1,24 +1,195 @@
-"""Tests of the operators' calls on an in-memory store."""
+"""Tests of the operators' calls on an in-memory store with faults."""
 
 from datetime import timedelta
+from itertools import count
 
 import pytest
+from twisted.internet.defer import fail, succeed
 
 from pomeloglade.keys import digest_key, key_owners_by_digest
+from pomeloglade.porcelain import OperationRefusedError, Operations
 from pomeloglade.protocol.deployment import (
+    CONFIGURATION_KEY,
     DeploymentTooLargeError,
     Published,
     decode,
     encode,
 )
+from pomeloglade.protocol.instances import InstanceRecord, InstanceStatus
+from pomeloglade.protocol.instances import encode as encode_instance
+from pomeloglade.publishing import (
+    RECENT_PUBLISHES,
+    Draft,
+    PublishConflictError,
+    Publisher,
+    PublishReplacedError,
+    PublishUnknownError,
+)
 from pomeloglade.state.deployment import ClientAccount, Deployment, Route
+from pomeloglade.state.folder import BadFolderError
+from pomeloglade.transport.status import StatusUnavailableError
+from pomeloglade_coordination.errors import (
+    KeyValueOutcomeUnknownError,
+    KeyValueUnavailableError,
+)
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+
+FOLDER = """
+availability_zones = ["a", "b"]
+[accounts.league]
+rate = {rate}
+burst = 1000
+key_digests = {{ {keys} }}
+[routes.roster]
+prefix = "/roster"
+kind = "plain"
+pool = "api"
+[backend_servers.api-1]
+availability_zone = "a"
+address = "10.0.0.1:80"
+pool = "api"
+role = "plain"
+"""
+OFFICE_DIGEST = digest_key("office")
+OFFICE = f'office = "{OFFICE_DIGEST}"'
+
+
+class FaultyStore(MemoryKeyValueStore):
+    """Loses the answers of the next puts; ``meanwhile`` runs after each."""
+
+    down = False
+    lost_answers = 0
+    lost_before_applying = 0
+
+    def __init__(self, clock):
+        super().__init__(clock)
+        self.meanwhile = []
+
+    def get(self, key):
+        """Fail while down."""
+        if self.down:
+            return fail(KeyValueUnavailableError("down", step="get", peer="platform"))
+        return super().get(key)
+
+    def put(self, key, value, *, expected=None, lease=""):
+        """Fail while down, or lose the answer."""
+        unknown = KeyValueOutcomeUnknownError("lost", step="put", peer="platform")
+        if self.down:
+            return fail(KeyValueUnavailableError("down", step="put", peer="platform"))
+        if self.lost_before_applying:
+            self.lost_before_applying -= 1
+            return fail(unknown)
+        answer = super().put(key, value, expected=expected, lease=lease)
+        if self.lost_answers:
+            self.lost_answers -= 1
+            answer.addErrback(lambda failure: None)
+            answer = fail(unknown)
+        if self.meanwhile:
+            self.meanwhile.pop(0)()
+        return answer
+
+
+class Instances:
+    """Answers for instances by address."""
+
+    def __init__(self):
+        self.statuses_by_address = {}
+
+    def fetch(self, address):
+        """Return the status, or fail as an instance that is cut off does."""
+        status = self.statuses_by_address.get(address)
+        if status is None:
+            return fail(StatusUnavailableError("cut off", step="status", peer=address))
+        return succeed(status)
+
+
+@pytest.fixture
+def store(clock):
+    return FaultyStore(clock)
+
+
+@pytest.fixture
+def instances():
+    return Instances()
+
+
+@pytest.fixture
+def operations(store, clock, instances):
+    ids = count(1)
+    publisher = Publisher(store, clock, lambda: f"p{next(ids)}")
+    return Operations(store, instances, clock, publisher)
+
+
+@pytest.fixture
+def other(store, clock, instances):
+    """Return the commands of a second operator."""
+    ids = count(1)
+    publisher = Publisher(store, clock, lambda: f"q{next(ids)}")
+    return Operations(store, instances, clock, publisher)
+
+
+@pytest.fixture
+def folder(tmp_path):
+    def folder(name="folder", rate=100, keys="", extra=""):
+        path = tmp_path / name
+        path.mkdir(exist_ok=True)
+        (path / "all.toml").write_text(FOLDER.format(rate=rate, keys=keys) + extra)
+        return path
+
+    return folder
+
+
+@pytest.fixture
+def result(clock):
+    def result(deferred):
+        seen = []
+        deferred.addBoth(seen.append)
+        for _ in range(100):
+            if seen:
+                break
+            clock.advance(1)
+        if hasattr(seen[0], "raiseException"):
+            seen[0].raiseException()
+        return seen[0]
+
+    return result
+
+
+@pytest.fixture
+def published(store, result):
+    def published():
+        return decode(result(store.get(CONFIGURATION_KEY)).value)
+
+    return published
+
+
+@pytest.fixture
+def lose_the_race(store):
+    """Let another operator act right after the next read of the configuration."""
+
+    def lose_the_race(act):
+        read_without_race = store.get
+
+        def get(key):
+            store.get = read_without_race
+            read = read_without_race(key)
+            act()
+            return read
+
+        store.get = get
+
+    return lose_the_race
+
+
+def league(published):
+    return published().deployment.accounts_by_name["league"]
 
 
 def test_a_published_deployment_survives_its_encoding():
     route = Route("r", "/r", "model", "p", first_token=timedelta(seconds=1.1))
     account = ClientAccount("a", 10, 20, withdrawn_digests=(digest_key("k"),))
     deployment = Deployment(("z",), {"a": account}, {"r": route})
-    published = Published("p1", deployment)
+    published = Published("p1", deployment, ("p0",), (digest_key("j"),))
     assert decode(encode(published)) == published
     assert key_owners_by_digest(deployment)[digest_key("k")].withdrawn
 
@@ -27,3 +198,277 @@
     accounts = {f"a{i}": ClientAccount(f"a{i}", 1, 1) for i in range(10_000)}
     with pytest.raises(DeploymentTooLargeError, match="10000 client accounts"):
         encode(Published("p1", Deployment(accounts_by_name=accounts)))
+
+
+def test_publishing_the_same_folder_again_stores_nothing(operations, folder, result):
+    first = result(operations.publish(folder())).receipt
+    second = result(operations.publish(folder())).receipt
+    assert (first.changed, second.changed) == (True, False)
+    assert first.revision == second.revision
+
+
+def test_a_bad_folder_publishes_nothing(operations, folder, result, store):
+    with pytest.raises(BadFolderError):
+        result(operations.publish(folder(rate='"fast"')))
+    assert result(store.get(CONFIGURATION_KEY)) is None
+
+
+@pytest.mark.parametrize("fault", ["lost_answers", "lost_before_applying"])
+def test_a_lost_answer_is_settled(operations, folder, result, store, published, fault):
+    setattr(store, fault, 1)
+    receipt = result(operations.publish(folder())).receipt
+    assert receipt.answer_lost
+    assert published().publish_id == receipt.publish_id == "p1"
+
+
+def test_a_lost_answer_is_settled_after_an_outage(operations, folder, result, store):
+    def recover():
+        store.down = False
+
+    store.lost_answers = 1
+    store.meanwhile = [lambda: setattr(store, "down", True)]
+    store._clock.callLater(3, recover)
+    assert result(operations.publish(folder())).receipt.answer_lost
+
+
+def test_an_outage_that_lasts_leaves_the_outcome_unknown(
+    operations, folder, result, store
+):
+    store.lost_answers = 1
+    store.meanwhile = [lambda: setattr(store, "down", True)]
+    with pytest.raises(PublishUnknownError, match="p1 may or may not"):
+        result(operations.publish(folder()))
+
+
+@pytest.mark.parametrize(
+    ("fault", "error", "told"),
+    [
+        ("lost_answers", PublishReplacedError, "p2 took effect, and publish q1"),
+        ("lost_before_applying", PublishConflictError, "nothing was published"),
+    ],
+)
+def test_a_lost_answer_and_another_publish_are_told_apart(
+    operations, other, folder, result, store, published, fault, error, told
+):
+    result(operations.publish(folder()))
+    theirs = folder("theirs", rate=300)
+
+    def publish_theirs():
+        setattr(store, fault, 0)
+        result(other.publish(theirs))
+
+    setattr(store, fault, 1)
+    if fault == "lost_answers":
+        store.meanwhile = [publish_theirs]
+    else:
+        store._clock.callLater(0.5, publish_theirs)
+        store.lost_before_applying = 2
+    with pytest.raises(error, match=told):
+        result(operations.publish(folder("ours", rate=200)))
+    assert league(published).rate == 300
+
+
+def test_a_long_history_is_not_taken_for_a_conflict(result, store, clock):
+    publisher = Publisher(store, clock)
+    base = result(publisher.current())
+
+    def publish_many():
+        for _ in range(RECENT_PUBLISHES + 1):
+            current = result(publisher.current())
+            result(publisher.publish(current, Draft(Deployment())))
+
+    store.lost_answers = 1
+    store.meanwhile = [publish_many]
+    with pytest.raises(PublishUnknownError, match="cannot tell"):
+        result(publisher.publish(base, Draft(Deployment())))
+
+
+def test_a_racing_operator_is_told_and_overwrites_nothing(
+    operations, other, folder, result, published
+):
+    result(operations.publish(folder()))
+    seen = result(operations.diff(folder("ours", rate=200)))
+    assert [change.key for change in seen.changes] == ["accounts.league.rate"]
+    result(other.publish(folder("theirs", rate=300)))
+    with pytest.raises(PublishConflictError, match="publish q1"):
+        result(operations.publish(folder("ours", rate=200), seen.revision))
+    assert league(published).rate == 300
+
+
+def test_a_race_within_a_publish_is_lost_cleanly(
+    operations, other, folder, result, lose_the_race, published
+):
+    result(operations.publish(folder()))
+    lose_the_race(lambda: result(other.publish(folder("theirs", rate=300))))
+    with pytest.raises(PublishConflictError, match="publish q1"):
+        result(operations.publish(folder("ours", rate=200)))
+    assert league(published).rate == 300
+
+
+def test_a_platform_that_is_down_publishes_nothing(operations, folder, result, store):
+    store.down = True
+    with pytest.raises(KeyValueUnavailableError) as caught:
+        result(operations.publish(folder()))
+    assert caught.value.peer == "platform"
+
+
+def test_a_withdrawn_key_is_never_brought_back(operations, folder, result, published):
+    old = folder("old", keys=OFFICE)
+    result(operations.publish(old))
+    key = result(operations.create_key("league", "phone")).key
+    result(operations.withdraw_key("league", "office"))
+    result(operations.withdraw_key("league", "phone"))
+    for path in (old, folder("renamed", keys=f'desk = "{OFFICE_DIGEST}"')):
+        outcome = result(operations.publish(path))
+        assert "was withdrawn and stays so" in outcome.notices[0]
+        assert league(published).key_digests == {}
+    owners = key_owners_by_digest(published().deployment)
+    assert owners[OFFICE_DIGEST].withdrawn
+    assert owners[digest_key(key)].withdrawn
+
+
+def test_a_withdrawn_key_outlives_its_account(operations, folder, result, published):
+    old = folder("old", keys=OFFICE)
+    result(operations.publish(old))
+    result(operations.withdraw_key("league", "office"))
+    without = folder("without")
+    text = (without / "all.toml").read_text().replace("accounts.league", "accounts.x")
+    (without / "all.toml").write_text(text)
+    result(operations.publish(without))
+    result(operations.publish(old))
+    assert league(published).key_digests == {}
+
+
+def test_keys_made_by_command_outlive_a_publish(operations, folder, result, published):
+    result(operations.publish(folder()))
+    created = result(operations.create_key("league", "phone"))
+    result(operations.publish(folder("newer", rate=7)))
+    assert league(published).key_digests == {"phone": digest_key(created.key)}
+    assert created.key.encode() not in encode(published())
+    with pytest.raises(OperationRefusedError, match="already has a key"):
+        result(operations.create_key("league", "phone"))
+    with pytest.raises(OperationRefusedError, match="accounts? 'other'"):
+        result(operations.create_key("other", "phone"))
+
+
+def test_a_drain_outlives_a_publish_unless_the_folder_states_a_state(
+    operations, folder, result, published
+):
+    def state():
+        return published().deployment.backend_servers_by_name["api-1"].state
+
+    result(operations.publish(folder()))
+    result(operations.set_backend_state("api-1", "leaving"))
+    result(operations.publish(folder(rate=7)))
+    assert state() == "leaving"
+    result(operations.publish(folder(extra='state = "serving"\n')))
+    assert state() == "serving"
+
+
+def test_an_edit_is_applied_again_to_what_a_racing_operator_published(
+    operations, other, folder, result, lose_the_race, published
+):
+    result(operations.publish(folder()))
+    lose_the_race(lambda: result(other.publish(folder("theirs", rate=300))))
+    result(operations.create_key("league", "phone"))
+    assert league(published).rate == 300
+    assert list(league(published).key_digests) == ["phone"]
+
+
+def test_an_edit_withdraws_only_the_key_that_it_saw(
+    operations, other, folder, result, lose_the_race, published
+):
+    result(operations.publish(folder()))
+    result(operations.create_key("league", "phone"))
+
+    def replace_the_key():
+        result(other.withdraw_key("league", "phone"))
+        result(other.create_key("league", "phone"))
+
+    lose_the_race(replace_the_key)
+    assert not result(operations.withdraw_key("league", "phone")).receipt.changed
+    assert list(league(published).key_digests) == ["phone"]
+
+
+def test_a_lost_edit_replaced_by_a_publish_that_kept_it_is_a_success(
+    operations, other, folder, result, store, published
+):
+    result(operations.publish(folder()))
+    store.lost_answers = 1
+    store.meanwhile = [lambda: result(other.publish(folder("theirs", rate=300)))]
+    created = result(operations.create_key("league", "phone"))
+    assert created.receipt.answer_lost
+    assert league(published).key_digests == {"phone": digest_key(created.key)}
+
+
+def add_instance(store, instances, name, zone, revision, told=None, state="live"):
+    record = InstanceRecord(name, zone, f"{name}:80", state=state)
+    store.put(f"instances/{name}", encode_instance(record))
+    if revision:
+        instances.statuses_by_address[record.address] = InstanceStatus(
+            name, zone, 1, revision, True, told or {}
+        )
+
+
+def test_wait_names_unreached_zones_and_instances(
+    operations, folder, result, store, instances, clock
+):
+    receipt = result(operations.publish(folder())).receipt
+    add_instance(store, instances, "i1", "a", receipt.revision)
+    add_instance(store, instances, "i2", "b", 0)
+    rollout = result(operations.wait_in_force(receipt, timedelta(seconds=5)))
+    assert not rollout.complete
+    assert rollout.unreached_zones == ("b",)
+    [_, i2] = rollout.instances
+    assert (i2.instance, i2.state, i2.error) == ("i2", "unreached", "cut off")
+    told = {"i2": receipt.revision}
+    add_instance(store, instances, "i1", "a", receipt.revision, told)
+    rollout = result(operations.status())
+    assert rollout.complete
+    assert rollout.instances[1].heard_from == "i1"
+
+
+def test_wait_ends_as_soon_as_the_last_instance_has_it(
+    operations, folder, result, store, instances, clock
+):
+    receipt = result(operations.publish(folder())).receipt
+    add_instance(store, instances, "i1", "a", receipt.revision)
+    add_instance(store, instances, "i2", "b", receipt.revision - 1)
+    add_instance(store, instances, "i3", "b", 0, state="leaving")
+    newer = InstanceStatus("i2", "b", 1, receipt.revision + 1, True)
+    clock.callLater(2, instances.statuses_by_address.update, {"i2:80": newer})
+    began = clock.seconds()
+    assert result(operations.wait_in_force(receipt, timedelta(seconds=60))).complete
+    assert clock.seconds() - began < 5
+
+
+def test_an_instance_of_another_name_is_not_taken_for_the_one_asked(
+    operations, folder, result, store, instances
+):
+    receipt = result(operations.publish(folder())).receipt
+    add_instance(store, instances, "i1", "a", receipt.revision)
+    instances.statuses_by_address["i1:80"] = InstanceStatus("i9", "a", 1, 99, True)
+    [found] = result(operations.status()).instances
+    assert found.state == "unreached"
+    assert "'i9' answers" in found.error
+
+
+def test_a_zone_without_any_instance_is_unreached(
+    operations, folder, result, store, instances
+):
+    receipt = result(operations.publish(folder())).receipt
+    add_instance(store, instances, "i1", "a", receipt.revision)
+    rollout = result(operations.status())
+    assert not rollout.complete
+    assert rollout.unreached_zones == ("b",)
+
+
+def test_status_works_without_the_platform(operations, result, store, instances):
+    add_instance(store, instances, "i1", "a", 7, {"i2": 7, "i3": 6})
+    store.down = True
+    rollout = result(operations.status(("i1:80",)))
+    assert [(i.instance, i.state) for i in rollout.instances] == [
+        ("i2", "in force"),
+        ("i3", "behind"),
+        ("i1", "in force"),
+    ]
