Run the demo through the operators' commands and six instances

Ruled out: starting with full buckets. A restarted fleet would get every burst again; the demo resends after the Retry-After of its refusals instead.

--- a/packages/pomeloglade/src/pomeloglade/cli.py
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -320,3 +320,7 @@
 def main() -> None:
     """Run the operators' command line."""
     build_app()()
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -3,9 +3,11 @@
 import json
 import sys
 import tempfile
+import time
 from pathlib import Path
+from typing import Any
 
-from scripts.fleet import HOST, Fleet, Process, backend_override, call
+from scripts.fleet import HOST, Fleet, Process, Response, backend_override, call
 
 ROOT = Path(__file__).resolve().parent.parent
 EXAMPLE = ROOT / "examples" / "halvorsen"
@@ -20,7 +22,13 @@
     "assessor-llm-decode-4": "nordvik-a",
 }
 SERVICES = ("roster-api-1", "roster-api-2", "roster-api-3")
-INSTANCES = {"entry-nordvik-a-1": "nordvik-a", "entry-nordvik-b-1": "nordvik-b"}
+INSTANCES = {
+    f"entry-{zone}-{number}": zone
+    for zone in ("nordvik-a", "nordvik-b", "nordvik-c")
+    for number in (1, 2)
+}
+MAX_RESENDS = 20
+"""Resends of a refused call; after a start the shares of all accounts are empty."""
 
 
 def start_fleet(fleet: Fleet, folder: Path) -> None:
@@ -75,6 +83,18 @@
     sys.stdout.flush()
 
 
+def call_patiently(port: int, path: str, **options: Any) -> Response:
+    """Make a call and resend it when the answer says when to come back."""
+    for _ in range(MAX_RESENDS):
+        answer = call(port, path, **options)
+        wait = answer.headers.get("Retry-After")
+        if wait is None:
+            return answer
+        show(f"{path}: {answer.json['error']['reason']}, again in {wait} s")
+        time.sleep(float(wait))
+    return answer
+
+
 def summarise(port: int, key: str) -> None:
     """Stream the summary of a long match report."""
     body = {
@@ -83,7 +103,9 @@
         "max_tokens": 400,
         "stream": True,
     }
-    answer = call(port, "/v1/completions", key=key, body=json.dumps(body).encode())
+    answer = call_patiently(
+        port, "/v1/completions", key=key, body=json.dumps(body).encode()
+    )
     events = [line[6:] for line in answer.body.decode().splitlines() if line]
     if answer.status != 200 or events[-1] != "[DONE]":
         raise SystemExit(f"summary: {answer.status} {answer.body!r}")
@@ -93,7 +115,7 @@
 
 def look_up(port: int, key: str) -> None:
     """Look up the roster."""
-    answer = call(port, "/roster/grounds/eastfield?round=12", key=key)
+    answer = call_patiently(port, "/roster/grounds/eastfield?round=12", key=key)
     if answer.status != 200:
         raise SystemExit(f"lookup: {answer.status} {answer.body!r}")
     show(f"lookup: {answer.body.decode()}")
@@ -104,7 +126,7 @@
     headers = {"Idempotency-Key": "round-12-eastfield-referee"}
     body = b'{"official": "A. Lindqvist", "ground": "eastfield"}'
     for port in ports:
-        answer = call(
+        answer = call_patiently(
             port, "/bookings/appointments", key=key, body=body, headers=headers
         )
         if answer.status != 201 or answer.json["runs"] != 1:
@@ -117,7 +139,7 @@
     """Run the demo and stop everything that it started."""
     with Fleet() as fleet, tempfile.TemporaryDirectory() as folder:
         start_fleet(fleet, Path(folder))
-        key = operate(fleet, "keys", "create", ACCOUNT, "demo").split()[-1]
+        key = operate(fleet, "keys", "create", ACCOUNT, "demo").splitlines()[0]
         instances = list(fleet.instances_by_name.values())
         for instance in instances:
             instance.process.wait_for("pomeloglade:in_force")
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -193,7 +193,7 @@
         value = {
             "instance": name,
             "availability_zone": found.availability_zone,
-            "address": f"http://{HOST}:{found.port}",
+            "address": f"{HOST}:{found.port}",
             "peer_address": f"{HOST}:{found.peer_port}",
             "state": state,
         }
