--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -5,14 +5,17 @@
 
 import pytest
 from twisted.internet.defer import Deferred, fail
+from typer.main import get_command
 from typer.testing import CliRunner
 
 from pomeloglade.cli import build_app
 from pomeloglade.keys import digest_key
 from pomeloglade.porcelain import Operations
+from pomeloglade.settings import settings_app
 from pomeloglade.transport.status import StatusUnavailableError
 from pomeloglade_coordination.errors import KeyValueUnavailableError
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.refusals import Reason
 
 HALVORSEN = str(Path(__file__).parent.parent / "examples" / "halvorsen")
 
@@ -134,3 +137,18 @@
         after_publish = position and words[position - 1].endswith("(publish")
         kept.append("ID)" + word.partition(")")[2] if after_publish else word)
     return " ".join(kept)
+
+
+def test_the_operations_page_names_every_flag_command_and_reason():
+    page = (Path(__file__).parent.parent / "docs" / "OPERATIONS.md").read_text()
+    daemon = get_command(settings_app(lambda settings: None))
+    operators = get_command(build_app())
+    keys = operators.commands["keys"]
+    commands = [*operators.commands.values(), *keys.commands.values()]
+    wanted = {*operators.commands, *(f"keys {name}" for name in keys.commands)}
+    for command in [daemon, *commands]:
+        for option in command.params:
+            wanted.update(flag for flag in option.opts if flag.startswith("--"))
+            wanted.update([option.envvar] if option.envvar else [])
+    wanted.update(f"| `{reason.value}` |" for reason in Reason)
+    assert [each for each in sorted(wanted) if each not in page] == []
