Flush answers before a graceful shutdown ends

Cause: a shutdown ended once every request's lifecycle had, while the last bytes of their answers were still in the buffers of the connections; the reactor then dropped them. Callers saw a chunked body that broke off. A silent decode stream was never given up either, since the body's transport has no abortConnection.

Ruled out: waiting a fixed time after the last request. The shutdown closes each connection by flushing it and waits until all of them have closed.

--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -83,7 +83,8 @@
         endpoint = TCP4ServerEndpoint(
             reactor, self._settings.listen_port, interface=self._settings.listen_host
         )
-        self._listener = await endpoint.listen(site.site(self._settings.max_body_bytes))
+        self._connections = site.site(self._settings.max_body_bytes)
+        self._listener = await endpoint.listen(self._connections)
         for address in self._settings.peer_addresses:
             self._links.connect(address)
         instance.instance_list.subscribe(self._listed)
@@ -124,16 +125,24 @@
         )
         await listed
         await self._listener.stopListening()
-        idle = self._instance.open_requests.when_idle()
-        idle.addTimeout(
-            self._settings.drain_timeout.total_seconds(), reactor, lambda *_: None
-        )
-        await idle
+        cut = await self._finish_requests()
         self._instance.stop()
         await self._links.close()
-        eliot.log_message(
-            "pomeloglade:stopped", cut_requests=len(self._instance.open_requests)
-        )
+        eliot.log_message("pomeloglade:stopped", cut_requests=cut)
+
+    async def _finish_requests(self) -> int:
+        """Return how many requests are still open after the drain timeout.
+
+        A request is finished when its last byte has left: the connections are
+        closed by flushing them, after all of them have been answered.
+        """
+        seconds = self._settings.drain_timeout.total_seconds()
+        finished = self._instance.open_requests.when_idle()
+        finished.addCallback(lambda _: deferLater(reactor, 0))
+        finished.addCallback(lambda _: self._connections.close_all())
+        finished.addTimeout(seconds, reactor, lambda *_: None)
+        await finished
+        return len(self._instance.open_requests)
 
 
 def run(settings: Settings) -> None:
--- a/packages/pomeloglade/src/pomeloglade/transport/engines.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/engines.py
@@ -276,9 +276,8 @@
         self._end(None)
 
     def _abort(self) -> None:
-        transport = self.transport
-        if transport is not None:
-            transport.abortConnection()
+        if self.transport is not None:
+            self.transport.loseConnection()
         self._end(None)
 
     def _end(self, result: Failure | None) -> None:
--- a/packages/pomeloglade/src/pomeloglade/transport/site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/site.py
@@ -18,6 +18,7 @@
 from ..state.deployment import Route
 from ..state.metrics import Metrics
 from .answers import StreamedAnswer, WholeAnswer, write_refusal
+from .connections import Connections
 from .limited_request import LimitedSite
 from .status_page import StatusPage
 
@@ -59,9 +60,11 @@
         self._metrics = metrics
         self._status = status
 
-    def site(self, max_body_bytes: int) -> LimitedSite:
-        """Return the site to listen with."""
-        return LimitedSite(self.app.resource(), max_body_bytes, self._body_too_large)
+    def site(self, max_body_bytes: int) -> Connections:
+        """Return the factory to listen with."""
+        resource = self.app.resource()
+        site = LimitedSite(resource, max_body_bytes, self._body_too_large)
+        return Connections(site)
 
     @app.route("/live", methods=["GET"])
     def live(self, http: IRequest) -> bytes:
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,121 @@
+"""Failures that only real processes show: kills, freezes, outages, drains."""
+
+import json
+import signal
+from concurrent.futures import ThreadPoolExecutor
+
+import pytest
+from scripts.fleet import call
+from tests.processes import SmallFleet, error_of
+
+
+@pytest.fixture
+def fleet():
+    with SmallFleet() as fleet:
+        yield fleet.begin()
+
+
+@pytest.fixture
+def pool():
+    with ThreadPoolExecutor(16) as pool:
+        yield pool
+
+
+def test_killed_instance_leaves_no_engine_memory_held(fleet, pool):
+    stream = pool.submit(fleet.summarise, "i1")
+    fleet.until(fleet.held)
+    fleet.instances_by_name["i1"].process.signal(signal.SIGKILL)
+    fleet.until(lambda: not fleet.held())
+    assert stream.exception() is not None or "[DONE]" not in stream.result()
+    fleet.until(lambda: fleet.look_up("i2").status == 200)
+
+
+def test_frozen_instance_never_passes_a_part_off_as_the_whole(fleet, pool):
+    stream = pool.submit(fleet.summarise, "i1")
+    fleet.until(fleet.held)
+    frozen = fleet.instances_by_name["i1"].process
+    frozen.signal(signal.SIGSTOP)
+    fleet.until(lambda: not fleet.held())
+    frozen.signal(signal.SIGCONT)
+    events = stream.result()
+    assert events[-1] != "[DONE]"
+    assert error_of(events) in {"backend_failed", "no_backend_server"}
+    fleet.until(lambda: fleet.look_up("i1").status == 200)
+
+
+def test_restart_in_an_outage_takes_the_configuration_from_a_peer(fleet):
+    call(fleet.platform_port, "/faults", body=b'{"down": true}')
+    fleet.instances_by_name["i1"].process.stop()
+    peer = fleet.instances_by_name["i2"]
+    process = fleet.launch_instance(
+        "i1", "zone-a", f"--peer-address=127.0.0.1:{peer.peer_port}"
+    )
+    line = process.wait_for("pomeloglade:listening")
+    process.wait_for("pomeloglade:in_force")
+    fleet.instances_by_name["i1"].port = line["port"]
+    assert call(line["port"], "/public/x").status == 200
+    fleet.until(lambda: fleet.look_up("i1").status == 200)
+    refused = fleet.book("i1", "in the outage")
+    assert refused.json["error"]["reason"] == "claim_unavailable"
+    assert "Retry-After" in refused.headers
+    assert call(fleet.ports["s1"], "/stand-in/runs").json["runs"] == {}
+
+
+def test_graceful_shutdown_under_load_cuts_no_request(fleet, pool):
+    streams = [pool.submit(fleet.summarise, "i1") for _ in range(8)]
+    fleet.until(lambda: fleet.metric("i1", "pomeloglade_open_requests") == 8)
+    stopping = fleet.instances_by_name["i1"].process
+    stopping.signal(signal.SIGTERM)
+    stopping.wait_for("pomeloglade:draining")
+    assert call(fleet.port("i1"), "/ready").status == 503
+    assert fleet.look_up("i1").status == 200
+    fleet.list_instance("i1", "leaving")
+    assert {stream.result()[-1] for stream in streams} == {"[DONE]"}
+    assert stopping.wait_for("pomeloglade:stopped")["cut_requests"] == 0
+    assert stopping.popen.wait() == 0
+
+
+def test_booking_sent_to_two_instances_at_once_runs_once(fleet, pool):
+    for number in range(5):
+        key = f"booking-{number}"
+        both = [pool.submit(fleet.book, name, key) for name in ("i1", "i2")]
+        statuses = {answer.result().status for answer in both}
+        assert 201 in statuses
+        assert statuses <= {201, 409}
+        assert fleet.book("i2", key).status == 201
+    runs = call(fleet.ports["s1"], "/stand-in/runs").json
+    assert set(runs["runs"].values()) == {1}
+    assert runs["keys_seen"] == 0
+
+
+def test_withdrawn_key_ends_open_streams_and_new_calls(fleet, pool):
+    streams = [pool.submit(fleet.summarise, name) for name in ("i1", "i2")]
+    fleet.until(lambda: len(fleet.held()) >= 2)
+    fleet.publish(2, keys=False)
+    assert {error_of(stream.result()) for stream in streams} == {"key_withdrawn"}
+    assert {fleet.look_up(name).status for name in ("i1", "i2")} == {401}
+    fleet.until(lambda: not fleet.held())
+
+
+def test_frozen_engine_ends_in_a_typed_error(fleet, pool):
+    stream = pool.submit(fleet.summarise, "i1")
+    fleet.until(fleet.held)
+    for name in ("d1", "d2"):
+        fleet.engines[name].signal(signal.SIGSTOP)
+    events = stream.result()
+    error = json.loads(events[-1])["error"]
+    assert error["reason"] in {"backend_failed", "no_backend_server"}
+    assert error["peer"] in {"d1", "d2"}
+    assert not error["not_run"]
+
+
+def test_crashing_request_costs_at_most_two_engines(fleet):
+    body = {"model": "m", "prompt": "please crash-the-engine now", "max_tokens": 5}
+    encoded = json.dumps(body).encode()
+    key = "club-key"
+    for number in range(6):
+        port = fleet.port(("i1", "i2")[number % 2])
+        answer = call(port, "/v1/completions", key=key, body=encoded)
+        assert answer.status != 200
+    down = [name for name, each in fleet.engines.items() if each.popen.poll() == 0]
+    assert len(down) <= 2
