Keep a slot for accounts within their share in overload

FairShares now counts tokens over a half-life of 10 s, and in overload one slot in 32 is kept from accounts over their share until their request is urgent.

Ruled out: prefilling ahead of a free decode slot. It would win back the 3 to 4% of decode time reserved during prefill, but an assignment names one decode replica, whose next free slot is too uncertain for 0.5% waste.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/fairness.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/fairness.py
@@ -4,6 +4,8 @@
 from collections.abc import Iterator
 from dataclasses import dataclass, field
 
+from .clock import Clock
+
 VIRTUAL_TOKENS = 1 << 20
 """Virtual time of one token at weight 1, so that integers divide by weights."""
 
@@ -11,6 +13,14 @@
 """Share of the served tokens that patient requests get while they wait."""
 
 
+HALF_LIFE_SECONDS = 10.0
+LEVEL_SECONDS = 0.25
+"""How often fair shares are worked out anew."""
+
+OVERLOAD_PERCENT = 97
+"""Share of the tokens asked for below which serving counts as overloaded."""
+
+
 @dataclass(frozen=True, slots=True, order=True)
 class QueuedRequest:
     """One waiting request, ordered within its account by ``order``.
@@ -151,7 +161,7 @@
         """Yield the waiting requests in the order in which to serve them."""
         interactive = list(self._interactive.in_order())
         patient = list(self._patient.in_order())
-        if patient and self._patient_credit >= patient[0].cost * 100:
+        if self.patient_due():
             yield patient[0]
             yield from interactive
             yield from patient[1:]
@@ -159,5 +169,102 @@
         yield from interactive
         yield from patient
 
+    def patient_due(self) -> bool:
+        """Tell whether patient requests have saved up enough for the next one."""
+        head = next(self._patient.in_order(), None)
+        return head is not None and self._patient_credit >= head.cost * 100
+
     def _class_of(self, queued: QueuedRequest) -> _FairClass:
         return self._patient if queued.patient else self._interactive
+
+
+@dataclass(slots=True)
+class _Recent:
+    weight: int
+    asked: int = 0
+    served: int = 0
+
+
+class FairShares:
+    """Tells which accounts have lately been served more than their fair share.
+
+    The tokens served to all are divided by max-min fairness over what the
+    accounts asked for, in proportion to their weights. Counts are halved every
+    ``HALF_LIFE_SECONDS``. A queue alone can't even this out: requests with a
+    first-token target leave it too soon for a large account to fall behind.
+
+    >>> from twisted.internet.task import Clock
+    >>> shares = FairShares(Clock())
+    >>> shares.asked("club", 1, 900)
+    >>> shares.asked("league", 1, 300)
+    >>> shares.served("club", 700)
+    >>> shares.overloaded(), shares.over_share("club"), shares.over_share("league")
+    (True, True, False)
+    """
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._recent_by_account: dict[str, _Recent] = {}
+        self._halved_at = clock.seconds()
+        self._level_at = -LEVEL_SECONDS
+        self._level = 0
+        self._overloaded = False
+
+    def asked(self, account: str, weight: int, tokens: int) -> None:
+        """Count what an account asks for."""
+        recent = self._recent_by_account.setdefault(account, _Recent(weight))
+        recent.weight = max(1, weight)
+        recent.asked += tokens
+
+    def served(self, account: str, tokens: int) -> None:
+        """Count what an account is given."""
+        recent = self._recent_by_account.setdefault(account, _Recent(1))
+        recent.served += tokens
+
+    def overloaded(self) -> bool:
+        """Tell whether clearly less was served than asked for."""
+        self._refresh()
+        return self._overloaded
+
+    def over_share(self, account: str) -> bool:
+        """Tell whether an account has been served beyond its fair share."""
+        self._refresh()
+        recent = self._recent_by_account.get(account)
+        return recent is not None and recent.served > self._level * recent.weight
+
+    def _refresh(self) -> None:
+        now = self._clock.seconds()
+        if now - self._level_at < LEVEL_SECONDS:
+            return
+        self._level_at = now
+        while now - self._halved_at >= HALF_LIFE_SECONDS:
+            self._halved_at += HALF_LIFE_SECONDS
+            self._halve()
+        recents = list(self._recent_by_account.values())
+        asked = sum(recent.asked for recent in recents)
+        served = sum(recent.served for recent in recents)
+        self._overloaded = served * 100 < asked * OVERLOAD_PERCENT
+        self._level = _water_level(recents, served)
+
+    def _halve(self) -> None:
+        for account, recent in list(self._recent_by_account.items()):
+            recent.asked //= 2
+            recent.served //= 2
+            if not recent.asked and not recent.served:
+                del self._recent_by_account[account]
+
+
+def _water_level(recents: list[_Recent], capacity: int) -> int:
+    """Return the tokens per weight at which max-min fair shares level off."""
+    recents = sorted(recents, key=lambda recent: recent.asked / recent.weight)
+    weights = sum(recent.weight for recent in recents)
+    level = 0
+    for recent in recents:
+        level = capacity // weights
+        if recent.asked > level * recent.weight:
+            return level
+        capacity -= recent.asked
+        weights -= recent.weight
+        if weights == 0:
+            return recent.asked // recent.weight + 1
+    return level
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -28,11 +28,8 @@
     PlacementGrant,
     PlacementRefused,
 )
-from .placement_owner import (
-    SLOT_LEASE_SECONDS,
-    PlacementOwner,
-    Replica,
-)
+from .placement_owner import SLOT_LEASE_SECONDS, PlacementOwner
+from .placement_servers import Replica
 from .refusals import Reason, Refusal, Step
 from .suspects import Admission, Suspects
 
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
@@ -1,13 +1,13 @@
 """The placing owner of a group of replicas: its slots and its queue."""
 
-from collections import Counter, OrderedDict
+from collections import Counter
 from collections.abc import Callable, Iterable, Iterator
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass
 from datetime import timedelta
 from random import Random
-from typing import Literal
 
 from .clock import Clock
+from .fairness import FairShares
 from .peer import PeerMessage
 from .placement_messages import (
     Holding,
@@ -17,6 +17,7 @@
     PlacementDecline,
     PlacementGrant,
 )
+from .placement_servers import ENGINE_FULL_SECONDS, Replica, Servers
 from .queueing import DeadlineQueue
 from .refusals import Reason, Refusal
 from .suspects import Admission
@@ -24,50 +25,17 @@
 SLOT_LEASE_SECONDS = 5.0
 """How long slots stay taken after their instance was last seen."""
 
-ENGINE_FULL_SECONDS = 0.5
-"""How long a replica gets no new work after its engine refused a request."""
-
 START_MARGIN_SECONDS = 0.02
-MAX_RETRY_AFTER_SECONDS = 30.0
-MAX_KNOWN_PREFIXES = 20_000
-MAX_TRUSTED_FINGERPRINTS = 10_000
-AFFINITY_SLACK_SLOTS = 1
-"""Slots by which a replica with the prefix may be busier than the idlest one."""
-
-PREFILL_SMOOTHING = 0.1
-
-ReplicaRole = Literal["prefill", "decode", "plain"]
-
-
-@dataclass(frozen=True, slots=True)
-class Replica:
-    """One backend server of a pool; ``slots`` requests run there at once.
-
-    A replica that is not ``accepting`` is leaving and gets no new work.
-    """
-
-    name: str
-    pool: str
-    role: ReplicaRole
-    availability_zone: str
-    slots: int
-    accepting: bool = True
 
+SLOTS_PER_KEPT_SLOT = 32
+"""Slots of which one is kept, in overload, for accounts within their share."""
 
-@dataclass(slots=True)
-class _Server:
-    replica: Replica
-    held: set[str] = field(default_factory=set)
-    alone: str = ""
-    full_until: float = 0.0
-    blocked_until: float = 0.0
-    orphans: int = 0
+URGENT_SECONDS = 0.1
+"""Time before its latest start at which a request is held back no more."""
 
-    def free(self, now: float) -> int:
-        if now < self.full_until:
-            return 0
-        orphans = self.orphans if now < self.blocked_until else 0
-        return self.replica.slots - len(self.held) - orphans
+MAX_RETRY_AFTER_SECONDS = 30.0
+TIMER_SLACK_SECONDS = 0.001
+PREFILL_SMOOTHING = 0.1
 
 
 @dataclass(slots=True)
@@ -129,16 +97,13 @@
         self._random = random
         self._send = send
         self._admit = admit
-        self._zone_usable = zone_usable
+        self._servers = Servers(clock=clock, zone_usable=zone_usable)
+        self._shares = FairShares(clock)
         self._zone_of = zone_of
         self._numbers = numbers
-        self._servers_by_name: dict[str, _Server] = {}
         self._held_by_id: dict[str, _Held] = {}
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._queue = DeadlineQueue()
-        self._ids_by_fingerprint: dict[str, set[str]] = {}
-        self._trusted: OrderedDict[str, None] = OrderedDict()
-        self._replica_by_prefix: OrderedDict[int, str] = OrderedDict()
         self._seconds_per_prompt_token = 0.0
         self._unheard: set[str] = set()
         self._number = 0
@@ -163,13 +128,8 @@
         self._started_at = now
         self._held_by_id.clear()
         self._waiting_by_id.clear()
-        self._ids_by_fingerprint.clear()
         self._queue = DeadlineQueue()
-        for server in self._servers_by_name.values():
-            server.held.clear()
-            server.alone = ""
-            server.orphans = 0
-            server.blocked_until = 0.0
+        self._servers.clear()
         self._block_for_lost(lost_seconds)
         self._number = self._started_number = next(self._numbers)
         self._unheard = set(instances)
@@ -214,9 +174,7 @@
         if lost_seconds < 0:
             return
         until = self._clock.seconds() + SLOT_LEASE_SECONDS - lost_seconds
-        for server in self._servers_by_name.values():
-            server.orphans = server.replica.slots
-            server.blocked_until = max(server.blocked_until, until)
+        self._servers.block(until)
         self._clock.callLater(max(0.0, SLOT_LEASE_SECONDS - lost_seconds), self.serve)
 
     def receive_holdings(self, instance: str, message: Holdings) -> None:
@@ -253,21 +211,16 @@
 
     def configure(self, replicas: Iterable[Replica]) -> None:
         """Replace the replicas; those that left keep their requests."""
-        replicas_by_name = {replica.name: replica for replica in replicas}
-        for name, replica in replicas_by_name.items():
-            server = self._servers_by_name.setdefault(name, _Server(replica))
-            server.replica = replica
-        for name in set(self._servers_by_name) - set(replicas_by_name):
-            del self._servers_by_name[name]
+        self._servers.configure(replicas)
+        for waiting in list(self._waiting_by_id.values()):
+            self._decline_hopeless(waiting)
         self.serve()
 
     def observe_load(self, replica: str, held: int, reported_at: float) -> None:
         """Learn from a load report how many requests of lost instances run."""
-        server = self._servers_by_name.get(replica)
-        if server is None or reported_at <= self._started_at or self._unheard:
+        if reported_at <= self._started_at or self._unheard:
             return
-        if self._clock.seconds() < server.blocked_until:
-            server.orphans = max(0, held - len(server.held))
+        if self._servers.observe_load(replica, held):
             self.serve()
 
     # Requests
@@ -296,7 +249,12 @@
         if not queued:
             self._decline(instance, ask, Reason.QUEUE_FULL)
             return
-        self._waiting_by_id[ask.request_id] = _Waiting(instance, ask, now + left)
+        cost = ask.prompt_tokens + ask.output_tokens
+        self._shares.asked(ask.account, ask.weight, cost)
+        waiting = _Waiting(instance, ask, now + left)
+        self._waiting_by_id[ask.request_id] = waiting
+        if self._decline_hopeless(waiting):
+            return
         self.serve()
 
     def cancel(self, request_id: str) -> None:
@@ -310,8 +268,7 @@
         held = self._held_by_id.get(request_id)
         if held is None or not held.holding.prefill:
             return
-        self._free_on(held.holding.prefill, request_id)
-        held.holding = replace(held.holding, prefill="")
+        held.holding = self._servers.prefilled(held.holding)
         if held.prompt_tokens:
             took = (self._clock.seconds() - held.granted_at) / held.prompt_tokens
             known = self._seconds_per_prompt_token or took
@@ -326,19 +283,15 @@
         if held is None:
             return
         if completed and held.holding.fingerprint:
-            self._trusted[held.holding.fingerprint] = None
-            if len(self._trusted) > MAX_TRUSTED_FINGERPRINTS:
-                self._trusted.popitem(last=False)
+            self._servers.trust(held.holding.fingerprint)
         self._free(request_id)
         self.serve()
 
     def refused(self, request_id: str, replica: str) -> None:
         """Take the engine's word that it has no room, and free the grant."""
-        server = self._servers_by_name.get(replica)
-        if server is not None:
-            self.counters["engine_refusals"] += 1
-            server.full_until = self._clock.seconds() + ENGINE_FULL_SECONDS
-            self._clock.callLater(ENGINE_FULL_SECONDS, self.serve)
+        self.counters["engine_refusals"] += 1
+        self._servers.refused(replica)
+        self._clock.callLater(ENGINE_FULL_SECONDS, self.serve)
         self.release(request_id)
 
     # Serving
@@ -360,7 +313,7 @@
         self._set_timer()
 
     def _grant_next(self) -> None:
-        if self._unheard:
+        if self._unheard or not self._servers.has_room():
             return
         for request_id in self._queue.in_order():
             waiting = self._waiting_by_id[request_id]
@@ -371,123 +324,56 @@
     def _settle(self, request_id: str, waiting: _Waiting) -> bool:
         """Grant or decline one waiting request; ``False`` leaves it waiting."""
         ask = waiting.ask
-        admission = self._admit(ask.fingerprint)
-        if isinstance(admission, Refusal):
-            self._forget_waiting(request_id)
-            self._decline(waiting.instance, ask, Reason.SUSPECT, admission.retry_after)
+        if self._decline_hopeless(waiting):
             return True
+        admission = self._admit(ask.fingerprint)
+        if self._held_back(request_id, ask):
+            return False
         alone = ask.alone or admission is Admission.RUN_ALONE
-        if not self._served_at_all(ask):
-            self._forget_waiting(request_id)
-            self._decline(waiting.instance, ask, Reason.NO_BACKEND_SERVER)
-            return True
-        holding = self._choose(waiting, alone)
+        zone = self._zone_of(waiting.instance)
+        holding = self._servers.choose(ask, zone, alone)
         if holding is None:
             return False
         del self._waiting_by_id[request_id]
         self._queue.take(request_id)
+        self._shares.served(ask.account, ask.prompt_tokens + ask.output_tokens)
         self._hold(waiting.instance, holding, ask.prompt_tokens)
-        for block in ask.prefix:
-            self._replica_by_prefix[block] = holding.prefill
-            self._replica_by_prefix.move_to_end(block)
-        while len(self._replica_by_prefix) > MAX_KNOWN_PREFIXES:
-            self._replica_by_prefix.popitem(last=False)
+        self._servers.remember_prefix(ask.prefix, holding.prefill)
         self._grant(waiting.instance, ask.number, holding)
         return True
 
-    def _choose(self, waiting: _Waiting, alone: bool) -> Holding | None:
+    def _decline_hopeless(self, waiting: _Waiting) -> bool:
+        """Decline a waiting request that no replica may serve, free or not."""
         ask = waiting.ask
-        zone = self._zone_of(waiting.instance)
-        if ask.plain:
-            server = self._pick("plain", ask, zone, alone)
-            if server is None:
-                return None
-            name = server.replica.name
-            return Holding(ask.request_id, "", "", name, ask.fingerprint, alone)
-        decode = self._pick("decode", ask, zone, alone)
-        if decode is None:
-            return None
-        prefill_zone = decode.replica.availability_zone
-        prefill = self._pick("prefill", ask, prefill_zone, alone)
-        if prefill is None:
-            return None
-        return Holding(
-            ask.request_id,
-            prefill.replica.name,
-            decode.replica.name,
-            "",
-            ask.fingerprint,
-            alone,
-        )
+        admission = self._admit(ask.fingerprint)
+        if isinstance(admission, Refusal):
+            self._forget_waiting(ask.request_id)
+            self._decline(waiting.instance, ask, Reason.SUSPECT, admission.retry_after)
+            return True
+        if not self._servers.served_at_all(ask):
+            self._forget_waiting(ask.request_id)
+            self._decline(waiting.instance, ask, Reason.NO_BACKEND_SERVER)
+            return True
+        return False
 
-    def _pick(
-        self, role: ReplicaRole, ask: PlacementAsk, zone: str, alone: bool
-    ) -> _Server | None:
-        now = self._clock.seconds()
-        usable = [
-            server
-            for server in self._usable(role, ask)
-            if server.free(now) > 0 and not (alone and server.alone)
-        ]
-        usable = self._beside_copies(role, ask, usable)
-        if not usable:
-            return None
-        if role == "prefill" and ask.prefix:
-            cached = self._with_prefix(ask, usable)
-            if cached is not None:
-                return cached
-        return min(
-            usable,
-            key=lambda server: (
-                server.replica.availability_zone != zone,
-                len(server.held) / server.replica.slots,
-                server.replica.name,
-            ),
-        )
+    def _held_back(self, request_id: str, ask: PlacementAsk) -> bool:
+        """Tell whether the last free slots are kept for others for now.
 
-    def _usable(self, role: ReplicaRole, ask: PlacementAsk) -> list[_Server]:
-        return [
-            server
-            for server in self._servers_by_name.values()
-            if server.replica.role == role
-            and server.replica.accepting
-            and server.replica.name not in ask.unreachable
-            and self._zone_usable(server.replica.availability_zone)
-        ]
-
-    def _served_at_all(self, ask: PlacementAsk) -> bool:
-        roles = ("plain",) if ask.plain else ("prefill", "decode")
-        return all(self._usable(role, ask) for role in roles)
-
-    def _beside_copies(
-        self, role: ReplicaRole, ask: PlacementAsk, usable: list[_Server]
-    ) -> list[_Server]:
-        """Keep copies of an untried request on the replicas of the first.
-
-        If it crashes its replica, its copies have then cost no further one.
+        In overload they are kept for accounts within their share, since those
+        can't wait as long as it may take until the next slot is free.
         """
-        copies = self._ids_by_fingerprint.get(ask.fingerprint)
-        if not copies or ask.fingerprint in self._trusted:
-            return usable
-        names = set()
-        for request_id in copies:
-            holding = self._held_by_id[request_id].holding
-            names.add(getattr(holding, "server" if role == "plain" else role))
-        names.discard("")
-        if not names:
-            return usable
-        return [server for server in usable if server.replica.name in names]
-
-    def _with_prefix(self, ask: PlacementAsk, usable: list[_Server]) -> _Server | None:
-        """Return the usable replica with the longest prefix, if not too busy."""
-        usable_by_name = {server.replica.name: server for server in usable}
-        idlest = min(len(server.held) for server in usable)
-        for block in reversed(ask.prefix):
-            server = usable_by_name.get(self._replica_by_prefix.get(block, ""))
-            if server and len(server.held) <= idlest + AFFINITY_SLACK_SLOTS:
-                self.counters["prefix_hits"] += 1
-                return server
-        return None
+        role = "plain" if ask.plain else "decode"
+        kept = self._servers.all_slots(role) // SLOTS_PER_KEPT_SLOT
+        if self._servers.free_slots(role) > kept or not self._shares.overloaded():
+            return False
+        if ask.patient:
+            return not self._queue.patient_due()
+        if not self._shares.over_share(ask.account):
+            return False
+        return (
+            self._clock.seconds()
+            < self._queue.latest_start(request_id) - URGENT_SECONDS
+        )
 
     # Bookkeeping
 
@@ -496,34 +382,10 @@
         self._held_by_id[holding.request_id] = _Held(
             instance, holding, now, prompt_tokens, self._number
         )
-        for name in (holding.prefill, holding.decode, holding.server):
-            server = self._servers_by_name.get(name)
-            if server is None:
-                continue
-            server.held.add(holding.request_id)
-            if holding.alone:
-                server.alone = holding.request_id
-        if holding.fingerprint:
-            ids = self._ids_by_fingerprint.setdefault(holding.fingerprint, set())
-            ids.add(holding.request_id)
+        self._servers.hold(holding)
 
     def _free(self, request_id: str) -> None:
-        holding = self._held_by_id.pop(request_id).holding
-        for name in (holding.prefill, holding.decode, holding.server):
-            self._free_on(name, request_id)
-        ids = self._ids_by_fingerprint.get(holding.fingerprint)
-        if ids is not None:
-            ids.discard(request_id)
-            if not ids:
-                del self._ids_by_fingerprint[holding.fingerprint]
-
-    def _free_on(self, name: str, request_id: str) -> None:
-        server = self._servers_by_name.get(name)
-        if server is None:
-            return
-        server.held.discard(request_id)
-        if server.alone == request_id:
-            server.alone = ""
+        self._servers.free(self._held_by_id.pop(request_id).holding)
 
     def _forget_waiting(self, request_id: str) -> None:
         del self._waiting_by_id[request_id]
@@ -585,5 +447,7 @@
         expiry = self._queue.next_expiry()
         self.stop()
         if expiry is not None:
-            wait = max(0.0, expiry - self._clock.seconds()) + 0.001
+            wait = max(0.0, expiry - self._clock.seconds()) + TIMER_SLACK_SECONDS
+            if wait > URGENT_SECONDS + 2 * TIMER_SLACK_SECONDS:
+                wait -= URGENT_SECONDS
             self._timer = self._clock.callLater(wait, self.serve)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/queueing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/queueing.py
@@ -70,6 +70,14 @@
         self._fair.take(request_id)
         del self._latest_start_by_id[request_id]
 
+    def patient_due(self) -> bool:
+        """Tell whether the patient requests are owed their share."""
+        return self._fair.patient_due()
+
+    def latest_start(self, request_id: str) -> float:
+        """Return the instant after which a waiting request expires."""
+        return self._latest_start_by_id[request_id]
+
     def in_order(self) -> Iterator[str]:
         """Yield the request ids in the order in which to serve them."""
         for queued in self._fair.in_order():
