--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/fairness.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/fairness.py
@@ -9,7 +9,7 @@
 VIRTUAL_TOKENS = 1 << 20
 """Virtual time of one token at weight 1, so that integers divide by weights."""
 
-PATIENT_SHARE_PERCENT = 10
+PATIENT_SHARE_PERCENT = 5
 """Share of the served tokens that patient requests get while they wait."""
 
 
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -152,7 +152,9 @@
         self._random = random
         self._suspects = suspects
         self._replicas_by_name: dict[str, Replica] = {}
+        self._size_by_pool: Counter[str] = Counter()
         self._groups: tuple[str, ...] = ()
+        self._owner_by_group: dict[str, str | None] = {}
         self._owners_by_group: dict[str, PlacementOwner] = {}
         self._pending_by_id: dict[str, _Pending] = {}
         self._holdings_by_id: dict[str, Holding] = {}
@@ -161,6 +163,7 @@
         self._claimant_by_group: dict[str, tuple[str, float]] = {}
         self._unreachable: set[str] = set()
         self._live_by_name: dict[str, Member] = {m.instance: m for m in members.live()}
+        self._live_zones = {m.availability_zone for m in members.live()}
         self._lost_at: float | None = None
         self._zone_lost_at: dict[str, float] = {}
         self._numbers = itertools.count(1)
@@ -174,6 +177,7 @@
     def configure(self, replicas: Iterable[Replica]) -> None:
         """Replace the replicas of all pools."""
         self._replicas_by_name = {replica.name: replica for replica in replicas}
+        self._size_by_pool = Counter(r.pool for r in self._replicas_by_name.values())
         self._unreachable &= set(self._replicas_by_name)
         groups = {self._group_of(each) for each in self._replicas_by_name.values()}
         self._groups = tuple(sorted(groups))
@@ -200,11 +204,9 @@
             placing.observe_load(replica, held, reported_at)
 
     def _group_of(self, replica: Replica) -> str:
-        pool = replica.pool
-        size = sum(each.pool == pool for each in self._replicas_by_name.values())
-        if size <= MAX_GROUP_REPLICAS:
-            return pool
-        return f"{pool}@{replica.availability_zone}"
+        if self._size_by_pool[replica.pool] <= MAX_GROUP_REPLICAS:
+            return replica.pool
+        return f"{replica.pool}@{replica.availability_zone}"
 
     def _group_for(self, job: Job) -> str | None:
         zone = self._members.own.availability_zone
@@ -220,17 +222,19 @@
         return [each for each in replicas if self._group_of(each) == group]
 
     def _owner_of(self, group: str) -> str | None:
-        zones = {each.availability_zone for each in self._replicas_of(group)}
-        live = self._members.live()
-        near = [m.instance for m in live if m.availability_zone in zones]
-        return owner(group, near or [m.instance for m in live])
+        if group not in self._owner_by_group:
+            zones = {each.availability_zone for each in self._replicas_of(group)}
+            live = self._live_by_name.values()
+            near = [m.instance for m in live if m.availability_zone in zones]
+            self._owner_by_group[group] = owner(group, near or self._live_by_name)
+        return self._owner_by_group[group]
 
     def _zone_usable(self, availability_zone: str) -> bool:
         """Leave a zone without live instances alone for a lease.
 
         Its own instances may still be granting its slots behind a cut.
         """
-        if self._members.live(availability_zone):
+        if availability_zone in self._live_zones:
             return True
         lost_at = self._zone_lost_at.get(availability_zone)
         if lost_at is None:
@@ -252,6 +256,7 @@
             if self._live_by_name.get(name) != member
         ]
         self._live_by_name = live_by_name
+        self._live_zones = {m.availability_zone for m in live_by_name.values()}
         if lost:
             self._lost_at = now
         for member in lost:
@@ -269,6 +274,7 @@
         self._ask_again(force=True)
 
     def _settle_ownership(self) -> None:
+        self._owner_by_group.clear()
         own = self._members.own.instance
         owned = {group for group in self._groups if self._owner_of(group) == own}
         for group in set(self._owners_by_group) - owned:
