--- a/bench/membership_model.py
+++ b/bench/membership_model.py
@@ -1,12 +1,14 @@
 """Fleet of memberships and configuration spreads over a model network."""
 
+import functools
+import heapq
 import random
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable
 from datetime import timedelta
 
 from twisted.internet.defer import Deferred, fail
-from twisted.internet.task import Clock
+from twisted.internet.error import AlreadyCalled, AlreadyCancelled
 
 from pomeloglade_coordination.configuration import ConfigurationSpread
 from pomeloglade_coordination.errors import KeyValueUnavailableError
@@ -23,12 +25,67 @@
 DELAY_SECONDS = 0.001
 
 
+class HeapCall:
+    """A call that is due later."""
+
+    def __init__(self, call: Callable[[], None]) -> None:
+        self._call = call
+        self._called = False
+        self._cancelled = False
+
+    def active(self) -> bool:
+        """Tell whether it is still to come."""
+        return not (self._called or self._cancelled)
+
+    def cancel(self) -> None:
+        """Prevent the call."""
+        if self._called:
+            raise AlreadyCalled
+        if self._cancelled:
+            raise AlreadyCancelled
+        self._cancelled = True
+
+    def run(self) -> None:
+        """Make the call unless it was cancelled."""
+        if not self._cancelled:
+            self._called = True
+            self._call()
+
+
+class HeapClock:
+    """Virtual time for thousands of timers, which ``Clock`` would sort each time."""
+
+    def __init__(self) -> None:
+        self._now = 0.0
+        self._count = 0
+        self._due: list[tuple[float, int, HeapCall]] = []
+
+    def seconds(self) -> float:
+        """Return the virtual time."""
+        return self._now
+
+    def callLater(self, delay: float, call: Callable, *args: object) -> HeapCall:  # noqa: N802
+        """Call ``call`` after ``delay`` seconds."""
+        later = HeapCall(functools.partial(call, *args))
+        self._count += 1
+        heapq.heappush(self._due, (self._now + delay, self._count, later))
+        return later
+
+    def advance(self, seconds: float) -> None:
+        """Let time pass and make the calls that come due, in order."""
+        end = self._now + seconds
+        while self._due and self._due[0][0] <= end:
+            self._now, _, later = heapq.heappop(self._due)
+            later.run()
+        self._now = end
+
+
 class Network:
     """Carries messages between nodes, with cuts, loss and a count of bytes.
 
     Parameters
     ----------
-    clock : Clock
+    clock : HeapClock
         Virtual time.
     random : random.Random
         Chooses the messages lost.
@@ -38,7 +95,7 @@
 
     def __init__(
         self,
-        clock: Clock,
+        clock: HeapClock,
         random: random.Random,
         measure: Callable[[PeerMessage], int] = lambda message: 0,
     ) -> None:
@@ -46,12 +103,14 @@
         self.loss = 0.0
         self.nodes_by_instance: dict[str, Node] = {}
         self.cut_zones: set[frozenset[str]] = set()
+        self.cut_pairs: set[frozenset[str]] = set()
         self.messages: Counter[str] = Counter()
         self.bytes_out: Counter[str] = Counter()
         self.bytes_in: Counter[str] = Counter()
         self.bytes_by_type: Counter[str] = Counter()
         self._random = random
         self._measure = measure
+        self._on_the_way: deque[tuple[float, Node, Node, PeerMessage]] = deque()
 
     def send(self, source: "Node", instance: str, message: PeerMessage) -> None:
         """Deliver ``message`` after the delay, unless it is lost."""
@@ -63,17 +122,28 @@
         if target is None or self._random.random() < self.loss:
             return
         self.bytes_in[instance] += size
-        if not self._is_cut(source.zone, target.zone):
-            arrive = self._arrive
-            self.clock.callLater(DELAY_SECONDS, arrive, source, target, message)
+        if self._is_cut(source, target):
+            return
+        now = self.clock.seconds()
+        if not self._on_the_way or self._on_the_way[-1][0] != now:
+            self.clock.callLater(DELAY_SECONDS, self._arrivals, now)
+        self._on_the_way.append((now, source, target, message))
+
+    def _arrivals(self, sent: float) -> None:
+        """Deliver everything sent at one moment with a single timer."""
+        while self._on_the_way and self._on_the_way[0][0] <= sent:
+            _, source, target, message = self._on_the_way.popleft()
+            self._arrive(source, target, message)
 
     def _arrive(self, source: "Node", target: "Node", message: PeerMessage) -> None:
         current = self.nodes_by_instance.get(target.instance)
-        if current is target and not self._is_cut(source.zone, target.zone):
+        if current is target and not self._is_cut(source, target):
             target.deliver(source.instance, message)
 
-    def _is_cut(self, one: str, other: str) -> bool:
-        return frozenset((one, other)) in self.cut_zones
+    def _is_cut(self, one: "Node", other: "Node") -> bool:
+        zones = frozenset((one.zone, other.zone))
+        pair = frozenset((one.instance, other.instance))
+        return zones in self.cut_zones or pair in self.cut_pairs
 
     def cut(self, zone: str) -> None:
         """Cut a zone off from all others."""
@@ -84,15 +154,16 @@
 class ReachableStore(KeyValueStore):
     """A node's way to the platform, which can be cut or go silent.
 
-    ``silent_watches`` and ``silent`` make calls wait for an answer that never
-    comes.
+    ``silent_watches`` makes watches wait for an answer that never comes.
     """
 
     def __init__(self, inner: MemoryKeyValueStore) -> None:
         self.up = True
         self.silent_watches = False
+        self.frozen = False
         self.calls: Counter[str] = Counter()
         self._inner = inner
+        self._held: list[tuple[tuple[Entry, ...], Deferred]] = []
 
     def get(self, key: str) -> "Deferred[Entry | None]":
         """Return the entry of ``key``, or ``None``."""
@@ -140,18 +211,52 @@
         """Extend a lease."""
         return self._inner.renew_lease(lease)
 
+    def wake(self) -> None:
+        """End a freeze and hand the answers over that came meanwhile."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for entries, outer in held:
+            self._answer(entries, outer)
+
     def _answer(
         self, entries: tuple[Entry, ...], outer: "Deferred[tuple[Entry, ...]]"
     ) -> None:
-        if outer.called:
-            return
-        if self.up and not self.silent_watches:
+        if self.frozen:
+            self._held.append((entries, outer))
+        elif self.up and not self.silent_watches and not outer.called:
             outer.callback(entries)
 
     def _down(self) -> "Deferred":
         return fail(KeyValueUnavailableError("the platform is down", step="call"))
 
 
+class NodeClock:
+    """A node's clock, whose timers wait while the node is frozen."""
+
+    def __init__(self, clock: HeapClock) -> None:
+        self.frozen = False
+        self.seconds = clock.seconds
+        self._clock = clock
+        self._held: list[Callable[[], None]] = []
+
+    def callLater(self, delay: float, call: Callable, *args: object) -> object:  # noqa: N802
+        """Call ``call`` after ``delay``, or at the end of a freeze."""
+        return self._clock.callLater(delay, self._run, functools.partial(call, *args))
+
+    def wake(self) -> None:
+        """Run the timers that came due during the freeze."""
+        self.frozen = False
+        held, self._held = self._held, []
+        for call in held:
+            call()
+
+    def _run(self, call: Callable[[], None]) -> None:
+        if self.frozen:
+            self._held.append(call)
+        else:
+            call()
+
+
 class Node:
     """One instance: membership and configuration spread, which can freeze."""
 
@@ -167,7 +272,7 @@
         self.instance = member.instance
         self.zone = member.availability_zone
         self.store = store
-        self.frozen = False
+        self.clock = NodeClock(network.clock)
         self.adopted: list[int] = []
         self.dead: list[Member] = []
         self.fenced: list[Member] = []
@@ -176,27 +281,27 @@
         self._adopt = adopt
         self.members = Membership(
             own=member,
-            clock=network.clock,
+            clock=self.clock,
             sender=self,
             availability_zones=zones,
             random=random.Random(seed),
         )
         self.spread = ConfigurationSpread(
-            clock=network.clock,
+            clock=self.clock,
             members=self.members,
             sender=self,
             store=store,
             adopt=self._take,
             random=random.Random(seed + 1),
         )
-        self.members.subscribe_death(lambda dead: self.dead.append(dead.member))
+        self.members.subscribe_death(self.dead.append)
         self.members.subscribe_fenced(self.fenced.append)
         network.nodes_by_instance[self.instance] = self
 
     def start(self, first_tick: float = 0.0) -> None:
         """Begin to tick."""
         self.spread.start()
-        self._network.clock.callLater(first_tick, self._tick)
+        self.clock.callLater(first_tick, self._tick)
 
     def send(self, instance: str, message: PeerMessage) -> None:
         """Hand a message to the network."""
@@ -213,9 +318,20 @@
         else:
             self.spread.receive(instance, message)
 
+    @property
+    def frozen(self) -> bool:
+        """Whether the process is stopped."""
+        return self.clock.frozen
+
+    def freeze(self) -> None:
+        """Stop the process, as by a signal."""
+        self.clock.frozen = True
+        self.store.frozen = True
+
     def wake(self) -> None:
         """End a freeze; what arrived meanwhile comes in at once."""
-        self.frozen = False
+        self.clock.wake()
+        self.store.wake()
         waiting, self._waiting = self._waiting, []
         for instance, message in waiting:
             self.deliver(instance, message)
@@ -233,9 +349,8 @@
     def _tick(self) -> None:
         if self._network.nodes_by_instance.get(self.instance) is not self:
             return
-        if not self.frozen:
-            self.members.tick()
-        self._network.clock.callLater(TICK_SECONDS, self._tick)
+        self.members.tick()
+        self.clock.callLater(TICK_SECONDS, self._tick)
 
 
 class Fleet:
@@ -257,7 +372,7 @@
         seed: int = 1,
         measure: Callable[[PeerMessage], int] = lambda message: 0,
     ) -> None:
-        self.clock = Clock()
+        self.clock = HeapClock()
         self.random = random.Random(seed)
         self.network = Network(self.clock, self.random, measure)
         self.platform = MemoryKeyValueStore(self.clock)
@@ -292,11 +407,13 @@
         """The running instances, sorted."""
         return tuple(node for _, node in sorted(self.network.nodes_by_instance.items()))
 
-    def advance(self, seconds: float, step: float = 0.05) -> None:
+    def advance(self, seconds: float) -> None:
         """Let virtual time pass."""
-        end = self.clock.seconds() + seconds
-        while self.clock.seconds() < end - 1e-9:
-            self.clock.advance(min(step, end - self.clock.seconds()))
+        self.clock.advance(seconds)
+
+    def node(self, instance: str) -> Node:
+        """Return the running instance with this name."""
+        return self.network.nodes_by_instance[instance]
 
     def publish(self, value: bytes) -> int:
         """Store a configuration as an operator does; return its revision."""
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
@@ -1,19 +1,11 @@
 """Spread of the operators' configuration to every instance."""
 
-import enum
 import random as random_module
 from collections import Counter
-from collections.abc import Callable, Generator, Iterable
-from datetime import timedelta
+from collections.abc import Callable
 from functools import singledispatchmethod
 from typing import Any
 
-from twisted.internet.defer import (
-    CancelledError,
-    Deferred,
-    TimeoutError,
-    inlineCallbacks,
-)
 from twisted.internet.error import AlreadyCalled, AlreadyCancelled
 
 from .clock import Clock
@@ -32,10 +24,10 @@
     PublishedConfiguration,
     ShardedConfiguration,
 )
+from .configuration_source import ConfigurationEvent, ConfigurationSource
 from .configuration_transfer import Transfer, TransferError, chunks
-from .errors import CoordinationError
-from .key_value import Entry, KeyValueStore
-from .members import MembershipView
+from .key_value import KeyValueStore
+from .members import Member, MembershipView
 from .peer import PeerMessage, PeerSender
 from .zones import contacts
 
@@ -50,42 +42,16 @@
 STEP_SECONDS = 0.25
 """How often an instance looks for peers that are behind or ahead."""
 
-WATCH_SECONDS = 30.0
-WATCH_MARGIN_SECONDS = 2.0
-READ_TIMEOUT_SECONDS = 2.0
-WATCHER_POLL_SECONDS = 1.25
-WATCHER_POLL_MOST_SECONDS = 5.0
-WATCHER_POLL_BYTES_PER_SECOND = 2_000
-"""Polls of a large manifest are further apart, within the most seconds."""
-
-POLL_SECONDS = 30.0
 RETRY_SECONDS = 0.5
 ANNOUNCE_SECONDS = 5.0
 REMIND_SECONDS = 0.5
 REMINDERS_FOR_SECONDS = 5.0
 SECOND_PUSH_SECONDS = 0.3
 CUT_OFF_SECONDS = 20.0
+FIRST_QUESTIONS = 3
 DELTA_HISTORY = 16
 DELTA_BYTES = 65_536
-
-
-class ConfigurationEvent(enum.Enum):
-    """What the spread refused, ignored or repeated; each has its counter."""
-
-    ADOPTED = "adopted"
-    REJECTED = "rejected"
-    OLD_REVISION = "old_revision"
-    WATCH_SILENT = "watch_silent"
-    WATCH_FAILED = "watch_failed"
-    POLL_FAILED = "poll_failed"
-    FOUND_BY_POLL = "found_by_poll"
-    VALUE_UNREADABLE = "value_unreadable"
-    DELTA_SENT = "delta_sent"
-    DELTA_MISFIT = "delta_misfit"
-    TRANSFER_STARTED = "transfer_started"
-    TRANSFER_FAILED = "transfer_failed"
-    REMINDER_SENT = "reminder_sent"
-    UNKNOWN_MESSAGE = "unknown_message"
+"""A larger change is not sent as a delta but asked for in chunks."""
 
 
 class ConfigurationSpread:
@@ -128,26 +94,36 @@
         self._clock = clock
         self._members = members
         self._sender = sender
-        self._store = store
         self._adopt_value = adopt
         self._random = random or random_module.Random()
-        self._configuration = ShardedConfiguration(store)
+        self._source = ConfigurationSource(
+            clock=clock,
+            store=store,
+            follower=self,
+            counters=self.counters,
+            random=self._random,
+        )
         self._running = False
-        self._calls: dict[str, Any] = {}
-        self._watching: Deferred[Any] | None = None
-        self._assembling = False
+        self._calls_by_name: dict[str, Any] = {}
         self._digest = b""
         self._rejected_revision = 0
-        self._confirmed = -CUT_OFF_SECONDS
+        self._told: float | None = None
         self._deltas_by_base: dict[int, ConfigurationDelta] = {}
         self._revisions_by_instance: dict[str, int] = {}
-        self._known: set[tuple[str, int]] = set()
         self._transfer: Transfer | None = None
-        self._changed = clock.seconds()
-        self._announced = clock.seconds()
-        self._reminded = clock.seconds()
-        self._asked = clock.seconds() - RETRY_SECONDS
+        now = clock.seconds()
+        self._changed = now
+        self._announced = now
+        self._reminded = now
+        self._asked = now - RETRY_SECONDS
+        self._requested = now - RETRY_SECONDS
+        self._known: set[Member] = set()
+        self._live: set[str] = set()
+        self._watchers: tuple[str, ...] = ()
+        self._zone_peers: tuple[str, ...] = ()
+        self._remote_watchers: tuple[str, ...] = ()
         members.subscribe(self._members_changed)
+        self._members_changed()
 
     # The state
 
@@ -158,7 +134,13 @@
         It counts from the platform's last answer to this instance or to any peer
         that passed it on.
         """
-        return self._clock.seconds() - self._confirmed >= CUT_OFF_SECONDS
+        age = self._confirmed_age()
+        return age is None or age >= CUT_OFF_SECONDS
+
+    def _confirmed_age(self) -> float | None:
+        """Return how old the platform's word is, from whoever heard it last."""
+        heard = [at for at in (self._source.answered, self._told) if at is not None]
+        return self._clock.seconds() - max(heard) if heard else None
 
     def in_force_by_instance(self) -> dict[str, int]:
         """Return the revision that each live instance reported last.
@@ -178,113 +160,37 @@
         """Begin to watch, to poll and to tell the peers."""
         self._running = True
         self._step()
-        self._poll()
-        self._watch()
+        self._source.start()
 
     def stop(self) -> None:
         """End all timers and the waiting watch."""
         self._running = False
-        for call in self._calls.values():
+        self._source.stop()
+        for call in self._calls_by_name.values():
             try:
                 call.cancel()
             except (AlreadyCalled, AlreadyCancelled):
                 continue
-        if self._watching is not None:
-            self._watching.cancel()
+
+    def is_watcher(self) -> bool:
+        """Tell whether this instance watches the platform for its zone."""
+        return self._own in self._watchers
+
+    def seen(self) -> int:
+        """Return the highest revision adopted or rejected."""
+        return max(self.revision, self._rejected_revision)
+
+    def adopt(self, revision: int, value: bytes) -> None:
+        """Take a revision that the platform gave."""
+        self._adopt(revision, value, self._own)
 
     def receive(self, instance: str, message: PeerMessage) -> None:
         """Handle a message of the configuration's spread."""
         self._handle(message, instance)
 
-    # The platform
-
     def _later(self, name: str, seconds: float, call: Callable[[], Any]) -> None:
         if self._running:
-            self._calls[name] = self._clock.callLater(seconds, call)
-
-    @inlineCallbacks
-    def _watch(self) -> Generator[Any, Any, None]:
-        """Wait for one change; begins again by itself."""
-        if not self._running:
-            return
-        if not self._is_watcher():
-            self._later("watch", RETRY_SECONDS, self._watch)
-            return
-        pause = 0.0
-        try:
-            self._watching = self._store.watch(
-                CONFIGURATION_KEY, self._seen(), timedelta(seconds=WATCH_SECONDS)
-            )
-            silent = WATCH_SECONDS + WATCH_MARGIN_SECONDS
-            self._watching.addTimeout(silent, self._clock)
-            entries = yield self._watching
-        except TimeoutError:
-            self.counters[ConfigurationEvent.WATCH_SILENT] += 1
-        except CancelledError:
-            pause = RETRY_SECONDS
-        except CoordinationError:
-            self.counters[ConfigurationEvent.WATCH_FAILED] += 1
-            pause = RETRY_SECONDS * (1 + self._random.random())
-        else:
-            self._confirmed = self._clock.seconds()
-            pause = yield self._take_entries(entries)
-        self._watching = None
-        self._later("watch", pause, self._watch)
-
-    @inlineCallbacks
-    def _take_entries(self, entries: Iterable[Entry]) -> Generator[Any, Any, float]:
-        """Adopt what a watch returned; return how long to pause after it."""
-        for entry in entries:
-            if entry.key == CONFIGURATION_KEY and entry.value:
-                yield self._take(entry)
-                return 0.0 if self._seen() >= entry.revision else RETRY_SECONDS
-        return RETRY_SECONDS
-
-    @inlineCallbacks
-    def _poll(self) -> Generator[Any, Any, None]:
-        """Read the configuration once; begins again by itself."""
-        if not self._running:
-            return
-        sent = self._clock.seconds()
-        size = 0
-        try:
-            reading = self._store.get(CONFIGURATION_KEY)
-            reading.addTimeout(READ_TIMEOUT_SECONDS, self._clock)
-            entry = yield reading
-        except (CoordinationError, TimeoutError):
-            self.counters[ConfigurationEvent.POLL_FAILED] += 1
-        else:
-            self._confirmed = max(self._confirmed, sent)
-            if entry is not None and entry.value:
-                size = len(entry.value)
-                if entry.revision > self._seen():
-                    self.counters[ConfigurationEvent.FOUND_BY_POLL] += 1
-                    yield self._take(entry)
-        self._later("poll", self._poll_pause(size), self._poll)
-
-    def _poll_pause(self, size: int) -> float:
-        if not self._is_watcher() and self.revision:
-            return POLL_SECONDS * self._random.uniform(0.5, 1.5)
-        paced = size / WATCHER_POLL_BYTES_PER_SECOND
-        pause = min(max(WATCHER_POLL_SECONDS, paced), WATCHER_POLL_MOST_SECONDS)
-        return pause * self._random.uniform(0.8, 1.0)
-
-    @inlineCallbacks
-    def _take(self, entry: Entry) -> Generator[Any, Any, None]:
-        """Assemble the value of an entry and adopt it."""
-        if self._assembling or entry.revision <= self._seen():
-            return
-        self._assembling = True
-        try:
-            reading = self._configuration.assemble(entry)
-            reading.addTimeout(READ_TIMEOUT_SECONDS, self._clock)
-            value = yield reading
-        except (CoordinationError, TimeoutError):
-            self.counters[ConfigurationEvent.VALUE_UNREADABLE] += 1
-        else:
-            self._adopt(entry.revision, value, source=self._own)
-        finally:
-            self._assembling = False
+            self._calls_by_name[name] = self._clock.callLater(seconds, call)
 
     # Adoption
 
@@ -292,11 +198,8 @@
     def _own(self) -> str:
         return self._members.own.instance
 
-    def _seen(self) -> int:
-        return max(self.revision, self._rejected_revision)
-
     def _adopt(self, revision: int, value: bytes, source: str) -> None:
-        if revision <= self._seen():
+        if revision <= self.seen():
             self.counters[ConfigurationEvent.OLD_REVISION] += 1
             return
         try:
@@ -314,7 +217,7 @@
     def _remember(self, revision: int, value: bytes) -> None:
         """Keep the value, and the delta to it for peers one revision behind."""
         found = digest(value)
-        if self.revision and self._is_watcher():
+        if self.revision and self.is_watcher():
             splices = difference(self.value, value)
             if sum(len(each.replacement) for each in splices) <= DELTA_BYTES:
                 delta = ConfigurationDelta(self.revision, revision, found, splices)
@@ -324,22 +227,22 @@
         self.revision, self.value, self._digest = revision, value, found
 
     def _tell_adopted(self, source: str) -> None:
-        if not self._is_watcher():
-            for watcher in self._watchers():
+        if not self.is_watcher():
+            for watcher in self._watchers:
                 self._send_revision(watcher)
             return
-        rank = self._watchers().index(self._own)
+        rank = self._watchers.index(self._own)
         if rank == 0:
             self._push()
         else:
             self._later("push", rank * SECOND_PUSH_SECONDS, self._push)
-        for instance in self._remote_watchers():
+        for instance in self._remote_watchers:
             if instance != source:
                 self._send_revision(instance)
 
     def _push(self) -> None:
         """Send the newest change to the peers of the zone that lack it."""
-        for instance in self._zone_peers():
+        for instance in self._zone_peers:
             known = self._revisions_by_instance.get(instance, 0)
             if known < self.revision:
                 self._catch_up(instance, known)
@@ -360,36 +263,43 @@
 
     # Who does what
 
-    def _watchers(self) -> list[str]:
-        zone = self._members.own.availability_zone
-        found = contacts(zone, self._members.live(zone))
-        return [member.instance for member in found]
-
-    def _is_watcher(self) -> bool:
-        return self._own in self._watchers()
-
-    def _zone_peers(self) -> list[str]:
-        zone = self._members.own.availability_zone
-        members = self._members.live(zone)
-        return [each.instance for each in members if each.instance != self._own]
+    def _members_changed(self) -> None:
+        """Find the watchers anew, and tell the instances not known before."""
+        self._find_watchers()
+        live = set(self._members.live())
+        fresh = {member.instance for member in live - self._known} - {self._own}
+        self._known = live
+        self._live = {member.instance for member in live}
+        for instance in fresh:
+            self._revisions_by_instance.pop(instance, None)
+        if not self._running:
+            return
+        self._source.role_changed()
+        if fresh:
+            self._changed = self._clock.seconds()
+        for instance in sorted(fresh.intersection(self._audience())):
+            self._send_revision(instance, reply=True)
 
-    def _remote_watchers(self) -> list[str]:
+    def _find_watchers(self) -> None:
         own = self._members.own.availability_zone
-        by_zone: dict[str, list[Any]] = {}
+        by_zone: dict[str, list[Member]] = {}
         for member in self._members.live():
             by_zone.setdefault(member.availability_zone, []).append(member)
-        by_zone.pop(own, None)
-        return [
+        inside = by_zone.pop(own, [])
+        self._watchers = tuple(each.instance for each in contacts(own, inside))
+        names = (member.instance for member in inside)
+        self._zone_peers = tuple(name for name in names if name != self._own)
+        self._remote_watchers = tuple(
             member.instance
             for zone, members in sorted(by_zone.items())
             for member in contacts(zone, members)
-        ]
+        )
 
     def _audience(self) -> list[str]:
         """Return the instances that this one keeps informed."""
-        if self._is_watcher():
-            return self._zone_peers() + self._remote_watchers()
-        return self._watchers()
+        if self.is_watcher():
+            return self._zone_peers + self._remote_watchers
+        return self._watchers
 
     # Timers
 
@@ -410,24 +320,32 @@
 
     def _ask_ahead(self, now: float) -> None:
         """Ask a peer that is ahead, or any peer while there is no value at all."""
-        if self._transfer is not None or now - self._asked < RETRY_SECONDS:
-            return
-        live = {each.instance for each in self._members.live()}
+        seen = self.seen()
         ahead = [
             instance
-            for instance, revision in sorted(self._revisions_by_instance.items())
-            if revision > self._seen() and instance in live
+            for instance, revision in self._revisions_by_instance.items()
+            if revision > seen and instance in self._live
         ]
         if ahead:
-            self._request(self._random.choice(ahead))
-        elif not self.revision:
+            self._request_soon(self._random.choice(sorted(ahead)))
+        elif not self.revision and now - self._asked >= RETRY_SECONDS:
             self._asked = now
-            others = sorted(live - {self._own})
-            for instance in self._random.sample(others, min(3, len(others))):
-                self._send_revision(instance, reply=True)
+            self._ask_anyone()
+
+    def _ask_anyone(self) -> None:
+        others = sorted(self._live - {self._own})
+        count = min(FIRST_QUESTIONS, len(others))
+        for instance in self._random.sample(others, count):
+            self._send_revision(instance, reply=True)
+
+    def _request_soon(self, instance: str) -> None:
+        """Ask a peer that is ahead, unless a request is under way."""
+        waited = self._clock.seconds() - self._requested
+        if self._transfer is None and waited >= RETRY_SECONDS:
+            self._request(instance)
 
     def _request(self, instance: str) -> None:
-        self._asked = self._clock.seconds()
+        self._requested = self._clock.seconds()
         self.counters[ConfigurationEvent.TRANSFER_STARTED] += 1
         self._sender.send(instance, ConfigurationRequest(self.revision))
 
@@ -445,34 +363,17 @@
                 self.counters[ConfigurationEvent.REMINDER_SENT] += 1
                 self._send_revision(instance, reply=True)
 
-    def _members_changed(self) -> None:
-        """Tell the instances that were not known before."""
-        live = {(m.instance, m.incarnation) for m in self._members.live()}
-        fresh = {instance for instance, _ in live - self._known} - {self._own}
-        self._known = live
-        for instance in fresh:
-            self._revisions_by_instance.pop(instance, None)
-        if not self._running:
-            return
-        if self._watching is not None and not self._is_watcher():
-            self._watching.cancel()
-        if not fresh:
-            return
-        self._changed = self._clock.seconds()
-        for instance in sorted(fresh.intersection(self._audience())):
-            self._send_revision(instance, reply=True)
-
     def _send_revision(self, instance: str, *, reply: bool = False) -> None:
-        age = self._clock.seconds() - self._confirmed
-        milliseconds = int(age * 1000) if age < CUT_OFF_SECONDS else -1
+        age = self._confirmed_age()
+        milliseconds = -1 if age is None else int(age * 1000)
         message = ConfigurationRevision(self.revision, milliseconds, reply)
         self._sender.send(instance, message)
 
     def _ask_revisions(self) -> None:
-        for instance in self._remote_watchers() if self._is_watcher() else ():
+        for instance in self._remote_watchers if self.is_watcher() else ():
             self._sender.send(instance, RevisionsRequest(whole_fleet=False))
-        if not self._is_watcher():
-            for instance in self._watchers():
+        if not self.is_watcher():
+            for instance in self._watchers:
                 self._sender.send(instance, RevisionsRequest(whole_fleet=True))
 
     # Messages
@@ -486,10 +387,10 @@
         self._revisions_by_instance[instance] = message.revision
         if message.confirmed_milliseconds >= 0:
             age = message.confirmed_milliseconds / 1000
-            self._confirmed = max(self._confirmed, self._clock.seconds() - age)
-        if message.revision > self._seen():
-            if self._transfer is None:
-                self._request(instance)
+            heard = self._clock.seconds() - age
+            self._told = heard if self._told is None else max(self._told, heard)
+        if message.revision > self.seen():
+            self._request_soon(instance)
         elif message.revision < self.revision:
             self._catch_up(instance, message.revision)
         if message.reply:
@@ -509,7 +410,7 @@
     @_handle.register
     def _handle_delta(self, message: ConfigurationDelta, instance: str) -> None:
         self._revisions_by_instance[instance] = message.revision
-        if message.revision <= self._seen():
+        if message.revision <= self.seen():
             self.counters[ConfigurationEvent.OLD_REVISION] += 1
             return
         try:
@@ -520,13 +421,12 @@
             self._adopt(message.revision, value, source=instance)
             return
         self.counters[ConfigurationEvent.DELTA_MISFIT] += 1
-        if self._transfer is None:
-            self._request(instance)
+        self._request_soon(instance)
 
     @_handle.register
     def _handle_chunk(self, message: ConfigurationChunk, instance: str) -> None:
         now = self._clock.seconds()
-        if message.revision <= self._seen():
+        if message.revision <= self.seen():
             self.counters[ConfigurationEvent.OLD_REVISION] += 1
             return
         if self._transfer is None or self._transfer.superseded_by(message, instance):
@@ -550,9 +450,9 @@
     def _handle_revisions_request(
         self, message: RevisionsRequest, instance: str
     ) -> None:
-        names = {self._own, *self._zone_peers()}
+        names = {self._own, *self._zone_peers}
         if message.whole_fleet:
-            names = {each.instance for each in self._members.live()}
+            names = self._live
             self._ask_revisions()
         known = {**self._revisions_by_instance, self._own: self.revision}
         found = (InstanceRevision(n, known[n]) for n in sorted(names) if n in known)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
@@ -1,92 +1,52 @@
 """Membership of instances by heartbeats between peers."""
 
-import enum
 import random as random_module
 from collections import Counter
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, replace
+from dataclasses import replace
 from functools import singledispatchmethod
 
 from .clock import Clock
+from .failure_detector import (
+    FENCE_SECONDS,
+    SILENCE_SECONDS,
+    DeadMember,
+    FailureDetector,
+    Peer,
+    Standing,
+)
+from .listing import ListedInstance, Listing
 from .members import Member
+from .membership_counters import MembershipEvent
 from .membership_messages import (
     DeclaredDead,
-    FleetFingerprint,
-    FleetRequest,
     Heartbeat,
+    MembershipMessage,
     Presence,
     PresenceRequest,
     ProbeAnswer,
     ProbeRequest,
-    ZoneLost,
-    ZoneRequest,
     ZoneUpdate,
 )
 from .peer import PeerMessage, PeerSender
-from .zones import RemoteZones, contacts, fingerprint
+from .zone_exchange import ZoneExchange
+from .zones import CONTACTS_PER_ZONE, contacts
+
+__all__ = ["DeadMember", "ListedInstance", "Membership", "MembershipEvent"]
 
 TICK_SECONDS = 0.5
 HEARTBEAT_SECONDS = 1.0
-SILENCE_SECONDS = 2.5
-"""A member that was not heard for so long is no longer live."""
-
-FENCE_SECONDS = 4.0
-"""An incarnation that no peer has heard for so long is declared dead."""
-
 FENCE_MARGIN_SECONDS = 0.5
 """How much earlier an instance takes itself for fenced than its peers do."""
 
+PAUSE_SECONDS = 1.5
+"""An own pause of so long is not counted as silence of the peers."""
+
 JOIN_SECONDS = 1.0
 FLEET_SECONDS = 5.0
-FORGET_SECONDS = 60.0
 PROBES = 3
 
 
-class MembershipEvent(enum.Enum):
-    """What membership refused, ignored or repeated; each has its counter."""
-
-    OLD_INCARNATION = "old_incarnation"
-    UNKNOWN_SENDER = "unknown_sender"
-    UNKNOWN_MESSAGE = "unknown_message"
-    SUSPECTED = "suspected"
-    PROBE_SENT = "probe_sent"
-    PROBE_REFUTED = "probe_refuted"
-    DECLARED_DEAD = "declared_dead"
-    OWN_FENCED = "own_fenced"
-    ZONE_LOST = "zone_lost"
-    ZONE_FOUND = "zone_found"
-    ZONE_MISMATCH = "zone_mismatch"
-    JOIN_RETRY = "join_retry"
-
-
-@dataclass(frozen=True, slots=True)
-class ListedInstance:
-    """An entry of the platform's lagging list of instances."""
-
-    instance: str
-    availability_zone: str
-    address: str
-    leaving: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class DeadMember:
-    """An incarnation that can hold no lease any more, and when that was known."""
-
-    member: Member
-    declared: float
-
-
-@dataclass(slots=True)
-class _Peer:
-    """An instance heard directly."""
-
-    member: Member
-    heard: float
-    leaving: bool = False
-    suspected: bool = False
-
-
 class Membership:
     """Tells which instances live, from heartbeats in both directions.
 
@@ -121,6 +81,7 @@
         sender: PeerSender,
         availability_zones: tuple[str, ...] = (),
         random: random_module.Random | None = None,
+        contacts_per_zone: int = CONTACTS_PER_ZONE,
     ) -> None:
         self.own = own
         self.availability_zones = availability_zones or (own.availability_zone,)
@@ -128,20 +89,25 @@
         self._clock = clock
         self._sender = sender
         self._random = random or random_module.Random()
+        self._contacts_per_zone = contacts_per_zone
         self._leaving = False
-        self._last_tick = clock.seconds()
-        self._last_heartbeat = clock.seconds() - HEARTBEAT_SECONDS
-        self._last_join = clock.seconds() - JOIN_SECONDS
-        self._last_fleet = clock.seconds()
-        self._peers_by_instance: dict[str, _Peer] = {}
-        self._listed_by_instance: dict[str, ListedInstance] = {}
-        self._dead_by_instance: dict[str, int] = {}
-        self._replaced: list[_Peer] = []
-        self._zones = RemoteZones()
-        self._live: dict[str, Member] = {own.instance: own}
+        now = clock.seconds()
+        self._last_tick = now
+        self._last_heartbeat = now - HEARTBEAT_SECONDS
+        self._last_join = now - JOIN_SECONDS
+        self._last_fleet = now
+        self._listing = Listing()
+        self._inside = FailureDetector()
+        self._across = FailureDetector(SILENCE_SECONDS)
+        self._exchange = ZoneExchange(self, sender, self.counters)
         self._changed: list[Callable[[], None]] = []
-        self._died: list[Callable[[DeadMember], None]] = []
+        self._died: list[Callable[[Member], None]] = []
         self._fenced: list[Callable[[Member], None]] = []
+        self._live: dict[str, Member] = {}
+        self._live_by_zone: dict[str | None, tuple[Member, ...]] = {}
+        self._is_contact = True
+        self._remote_contacts: tuple[Member, ...] = ()
+        self._refresh()
 
     # The view of the other parts
 
@@ -150,28 +116,28 @@
 
         Members that announced their shutdown are left out.
         """
-        return tuple(
-            member
-            for _, member in sorted(self._live.items())
-            if availability_zone in (None, member.availability_zone)
-        )
+        return self._live_by_zone.get(availability_zone, ())
 
     def member(self, instance: str) -> Member | None:
         """Return the live member with this name, also while it shuts down."""
         found = self._live.get(instance)
         if found is not None:
             return found
-        peer = self._peers_by_instance.get(instance)
+        peer = self._peer(instance)
         if peer is not None and peer.leaving and not peer.suspected:
             return peer.member
         return None
 
+    def dead(self, instance: str) -> DeadMember | None:
+        """Return the latest incarnation of an instance known to be over."""
+        return self._inside.dead(instance)
+
     def subscribe(self, changed: Callable[[], None]) -> None:
         """Call ``changed`` after each change of the live members."""
         self._changed.append(changed)
 
-    def subscribe_death(self, died: Callable[[DeadMember], None]) -> None:
-        """Call ``died`` for each incarnation of the own zone declared dead."""
+    def subscribe_death(self, died: Callable[[Member], None]) -> None:
+        """Call ``died`` for each incarnation of the own zone that must be fenced."""
         self._died.append(died)
 
     def subscribe_fenced(self, fenced: Callable[[Member], None]) -> None:
@@ -189,26 +155,28 @@
 
     def partners(self) -> tuple[Member, ...]:
         """Return the members to keep a connection to, sorted by instance."""
-        zone_members = (
-            member
-            for member in self._live.values()
-            if member.availability_zone == self.own.availability_zone
-        )
-        found = {each.instance: each for each in zone_members}
-        found |= {each.instance: each for each in self._remote_contacts()}
-        found |= {each.instance: each for each in self._candidates()}
-        found.pop(self.own.instance, None)
+        inside = (peer.member for peer in self._inside.peers_by_instance.values())
+        found = {each.instance: each for each in self._candidates()}
+        found |= {each.instance: each for each in self._remote_contacts}
+        found |= {each.instance: each for each in inside}
         return tuple(member for _, member in sorted(found.items()))
 
+    def zone_peers(self) -> Iterable[str]:
+        """Return the instances of the own zone that are not declared dead."""
+        return tuple(self._inside.peers_by_instance)
+
+    def zone_of(self, instance: str) -> str | None:
+        """Return the zone of an instance that was heard directly."""
+        peer = self._peer(instance)
+        return peer.member.availability_zone if peer else None
+
     # Inputs
 
     def listed(self, entries: Iterable[ListedInstance]) -> None:
         """Take in the platform's list; it adds candidates and never removes."""
-        self._listed_by_instance = {each.instance: each for each in entries}
-        for entry in self._listed_by_instance.values():
-            peer = self._peers_by_instance.get(entry.instance)
-            if peer is not None and entry.leaving:
-                peer.leaving = True
+        self._listing = Listing(entries, self.own.instance)
+        for name, peer in self._inside.peers_by_instance.items():
+            peer.leaving = peer.leaving or name in self._listing.leaving
         self._refresh()
 
     def connected(self, member: Member) -> None:
@@ -224,28 +192,33 @@
     def tick(self) -> None:
         """Do what is due; call it every ``TICK_SECONDS``."""
         now = self._clock.seconds()
-        paused = now - self._last_tick
-        if paused >= SILENCE_SECONDS - HEARTBEAT_SECONDS:
-            self._forgive(paused)
-        if self.fenced:
-            self._renew()
+        self._check_pause(now)
         self._last_tick = now
-        self._check_peers(now)
-        self._check_zones(now)
-        self._send_due(now)
+        self._check_inside(now)
+        self._check_across(now)
         self._refresh()
+        self._send_due(now)
 
     def receive(self, instance: str, message: PeerMessage) -> None:
         """Handle a message of the membership protocol."""
-        if instance != self.own.instance:
+        if instance == self.own.instance:
+            return
+        if self._exchange.receive(instance, message):
+            self._meet_own_zone(message)
+            self._refresh()
+        else:
             self._handle(message, instance)
 
-    # Timers
+    # Silence
 
-    def _forgive(self, paused: float) -> None:
-        """Count an own pause as no silence of the peers."""
-        for peer in (*self._peers_by_instance.values(), *self._replaced):
-            peer.heard += paused
+    def _check_pause(self, now: float) -> None:
+        paused = now - self._last_tick
+        if paused >= PAUSE_SECONDS:
+            self.counters[MembershipEvent.OWN_PAUSE] += 1
+            self._inside.forgive(paused)
+            self._across.forgive(paused)
+        if self.fenced:
+            self._renew()
 
     def _renew(self) -> None:
         """Give the own incarnation up and go on under a new one."""
@@ -253,67 +226,62 @@
         self.counters[MembershipEvent.OWN_FENCED] += 1
         self.own = replace(old, incarnation=old.incarnation + 1)
         self._last_heartbeat = self._clock.seconds()
-        for fenced in self._fenced:
+        for fenced in list(self._fenced):
             fenced(old)
-        for instance in self._direct_partners():
-            self._greet(instance)
         self._refresh()
+        for instance in (*self.zone_peers(), *self._across.peers_by_instance):
+            self._greet(instance)
 
-    def _check_peers(self, now: float) -> None:
-        for peer in list(self._peers_by_instance.values()):
-            self._check_peer(peer, now - peer.heard)
-        due = [each for each in self._replaced if now - each.heard >= FENCE_SECONDS]
-        for peer in due:
-            self._replaced.remove(peer)
-            self._declare_dead(peer.member)
-
-    def _check_peer(self, peer: _Peer, silent: float) -> None:
-        own_zone = peer.member.availability_zone == self.own.availability_zone
-        if silent >= (FENCE_SECONDS if own_zone else FORGET_SECONDS):
-            del self._peers_by_instance[peer.member.instance]
-            if own_zone:
-                self._zones.forget_witness(peer.member.instance)
+    def _check_inside(self, now: float) -> None:
+        for peer in list(self._inside.peers_by_instance.values()):
+            standing = self._inside.standing(peer, now)
+            if standing is Standing.GONE:
+                self._inside.remove(peer, now)
+                self._exchange.zones.forget_witness(peer.member.instance)
                 self._declare_dead(peer.member)
-        elif silent >= SILENCE_SECONDS:
-            if not peer.suspected:
-                peer.suspected = True
-                self.counters[MembershipEvent.SUSPECTED] += 1
-            if own_zone:
+                continue
+            if standing is not Standing.HEARD:
                 self._probe(peer.member)
+            self._suspect(peer, standing is Standing.SUSPECTED)
+        for member in self._inside.replaced_and_gone(now):
+            self._declare_dead(member)
+
+    def _suspect(self, peer: Peer, suspected: bool) -> None:
+        if suspected and not peer.suspected:
+            self.counters[MembershipEvent.SUSPECTED] += 1
+        peer.suspected = suspected
 
     def _probe(self, suspect: Member) -> None:
-        others = [name for name in self._heard() if name != suspect.instance]
+        """Ask a few peers, of any zone, whether they hear the suspect."""
+        names = self._inside.heard() + self._across.heard()
+        others = [name for name in names if name != suspect.instance]
         for instance in self._random.sample(others, min(PROBES, len(others))):
             self.counters[MembershipEvent.PROBE_SENT] += 1
             request = ProbeRequest(suspect.instance, suspect.incarnation)
             self._sender.send(instance, request)
 
     def _declare_dead(self, member: Member) -> None:
-        self._bury(member)
         self.counters[MembershipEvent.DECLARED_DEAD] += 1
-        event = DeadMember(member, self._clock.seconds())
-        for died in self._died:
-            died(event)
-
-    def _bury(self, member: Member) -> None:
-        earlier = self._dead_by_instance.get(member.instance, member.incarnation)
-        self._dead_by_instance[member.instance] = max(earlier, member.incarnation)
-
-    def _check_zones(self, now: float) -> None:
-        for zone in self._zones.heard_by(self.own.instance):
-            heard = (
-                peer.heard
-                for peer in self._peers_by_instance.values()
-                if peer.member.availability_zone == zone
+        for died in list(self._died):
+            died(member)
+
+    def _check_across(self, now: float) -> None:
+        """Forget silent contacts, and zones that no contact is heard of."""
+        for peer in list(self._across.peers_by_instance.values()):
+            if self._across.standing(peer, now) is Standing.GONE:
+                del self._across.peers_by_instance[peer.member.instance]
+        for _ in self._across.replaced_and_gone(now):
+            pass  # a zone's own members recover what its dead have held
+        peers = self._across.peers_by_instance.values()
+        zones = {peer.member.availability_zone for peer in peers}
+        for zone in self._exchange.heard():
+            relieved = not self._is_contact and self._exchange.zones.has_other_witness(
+                zone, self.own.instance
             )
-            silent = now - max(heard, default=-SILENCE_SECONDS)
-            if silent >= SILENCE_SECONDS or not self._is_contact():
-                self._lose_zone(zone)
+            if zone not in zones or relieved:
+                self._exchange.lose(zone)
 
-    def _lose_zone(self, zone: str) -> None:
-        if self._zones.lose(zone, self.own.instance):
-            self.counters[MembershipEvent.ZONE_LOST] += 1
-            self._tell_zone(ZoneLost(zone))
+    # Sending
 
     def _send_due(self, now: float) -> None:
         if now - self._last_heartbeat >= HEARTBEAT_SECONDS:
@@ -324,15 +292,17 @@
             self._join()
         if now - self._last_fleet >= FLEET_SECONDS:
             self._last_fleet = now
-            if self._is_contact():
-                own_fingerprint = self._zones.fleet_fingerprint(self.own.instance)
-                self._tell_zone(FleetFingerprint(own_fingerprint))
+            if self._is_contact:
+                self._exchange.tell_fingerprint()
 
     def _send_heartbeats(self) -> None:
         inside = Heartbeat(self.own.incarnation, self._leaving)
-        self._tell_zone(inside)
-        across = replace(inside, zone_fingerprint=self._own_fingerprint())
-        for member in self._remote_contacts():
+        for instance in self.zone_peers():
+            self._sender.send(instance, inside)
+        if not self._remote_contacts:
+            return
+        across = replace(inside, zone_fingerprint=self._exchange.fingerprint())
+        for member in self._remote_contacts:
             self._sender.send(member.instance, across)
 
     def _join(self) -> None:
@@ -340,79 +310,48 @@
             self.counters[MembershipEvent.JOIN_RETRY] += 1
             self._greet(candidate.instance, reply=True)
 
-    # Whom to talk to
-
-    def _direct_partners(self) -> tuple[str, ...]:
-        remote = (member.instance for member in self._remote_contacts())
-        return (*self._zone_peers(), *remote)
-
-    def _heard(self) -> list[str]:
-        peers = self._peers_by_instance.items()
-        return sorted(name for name, peer in peers if not peer.suspected)
+    def _greet(self, instance: str, *, reply: bool = False) -> None:
+        self._sender.send(instance, Presence(self.own, self._leaving, reply))
 
-    def _zone_peers(self) -> list[str]:
-        """Return the peers of the own zone that are not yet declared dead."""
-        zone = self.own.availability_zone
-        peers = self._peers_by_instance.items()
-        return [name for name, p in peers if p.member.availability_zone == zone]
+    # Whom to talk to
 
-    def _is_contact(self) -> bool:
-        zone = self.own.availability_zone
-        return self.own in contacts(zone, self.live(zone))
+    def _peer(self, instance: str) -> Peer | None:
+        return self._inside.peer(instance) or self._across.peer(instance)
 
-    def _remote_contacts(self) -> list[Member]:
-        """Return the contacts of the other zones when this is a contact too."""
-        if not self._is_contact():
-            return []
-        found: list[Member] = []
-        for zone in self._other_zones():
-            found += contacts(zone, self._zones.known(zone))
-        return found
+    def _detector(self, availability_zone: str) -> FailureDetector:
+        inside = availability_zone == self.own.availability_zone
+        return self._inside if inside else self._across
 
     def _other_zones(self) -> list[str]:
-        own = self.own.availability_zone
-        listed = {each.availability_zone for each in self._listed_by_instance.values()}
-        return sorted((listed | set(self.availability_zones)) - {own})
+        listed = self._listing.availability_zones()
+        heard_of = self._exchange.zones.names()
+        zones = {*listed, *self.availability_zones, *heard_of}
+        return sorted(zones - {self.own.availability_zone})
 
     def _candidates(self) -> list[Member]:
-        """Return the instances to greet: own zone, and zones not heard."""
-        listed = [
-            Member(each.instance, each.availability_zone, 0, each.address)
-            for each in self._listed_by_instance.values()
-            if not each.leaving and each.instance != self.own.instance
-        ]
-        zone = self.own.availability_zone
-        found = [
-            each
-            for each in listed
-            if each.availability_zone == zone
-            and each.instance not in self._peers_by_instance
-        ]
-        if not self._is_contact():
+        """Return the instances to greet: own zone's unheard, and unheard zones'."""
+        inside = self._listing.members(self.own.availability_zone)
+        found = [each for each in inside if self._inside.peer(each.instance) is None]
+        if not self._is_contact:
             return found
-        heard = self._zones.heard_by(self.own.instance)
-        for other in self._other_zones():
-            if other not in heard:
-                known = [each for each in listed if each.availability_zone == other]
-                found += self._zone_candidates(other, known)
+        heard = set(self._exchange.heard())
+        for zone in self._other_zones():
+            if zone not in heard:
+                found += self._zone_candidates(zone)
         return found
 
-    def _zone_candidates(self, zone: str, listed: list[Member]) -> list[Member]:
-        by_instance = {each.instance: each for each in self._zones.known(zone)}
-        by_instance |= {each.instance: each for each in listed}
-        members = list(by_instance.values())
-        found = list(contacts(zone, members))
+    def _zone_candidates(self, zone: str) -> list[Member]:
+        """Return the zone's likely contacts and, in turn, each other member."""
+        known = self._exchange.zones.known(zone)
+        listed = self._listing.members(zone)
+        by_instance = {each.instance: each for each in (*known, *listed)}
+        members = [member for _, member in sorted(by_instance.items())]
+        found = list(contacts(zone, members, self._contacts_per_zone))
         if members:
-            found.append(members[int(self._clock.seconds()) % len(members)])
+            turn = members[int(self._clock.seconds()) % len(members)]
+            found += [turn] if turn not in found else []
         return found
 
-    def _greet(self, instance: str, *, reply: bool = False) -> None:
-        self._sender.send(instance, Presence(self.own, self._leaving, reply))
-
-    def _tell_zone(self, message: PeerMessage) -> None:
-        for instance in self._zone_peers():
-            self._sender.send(instance, message)
-
     # Messages
 
     @singledispatchmethod
@@ -421,17 +360,19 @@
 
     @_handle.register
     def _handle_heartbeat(self, message: Heartbeat, instance: str) -> None:
-        peer = self._peers_by_instance.get(instance)
-        if self._refuse_old(instance, message.incarnation):
+        peer = self._peer(instance)
+        if self._is_old(instance, message.incarnation):
             return
-        if peer is None or peer.member.incarnation < message.incarnation:
+        if peer is None or peer.member.incarnation != message.incarnation:
             self.counters[MembershipEvent.UNKNOWN_SENDER] += 1
             self._sender.send(instance, PresenceRequest())
             return
         self._hear(peer, message.leaving)
         zone = peer.member.availability_zone
-        if message.zone_fingerprint is not None:
-            self._hear_zone(zone, message.zone_fingerprint, instance)
+        if message.zone_fingerprint is None or zone == self.own.availability_zone:
+            return
+        self._exchange.hear(zone, message.zone_fingerprint, instance)
+        self._refresh()
 
     @_handle.register
     def _handle_presence(self, message: Presence, instance: str) -> None:
@@ -439,16 +380,18 @@
         if member.instance != instance:
             self.counters[MembershipEvent.UNKNOWN_SENDER] += 1
             return
-        if self._refuse_old(instance, member.incarnation):
+        if self._is_old(instance, member.incarnation):
             return
-        peer = self._peers_by_instance.get(instance)
-        if peer is None or peer.member != member:
-            self._meet(member, peer)
-        self._hear(self._peers_by_instance[instance], message.leaving)
+        peer = self._peer(instance)
+        is_new = peer is None or peer.member != member
+        if is_new:
+            detector = self._detector(member.availability_zone)
+            peer = detector.meet(member, self._clock.seconds())
+        self._hear(peer, message.leaving)
         if message.reply:
             self._greet(instance)
-        if message.reply or peer is None:
-            self._tell_newcomer(member)
+        if message.reply or is_new:
+            self._exchange.tell_newcomer(member)
 
     @_handle.register
     def _handle_presence_request(self, message: PresenceRequest, instance: str) -> None:
@@ -462,7 +405,7 @@
 
     @_handle.register
     def _handle_probe(self, message: ProbeRequest, instance: str) -> None:
-        peer = self._peers_by_instance.get(message.instance)
+        peer = self._peer(message.instance)
         if peer is None or peer.member.incarnation != message.incarnation:
             return
         age = int((self._clock.seconds() - peer.heard) * 1000)
@@ -471,7 +414,7 @@
 
     @_handle.register
     def _handle_probe_answer(self, message: ProbeAnswer, instance: str) -> None:
-        peer = self._peers_by_instance.get(message.instance)
+        peer = self._inside.peer(message.instance)
         if peer is None or peer.member.incarnation != message.incarnation:
             return
         heard = self._clock.seconds() - message.age_milliseconds / 1000
@@ -479,133 +422,72 @@
             self.counters[MembershipEvent.PROBE_REFUTED] += 1
             peer.heard = heard
 
-    @_handle.register
-    def _handle_zone_update(self, message: ZoneUpdate, instance: str) -> None:
-        zone = message.availability_zone
-        if zone == self.own.availability_zone:
-            self._meet_own_zone(message.joined)
-            return
-        witness = self._witness(zone, instance)
-        if witness is None:
-            self.counters[MembershipEvent.UNKNOWN_SENDER] += 1
-            return
-        news = self._zones.hear(zone, witness)
-        change = self._zones.apply(message)
-        if change is None:
-            self.counters[MembershipEvent.ZONE_MISMATCH] += 1
-            self._sender.send(instance, ZoneRequest(zone))
-        elif witness == self.own.instance:
-            if news:
-                self.counters[MembershipEvent.ZONE_FOUND] += 1
-            self._tell_zone(self._zones.whole(zone) if news else change)
-        self._refresh()
-
-    def _witness(self, zone: str, instance: str) -> str | None:
-        """Return who hears ``zone`` when ``instance`` tells of its members."""
-        peer = self._peers_by_instance.get(instance)
-        if peer is None:
-            return None
-        if peer.member.availability_zone == self.own.availability_zone:
-            return instance
-        return self.own.instance if peer.member.availability_zone == zone else None
-
-    @_handle.register
-    def _handle_zone_lost(self, message: ZoneLost, instance: str) -> None:
-        self._zones.lose(message.availability_zone, instance)
-        self._refresh()
-
-    @_handle.register
-    def _handle_zone_request(self, message: ZoneRequest, instance: str) -> None:
-        self._sender.send(instance, self._whole_zone(message.availability_zone))
-
-    @_handle.register
-    def _handle_fleet(self, message: FleetFingerprint, instance: str) -> None:
-        if message.fingerprint != self._zones.fleet_fingerprint(instance):
-            self.counters[MembershipEvent.ZONE_MISMATCH] += 1
-            self._zones.forget_witness(instance)
-            self._sender.send(instance, FleetRequest())
-
-    @_handle.register
-    def _handle_fleet_request(self, message: FleetRequest, instance: str) -> None:
-        for zone in self._zones.heard_by(self.own.instance):
-            self._sender.send(instance, self._whole_zone(zone))
-
-    # Peers
-
-    def _refuse_old(self, instance: str, incarnation: int) -> bool:
-        peer = self._peers_by_instance.get(instance)
-        dead = self._dead_by_instance.get(instance, -1)
-        known = peer.member.incarnation if peer else -1
-        if incarnation > dead and incarnation >= known:
+    def _is_old(self, instance: str, incarnation: int) -> bool:
+        """Refuse an incarnation that is over, and tell it so."""
+        detectors = (self._inside, self._across)
+        if not any(each.is_old(instance, incarnation) for each in detectors):
             return False
         self.counters[MembershipEvent.OLD_INCARNATION] += 1
         self._sender.send(instance, DeclaredDead(incarnation))
         return True
 
-    def _meet(self, member: Member, earlier: _Peer | None) -> None:
-        if earlier is not None and earlier.member.incarnation < member.incarnation:
-            self._bury(earlier.member)
-            if earlier.member.availability_zone == self.own.availability_zone:
-                self._replaced.append(earlier)
-        self._peers_by_instance[member.instance] = _Peer(member, self._clock.seconds())
-
-    def _hear(self, peer: _Peer, leaving: bool) -> None:
+    def _hear(self, peer: Peer, says_leaving: bool) -> None:
         peer.heard = self._clock.seconds()
+        leaving = says_leaving or peer.member.instance in self._listing.leaving
         changed = peer.suspected or peer.leaving != leaving
         peer.suspected = False
         peer.leaving = leaving
-        own_zone = peer.member.availability_zone == self.own.availability_zone
-        shown = self._live.get(peer.member.instance) == peer.member
-        if changed or (own_zone and not leaving and not shown):
+        shown = self._live.get(peer.member.instance)
+        if changed or (shown != peer.member and not leaving):
             self._refresh()
 
-    def _hear_zone(self, zone: str, zone_fingerprint: int, instance: str) -> None:
-        if zone == self.own.availability_zone:
+    def _meet_own_zone(self, message: MembershipMessage) -> None:
+        """Greet the members of the own zone that another member names."""
+        if not isinstance(message, ZoneUpdate):
             return
-        news = self._zones.hear(zone, self.own.instance)
-        if news:
-            self.counters[MembershipEvent.ZONE_FOUND] += 1
-        if zone_fingerprint != self._zones.fingerprint(zone):
-            self._sender.send(instance, ZoneRequest(zone))
-        elif news:
-            self._tell_zone(self._zones.whole(zone))
-            self._refresh()
-
-    def _meet_own_zone(self, members: Iterable[Member]) -> None:
-        for member in members:
-            known = member.instance in self._peers_by_instance
+        if message.availability_zone != self.own.availability_zone:
+            return
+        for member in message.joined:
+            known = self._inside.peer(member.instance) is not None
             if not known and member.instance != self.own.instance:
                 self._greet(member.instance, reply=True)
 
-    def _tell_newcomer(self, member: Member) -> None:
-        zone = self.own.availability_zone
-        self._sender.send(member.instance, self._whole_zone(zone))
-        if member.availability_zone == zone:
-            for other in self._zones.heard_by(self.own.instance):
-                self._sender.send(member.instance, self._whole_zone(other))
-
-    def _whole_zone(self, zone: str) -> ZoneUpdate:
-        if zone != self.own.availability_zone:
-            return self._zones.whole(zone)
-        members = self.live(zone)
-        return ZoneUpdate(zone, None, fingerprint(members), members)
-
-    def _own_fingerprint(self) -> int:
-        return fingerprint(self.live(self.own.availability_zone))
+    # The live members
 
     def _refresh(self) -> None:
         """Work the live members out and tell the subscribers of a change."""
-        zone = self.own.availability_zone
-        live = dict(self._zones.reachable())
-        for name, peer in self._peers_by_instance.items():
-            if peer.member.availability_zone == zone:
-                if not (peer.suspected or peer.leaving):
-                    live[name] = peer.member
-            elif peer.leaving:
+        live = dict(self._exchange.zones.reachable())
+        for name, peer in self._across.peers_by_instance.items():
+            if peer.leaving:
                 live.pop(name, None)
+        for name, peer in self._inside.peers_by_instance.items():
+            if not (peer.suspected or peer.leaving):
+                live[name] = peer.member
         live[self.own.instance] = self.own
-        if live == self._live:
-            return
+        changed = live != self._live
+        if changed:
+            self._set_live(live)
+        self._choose_contacts()
+        if changed:
+            for each in list(self._changed):
+                each()
+
+    def _set_live(self, live: dict[str, Member]) -> None:
+        members = [member for _, member in sorted(live.items())]
+        by_zone: dict[str | None, list[Member]] = {None: members}
+        for member in members:
+            by_zone.setdefault(member.availability_zone, []).append(member)
         self._live = live
-        for changed in list(self._changed):
-            changed()
+        self._live_by_zone = {zone: tuple(each) for zone, each in by_zone.items()}
+
+    def _choose_contacts(self) -> None:
+        """Find out whether this is a contact, and who the others' contacts are."""
+        zone = self.own.availability_zone
+        inside = contacts(zone, self.live(zone), self._contacts_per_zone)
+        self._is_contact = self.own in inside
+        known = self._exchange.zones.known
+        self._remote_contacts = tuple(
+            member
+            for other in (self._other_zones() if self._is_contact else ())
+            for member in contacts(other, known(other), self._contacts_per_zone)
+        )
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
@@ -1,5 +1,6 @@
 """Members of the other availability zones, as the zones' contacts tell them."""
 
+import functools
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
 
@@ -23,6 +24,7 @@
     return tuple(by_instance[name] for name in names[:count])
 
 
+@functools.lru_cache(maxsize=4096)
 def _rank(availability_zone: str, instance: str) -> tuple[int, str]:
     key = f"contact {availability_zone}\x00{instance}"
     return -xxhash.xxh3_64_intdigest(key.encode()), instance
@@ -111,6 +113,14 @@
         zones = self._zones_by_name.items()
         return tuple(sorted(name for name, z in zones if instance in z.heard_by))
 
+    def names(self) -> tuple[str, ...]:
+        """Return the zones that were ever heard of, sorted."""
+        return tuple(sorted(self._zones_by_name))
+
+    def has_other_witness(self, availability_zone: str, instance: str) -> bool:
+        """Tell whether anyone but ``instance`` hears the zone."""
+        return bool(self._zone(availability_zone).heard_by - {instance})
+
     def fleet_fingerprint(self, instance: str) -> int:
         """Return all zones that ``instance`` hears as one number."""
         names = self.heard_by(instance)
