Report an edit that took effect as such in an outage

A stateful test of racing operators on a store with lost, late and refused calls went red in 50 examples: an edit whose answer was lost and which another publish had replaced reported "unavailable", which means that nothing was applied, when the platform was down for the confirming read. It is now reported as having taken effect and been replaced. A refusal by the edit itself at that point, such as a key name taken meanwhile, is reported in the same way.

The test holds every report to what was stored: a success names a stored publish, a conflict or an outage left none at any later time, and no stored publish after a withdrawal holds the withdrawn digest. Green in 50 examples after the change, and in a longer run of 600. With five mechanisms switched off one by one it goes red (dropping withdrawn digests, the list of earlier publishes, the comparison, settling, this change). Five others stay green in it and are held by single tests, among them the removal of an account and name reuse.

--- a/packages/pomeloglade/src/pomeloglade/publishing.py
+++ b/packages/pomeloglade/src/pomeloglade/publishing.py
@@ -227,15 +227,20 @@
             except PublishConflictError:
                 if attempt == EDIT_ATTEMPTS:
                     raise
-            except PublishReplacedError:
-                return await self._confirm(change)
+            except PublishReplacedError as error:
+                return await self._confirm(change, error)
             await deferLater(self._clock, EDIT_DELAY_SECONDS * attempt)
         raise AssertionError("the last attempt returns or raises")
 
-    async def _confirm(self, change: Callable[[Published], Draft | None]) -> Receipt:
+    async def _confirm(
+        self, change: Callable[[Published], Draft | None], replaced: Exception
+    ) -> Receipt:
         """Return a receipt if the edit outlived the publish that replaced it."""
-        current = await self._current()
-        if change(current.published) is None:
+        try:
+            current = await self._current()
+        except KeyValueUnavailableError:
+            raise replaced from None
+        if _is_kept(change, current.published):
             return receipt_of(current.published, current.revision, answer_lost=True)
         raise PublishReplacedError(
             f"the change took effect, and publish {current.published.publish_id}"
@@ -244,6 +249,13 @@
         )
 
 
+def _is_kept(change: Callable[[Published], Draft | None], published: Published) -> bool:
+    try:
+        return change(published) is None
+    except CoordinationError:
+        return False
+
+
 def _outcome(base: Current, current: Current, published: Published) -> Receipt:
     publish_id = published.publish_id
     if current.published.publish_id == publish_id:
