Mend settings errors and name what followed a lost edit

An address such as "http://[" ended a daemon with a traceback instead of exit code 2, and the representation of the settings showed the fleet's secret; both were seen red first. Tracebacks no longer print local values, which can hold a key or the secret.

An edit whose answer was lost and that a later publish kept was reported with that publish's id as if it were its own; the receipt now says so. Status calls go to at most 32 instances at a time. The name of the caller's header stood twice, in the client and in the stand-in, and moved to the protocol.

--- a/packages/pomeloglade-standins/src/pomeloglade_standins/key_value.py
+++ b/packages/pomeloglade-standins/src/pomeloglade_standins/key_value.py
@@ -24,6 +24,7 @@
 from twisted.web.server import NOT_DONE_YET, Site
 
 from pomeloglade.protocol.key_value import (
+    CLIENT_HEADER,
     STATUS_BY_ERROR,
     DoneMessage,
     ErrorMessage,
@@ -40,7 +41,6 @@
 from pomeloglade_coordination.errors import LeaseNotFoundError, RevisionConflictError
 from pomeloglade_coordination.key_value import MAX_VALUE_BYTES, MemoryKeyValueStore
 
-CLIENT_HEADER = "X-Client"
 KEYS_PATH = b"/v1/keys/"
 
 
--- a/packages/pomeloglade/src/pomeloglade/cli.py
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -15,7 +15,12 @@
 from .porcelain import Operations
 from .protocol.deployment import DeploymentTooLargeError
 from .rollout import Rollout
-from .settings import parse_peer_address, parse_platform_timeout, parse_url
+from .settings import (
+    parse_duration_within,
+    parse_peer_address,
+    parse_platform_timeout,
+    parse_url,
+)
 from .state.folder import BadFolderError
 from .transport.key_value import http_client, open_key_value_store
 from .transport.status import HttpStatusClient
@@ -25,8 +30,15 @@
 
 CLIENT_NAME = "pomeloglade"
 
+MAX_WAIT = timedelta(minutes=10)
+
 Operate = Callable[[Operations], Coroutine[Any, Any, Any]]
 
+
+def _parse_wait(text: str) -> timedelta:
+    return parse_duration_within(text, timedelta(0), MAX_WAIT)
+
+
 _PLATFORM_URL = typer.Option(
     envvar="POMELOGLADE_PLATFORM_URL",
     parser=parse_url,
@@ -49,9 +61,7 @@
 ]
 WaitTimeout = Annotated[
     timedelta,
-    typer.Option(
-        parser=parse_platform_timeout, help="How long --wait waits, at most 60s."
-    ),
+    typer.Option(parser=_parse_wait, help="How long --wait waits, at most 10m."),
 ]
 FolderArgument = Annotated[Path, typer.Argument(metavar="FOLDER")]
 AccountArgument = Annotated[str, typer.Argument(metavar="ACCOUNT")]
@@ -165,6 +175,7 @@
         no_args_is_help=True,
         add_completion=False,
         rich_markup_mode=None,
+        pretty_exceptions_enable=False,
         help="Drive a fleet of pomeloglade instances.",
     )
     _add_folder_commands(app, console)
--- a/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
@@ -45,6 +45,9 @@
     "unavailable": 503,
 }
 
+CLIENT_HEADER = "X-Client"
+"""Header in which a caller names itself."""
+
 Message = TypeVar("Message")
 
 
--- a/packages/pomeloglade/src/pomeloglade/publishing.py
+++ b/packages/pomeloglade/src/pomeloglade/publishing.py
@@ -53,6 +53,7 @@
 
     ``changed`` is false when it already was as wanted and nothing was stored.
     ``answer_lost`` tells that reading back had to settle whether it was stored.
+    ``replaced`` tells that the publish named came after it and kept the change.
     ``availability_zones`` are where it has to come into force.
     """
 
@@ -61,6 +62,7 @@
     availability_zones: tuple[str, ...]
     changed: bool = True
     answer_lost: bool = False
+    replaced: bool = False
 
 
 def receipt_of(
@@ -69,10 +71,13 @@
     *,
     changed: bool = True,
     answer_lost: bool = False,
+    replaced: bool = False,
 ) -> Receipt:
     """Return the receipt of ``published`` at ``revision``."""
     zones = published.deployment.availability_zones
-    return Receipt(published.publish_id, revision, zones, changed, answer_lost)
+    return Receipt(
+        published.publish_id, revision, zones, changed, answer_lost, replaced
+    )
 
 
 @dataclass(frozen=True, slots=True)
@@ -241,7 +246,9 @@
         except KeyValueUnavailableError:
             raise replaced from None
         if _is_kept(change, current.published):
-            return receipt_of(current.published, current.revision, answer_lost=True)
+            return receipt_of(
+                current.published, current.revision, answer_lost=True, replaced=True
+            )
         raise PublishReplacedError(
             f"the change took effect, and publish {current.published.publish_id}"
             f" (revision {current.revision}) has undone it since",
--- a/packages/pomeloglade/src/pomeloglade/reports.py
+++ b/packages/pomeloglade/src/pomeloglade/reports.py
@@ -110,6 +110,12 @@
     if not result.changed:
         yield f"nothing to change: revision {result.revision} is published"
         return
+    if result.replaced:
+        yield (
+            f"the change took effect; publish {result.publish_id} (revision"
+            f" {result.revision}) came after it and keeps it"
+        )
+        return
     settled = "; its answer was lost, and reading back settled it"
     yield (
         f"published revision {result.revision} (publish {result.publish_id})"
--- a/packages/pomeloglade/src/pomeloglade/rollout.py
+++ b/packages/pomeloglade/src/pomeloglade/rollout.py
@@ -5,7 +5,7 @@
 from typing import Literal
 
 import msgspec
-from twisted.internet.defer import Deferred, gatherResults
+from twisted.internet.defer import Deferred, DeferredSemaphore, gatherResults
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
@@ -22,6 +22,7 @@
 from .transport.status import StatusClient, StatusUnavailableError
 
 POLL_SECONDS = 0.5
+MAX_CONCURRENT_CALLS = 32
 
 InForce = Literal["in force", "behind", "unreached"]
 
@@ -114,14 +115,13 @@
         """Return what the instances of the platform's list have in force."""
         entries = await self._store.list(INSTANCES_PREFIX)
         records = [_record_of(entry) for entry in entries]
-        answers = await gatherResults([self._answer(each) for each in records])
+        answers = await self._answers(records)
         return _rollout(revision, zones, answers)
 
     async def ask(self, addresses: tuple[str, ...]) -> Rollout:
         """Return what the instances at ``addresses`` know, without the platform."""
         records = [InstanceRecord(address, "", address) for address in addresses]
-        asking = [self._answer(each, named=False) for each in records]
-        answers = await gatherResults(asking)
+        answers = await self._answers(records, named=False)
         statuses = [answer.status for answer in answers if answer.status]
         known = [status.revision for status in statuses]
         known += [r for s in statuses for r in s.in_force_by_instance.values()]
@@ -133,9 +133,16 @@
             named.append(_Answer(record, None, "not asked"))
         return _rollout(max(known, default=0), (), named)
 
-    def _answer(
-        self, record: InstanceRecord, *, named: bool = True
-    ) -> "Deferred[_Answer]":
+    def _answers(
+        self, records: list[InstanceRecord], *, named: bool = True
+    ) -> "Deferred[list[_Answer]]":
+        """Ask all instances, a few at a time."""
+        calls = DeferredSemaphore(MAX_CONCURRENT_CALLS)
+        return gatherResults(
+            [calls.run(self._answer, each, named=named) for each in records]
+        )
+
+    def _answer(self, record: InstanceRecord, *, named: bool) -> "Deferred[_Answer]":
         """Ask the instance; ``named`` tells that its name is known beforehand."""
 
         def answered(status: InstanceStatus) -> _Answer:
--- a/packages/pomeloglade/src/pomeloglade/settings.py
+++ b/packages/pomeloglade/src/pomeloglade/settings.py
@@ -2,7 +2,7 @@
 
 import ipaddress
 from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from datetime import timedelta
 from typing import Annotated
 from urllib.parse import urlsplit
@@ -10,7 +10,7 @@
 import typer
 
 from .state.addresses import MAX_PORT, parse_address
-from .state.durations import parse_duration
+from .state.durations import format_duration, parse_duration
 from .state.folder_checks import NAME_REASON, is_name
 
 ENVIRONMENT_PREFIX = "POMELOGLADE_"
@@ -28,9 +28,9 @@
     ``listen_*`` is where callers and operators connect, ``peer_*`` where other
     instances do; a port of 0 takes a free one, which the daemon prints.
     ``peer_addresses`` are ``"host:port"`` of instances to contact first. Every
-    instance of the fleet has the same ``peer_secret``. ``drain_timeout`` bounds
-    how long a graceful shutdown waits for open requests; ``platform_timeout``
-    bounds each call to the key-value service.
+    instance of the fleet has the same ``peer_secret``, which ``repr`` leaves out.
+    ``drain_timeout`` bounds how long a graceful shutdown waits for open requests;
+    ``platform_timeout`` bounds each call to the key-value service.
     """
 
     instance: str
@@ -41,7 +41,7 @@
     peer_port: int
     peer_addresses: tuple[str, ...]
     platform_url: str
-    peer_secret: str
+    peer_secret: str = field(repr=False)
     drain_timeout: timedelta
     platform_timeout: timedelta
     max_body_bytes: int
@@ -84,8 +84,8 @@
 
 def parse_url(text: str) -> str:
     """Return the ``http`` or ``https`` address in ``text``, without a last slash."""
-    parts = urlsplit(text)
     try:
+        parts = urlsplit(text)
         valid = parts.scheme in ("http", "https") and parts.hostname
         valid = valid and parts.port != 0 and not parts.query
     except ValueError:
@@ -107,14 +107,28 @@
     )
 
 
+def parse_duration_within(
+    text: str, lowest: timedelta, highest: timedelta
+) -> timedelta:
+    """Return the duration in ``text`` if it lies within both bounds."""
+    try:
+        duration = parse_duration(str(text))
+    except ValueError as error:
+        raise typer.BadParameter(str(error)) from None
+    if lowest <= duration <= highest:
+        return duration
+    allowed = f"{format_duration(lowest)} to {format_duration(highest)}"
+    raise typer.BadParameter(f"{text!r} is out of range; allowed: {allowed}")
+
+
 def parse_drain_timeout(text: str) -> timedelta:
     """Return the bound on a graceful shutdown."""
-    return _duration(text, timedelta(0), MAX_DRAIN_TIMEOUT)
+    return parse_duration_within(text, timedelta(0), MAX_DRAIN_TIMEOUT)
 
 
 def parse_platform_timeout(text: str) -> timedelta:
     """Return the bound on each call to the key-value service."""
-    return _duration(text, timedelta(milliseconds=1), MAX_PLATFORM_TIMEOUT)
+    return parse_duration_within(text, timedelta(milliseconds=1), MAX_PLATFORM_TIMEOUT)
 
 
 def run_with_settings(
@@ -135,7 +149,9 @@
 
 def settings_app(start: Callable[[Settings], None]) -> typer.Typer:
     """Return the command line that passes its settings to ``start``."""
-    app = typer.Typer(add_completion=False, rich_markup_mode=None)
+    app = typer.Typer(
+        add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False
+    )
 
     @app.command(name="pomelogladed")
     def pomelogladed(
@@ -238,15 +254,3 @@
     raise typer.BadParameter(
         f"{text!r} is not {kind}; allowed: a whole number from {lowest} to {highest}"
     )
-
-
-def _duration(text: str, lowest: timedelta, highest: timedelta) -> timedelta:
-    try:
-        duration = parse_duration(str(text))
-    except ValueError as error:
-        raise typer.BadParameter(str(error)) from None
-    if lowest <= duration <= highest:
-        return duration
-    raise typer.BadParameter(
-        f"{text!r} is out of range; allowed: {lowest} to {highest}"
-    )
--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -8,6 +8,7 @@
 
 from .addresses import parse_address
 from .deployment import BackendServer, ClientAccount, Deployment, Route
+from .durations import format_duration
 
 MAX_RATE = 10_000_000  # tokens a second
 MAX_BURST = 1_000_000_000  # tokens
@@ -160,8 +161,9 @@
         shortest = timedelta(milliseconds=1)
         yield from _check_range(path, field, value, shortest, MAX_TIMEOUT)
     if route.timeout < route.first_token:
-        reason = f"{route.timeout} is less than first_token ({route.first_token})"
-        yield _Finding((*path, "timeout"), reason)
+        first_token = format_duration(route.first_token)
+        reason = f"{format_duration(route.timeout)} is less than first_token"
+        yield _Finding((*path, "timeout"), f"{reason} ({first_token})")
     yield from _check_range(path, "plain_cost", route.plain_cost, 0, MAX_PLAIN_COST)
 
 
@@ -219,5 +221,7 @@
     path: KeyPath, field: str, value: Any, lowest: Any, highest: Any
 ) -> Iterator[_Finding]:
     if not lowest <= value <= highest:
+        if isinstance(value, timedelta):
+            value, lowest, highest = map(format_duration, (value, lowest, highest))
         reason = f"{value} is out of range; allowed: {lowest} to {highest}"
         yield _Finding((*path, field), reason)
--- a/packages/pomeloglade/src/pomeloglade/transport/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/key_value.py
@@ -25,6 +25,7 @@
 )
 
 from ..protocol.key_value import (
+    CLIENT_HEADER,
     DoneMessage,
     EntriesMessage,
     EntryMessage,
@@ -40,7 +41,6 @@
 from ..state.durations import format_duration
 
 PEER = "key-value service"
-CLIENT_HEADER = "X-Client"
 CALL_TIMEOUT = timedelta(seconds=2)
 MAX_IDLE_CONNECTION_SECONDS = 30.0
 MAX_CONNECTIONS = 16
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -56,6 +56,7 @@
 kind = "model"
 pool = "api"
 timeout = "1s"
+between_tokens = "0s"
 [routes.admin]
 prefix = "/admin/x"
 kind = "plain"
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -397,7 +397,7 @@
     store.lost_answers = 1
     store.meanwhile = [lambda: result(other.publish(folder("theirs", rate=300)))]
     created = result(operations.create_key("league", "phone"))
-    assert created.receipt.answer_lost
+    assert (created.receipt.replaced, created.receipt.publish_id) == (True, "q1")
     assert league(published).key_digests == {"phone": digest_key(created.key)}
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -37,6 +37,7 @@
     assert settings.peer_addresses == ("10.0.0.1:7000", "[::1]:7001")
     assert settings.platform_url == "http://127.0.0.1:9000"
     assert settings.drain_timeout == timedelta(seconds=120)
+    assert settings.peer_secret not in repr(settings)
 
 
 @pytest.mark.parametrize(
@@ -47,9 +48,10 @@
         ("--peer-host", "localhost", "IPv4 or IPv6"),
         ("--peer-address", "10.0.0.1", "HOST:PORT"),
         ("--platform-url", "ftp://x", "http:// or https://"),
+        ("--platform-url", "http://[", "http:// or https://"),
         ("--instance", "I 1", "lower-case"),
         ("--drain-timeout", "soon", "ms, s, m or h"),
-        ("--drain-timeout", "2h", "1:00:00"),
+        ("--drain-timeout", "2h", "0s to 3600s"),
         ("--max-body-bytes", "0", "from 1 to"),
     ],
 )
