Tell recovery of deaths as membership reports them

Cause: membership now passes the dead member itself, and the instance still unpacked it; every report of a death raised, so nothing was released for a killed instance. Two process tests showed it.

A new test of a resend while the first attempt is in progress is red at this commit: the other instance answers from a stale view of the shard.

--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -182,7 +182,7 @@
             known=self.open_requests.__contains__,
             sender=sender,
         )
-        self.members.subscribe_death(lambda dead: self.recovery.died(dead.member))
+        self.members.subscribe_death(self.recovery.died)
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = self.clock
 
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -113,3 +113,18 @@
     services.fail(BackendLostError("lost", step="call", peer="s1"))
     assert answers[0].reason is Reason.BACKEND_FAILED
     assert not answers[0].not_run
+
+
+def test_resend_while_in_progress_gets_the_answer_once_there_is_one(
+    instance, services, store, clock
+):
+    others = FakeServices()
+    other = lone_instance(clock, store, services=others, incarnation=2)
+    clock.pump([0.5] * 40)
+    book(instance, clock)
+    in_progress = book(other, clock)
+    assert in_progress[0].reason is Reason.CLAIM_IN_PROGRESS
+    services.answer()
+    clock.pump([0.1] * 20)
+    assert book(other, clock)[0].replayed
+    assert others.waiting == []
