Route claims to one writer and test them over a faulty fleet

Cause: with every instance writing the shard itself, swaps collide. Any number of writers stays safe, so a silent writer is only bypassed.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -8,6 +8,7 @@
 """
 
 import enum
+import itertools
 import random
 from collections import Counter, deque
 from collections.abc import Generator
@@ -15,7 +16,7 @@
 from datetime import timedelta
 from typing import Any
 
-from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
+from twisted.internet.defer import Deferred, TimeoutError, fail, inlineCallbacks
 from twisted.python.failure import Failure
 
 from .claim_records import (
@@ -35,12 +36,15 @@
 from .key_value import ABSENT, Entry, KeyValueStore
 
 SLOTS = 4096
-COMMIT_INTERVAL = timedelta(milliseconds=12)
+COMMIT_INTERVAL = timedelta(milliseconds=6)
+LONGEST_PACE = timedelta(milliseconds=100)
+PACE_RECOVERY = 0.9
 PATIENT_DELAY = timedelta(milliseconds=50)
 STORE_TIMEOUT = timedelta(seconds=1)
 SHORTEST_BACKOFF_SECONDS = 0.02
 LONGEST_BACKOFF_SECONDS = 1.0
 MAX_SEGMENT_BYTES = 500_000
+MAX_RECORDS = 600_000
 ROW_BYTES = 96
 MAX_SINGLE_READS = 8
 PLATFORM = "key-value service"
@@ -82,7 +86,8 @@
     prefix : str
         Key prefix of the shard's slots.
     keep : timedelta
-        How long a record stands after this instance first saw it.
+        How long a record stands after this instance first saw it; outages of
+        the platform that this instance notices don't count.
     outcome_keep : timedelta
         How long the answer of a finished request is kept with its record.
     commit_interval : timedelta
@@ -117,6 +122,7 @@
         self._next = 0
         self._loaded = False
         self._committing = False
+        self._pace = self._interval
         self._last_start = -self._interval
         self._backoff = 0.0
         self._failed_since: float | None = None
@@ -132,19 +138,20 @@
         withdraws a record that has not been sent yet.
         """
         pending = _Pending(record)
+        claiming = record.state is ClaimState.CLAIMED
+        if claiming and self._failed_since is not None:
+            return fail(_unavailable("platform does not answer"))
+        if claiming and len(self._kept_by_digest) >= MAX_RECORDS:
+            return fail(_unavailable(f"{MAX_RECORDS} claims are kept"))
         self._pending.append(pending)
-        self._schedule()
+        self._schedule(0.0 if claiming else PATIENT_DELAY.total_seconds())
         return pending.waiting
 
-    def _schedule(self) -> None:
-        self._pending = deque(p for p in self._pending if not p.waiting.called)
-        if self._committing or not self._pending:
+    def _schedule(self, patience: float) -> None:
+        if self._committing:
             return
         now = self._clock.seconds()
-        urgent = any(p.record.state is ClaimState.CLAIMED for p in self._pending)
-        patience = 0.0 if urgent else PATIENT_DELAY.total_seconds()
-        start = max(now + patience, self._last_start + self._interval)
-        start = max(start, now + self._backoff)
+        start = max(now + patience, self._last_start + self._pace, now + self._backoff)
         if self._call is not None and self._call.active():
             if self._call.getTime() <= start:
                 return
@@ -175,7 +182,12 @@
 
     def _ended(self, _result: object) -> None:
         self._committing = False
-        self._schedule()
+        self._pending = deque(p for p in self._pending if not p.waiting.called)
+        states = {pending.record.state for pending in self._pending}
+        if ClaimState.CLAIMED in states:
+            self._schedule(0.0)
+        elif states or self._failed_since is not None:
+            self._schedule(PATIENT_DELAY.total_seconds())
 
     def _fail_claims(self, message: str) -> None:
         for pending in tuple(self._pending):
@@ -183,18 +195,19 @@
                 continue
             if pending.record.state is ClaimState.CLAIMED:
                 sent = pending.maybe_written
-                error = (
-                    KeyValueOutcomeUnknownError if sent else KeyValueUnavailableError
-                )
-                pending.waiting.errback(error(message, step="claim", peer=PLATFORM))
+                error = _outcome_unknown if sent else _unavailable
+                pending.waiting.errback(error(message))
 
     @inlineCallbacks
     def _commit(self) -> Generator[Any, Any, None]:
         if not self._loaded:
             yield self._load()
+        elif self._failed_since is not None:
+            yield self._catch_up()
+        self._purge()
         carried = self._carried()
         batch = self._settle(MAX_SEGMENT_BYTES - sum(map(_size, carried)))
-        if not batch:
+        if not batch and not (carried and self._waiting()):
             return
         records = (*carried, *(pending.record for pending in batch))
         segment = Segment(self._next, records)
@@ -202,6 +215,8 @@
             revision = yield self._write(segment)
         except RevisionConflictError:
             self.counters[LogCounter.CONFLICTS] += 1
+            slower = self._pace * self._random.uniform(1.0, 2.0)
+            self._pace = min(slower, LONGEST_PACE.total_seconds())
             yield self._catch_up()
         except (KeyValueOutcomeUnknownError, TimeoutError):
             self.counters[LogCounter.LOST_ANSWERS] += 1
@@ -210,6 +225,7 @@
             yield self._catch_up()
         else:
             self.counters[LogCounter.RECORDS] += len(records)
+            self._pace = max(self._interval, self._pace * PACE_RECOVERY)
             self._learn(segment, revision)
         self._settle(0)
 
@@ -231,6 +247,9 @@
                 batch.append(pending)
         return batch
 
+    def _waiting(self) -> bool:
+        return any(not pending.waiting.called for pending in self._pending)
+
     def _write(self, segment: Segment) -> "Deferred[int]":
         self.counters[LogCounter.WRITES] += 1
         slot = segment.sequence % self._slots
@@ -281,6 +300,7 @@
             old = before.get(record.digest)
             carried = old is not None and _same_state(old.record, record)
             since = old.since if carried else now
+            self._kept_by_digest.pop(record.digest, None)
             self._kept_by_digest[record.digest] = _Kept(record, slot, since)
         self._digests_by_slot[slot] = [each.digest for each in segment.records]
         self._revisions_by_slot[slot] = revision
@@ -306,6 +326,15 @@
         recorded = (self._recorded(each) for each in here)
         return tuple(record for record in recorded if record is not None)
 
+    def _purge(self) -> None:
+        """Forget expired records, as far as they were learnt in order."""
+        oldest = self._kept_time() - self._keep
+        expired = itertools.takewhile(
+            lambda each: each[1].since < oldest, self._kept_by_digest.items()
+        )
+        for key_digest, _kept in tuple(expired):
+            del self._kept_by_digest[key_digest]
+
     def _recorded(self, key_digest: bytes) -> ClaimRecord | None:
         kept = self._kept_by_digest.get(key_digest)
         if kept is None:
@@ -318,6 +347,14 @@
         return kept.record
 
 
+def _unavailable(message: str) -> KeyValueUnavailableError:
+    return KeyValueUnavailableError(message, step="claim", peer=PLATFORM)
+
+
+def _outcome_unknown(message: str) -> KeyValueOutcomeUnknownError:
+    return KeyValueOutcomeUnknownError(message, step="claim", peer=PLATFORM)
+
+
 def _size(record: ClaimRecord) -> int:
     return ROW_BYTES + len(record.outcome or b"")
 
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claims.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claims.py
@@ -9,16 +9,18 @@
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from .claim_log import ClaimLog, LogCounter
+from .claim_exchange import ClaimExchange
+from .claim_log import COMMIT_INTERVAL, ClaimLog, LogCounter
 from .claim_records import MAX_OUTCOME_BYTES, ClaimRecord, ClaimState, digest
 from .clock import Clock
 from .errors import KeyValueUnavailableError
 from .key_value import KeyValueStore
 from .members import Member, MembershipView
-from .peer import PeerSender
+from .peer import PeerMessage, PeerSender
 from .refusals import Reason, Refusal, Step
+from .request_ids import RequestId
 
-SHARDS = 2
+SHARDS = 1
 CLAIM_KEEP = timedelta(hours=1)
 OUTCOME_KEEP = timedelta(minutes=2)
 CLAIM_TIMEOUT = timedelta(seconds=2)
@@ -79,6 +81,11 @@
         This run of this instance.
     random : random.Random
         Spreads retries.
+    members : MembershipView, optional
+        With ``sender``, proposals go to one writer a shard. Without, this
+        instance writes all shards itself.
+    sender : PeerSender, optional
+        Carries messages to the other instances.
     keep : timedelta
         How long a key stays claimed; a resend after that may run again.
 
@@ -100,6 +107,7 @@
         shards: int = SHARDS,
         keep: timedelta = CLAIM_KEEP,
         outcome_keep: timedelta = OUTCOME_KEEP,
+        commit_interval: timedelta = COMMIT_INTERVAL,
         prefix: str = "claims/",
     ) -> None:
         self.counters: Counter[ClaimCounter] = Counter()
@@ -107,7 +115,6 @@
         self._clock = clock
         self._own = own
         self._members = members
-        self._sender = sender
         self._logs = tuple(
             ClaimLog(
                 clock=clock,
@@ -116,9 +123,18 @@
                 random=random,
                 keep=keep,
                 outcome_keep=outcome_keep,
+                commit_interval=commit_interval,
             )
             for shard in range(shards)
         )
+        self._exchange: ClaimExchange | None = None
+        if members is not None and sender is not None:
+            self._exchange = ClaimExchange(
+                clock=clock, members=members, sender=sender, logs=self._logs
+            )
+        self._dispatch_within = min(
+            DISPATCH_WITHIN.total_seconds(), keep.total_seconds() / 2
+        )
 
     def claim(
         self,
@@ -149,7 +165,7 @@
     def may_dispatch(self, claim: Claim) -> bool:
         """Return whether the claim still stands; ask as the last step."""
         age = self._clock.seconds() - claim.sent
-        return age < DISPATCH_WITHIN.total_seconds()
+        return age < self._dispatch_within
 
     def finish(self, claim: Claim, outcome: bytes) -> "Deferred[None]":
         """Record that the request has run, with its answer for resends."""
@@ -172,7 +188,14 @@
         calls = (LogCounter.WRITES, LogCounter.READS)
         return sum(log.counters[each] for log in self._logs for each in calls)
 
+    def receive(self, instance: str, message: PeerMessage) -> None:
+        """Take a message of another instance."""
+        if self._exchange is not None:
+            self._exchange.receive(message, instance)
+
     def _propose(self, shard: int, record: ClaimRecord) -> "Deferred[ClaimRecord]":
+        if self._exchange is not None:
+            return self._exchange.propose(shard, record)
         return self._logs[shard].propose(record)
 
     def _advance(
@@ -200,7 +223,11 @@
         return self._refuse(Reason.OUTCOME_UNKNOWN, retry_after=None)
 
     def _holder_lives(self, stands: ClaimRecord) -> bool:
-        return True
+        holder = RequestId.parse(stands.request_id)
+        if self._members is None or holder is None:
+            return True
+        member = self._members.member(holder.instance)
+        return member is not None and member.incarnation == holder.incarnation
 
     def _unavailable(
         self, failure: Failure, claim: Claim, first_attempt: bool
--- a/tests/test_claims_stateful.py
+++ b/tests/test_claims_stateful.py
@@ -1,1 +1,269 @@
-"""Tests of claims_stateful."""
+"""Stateful test of claims over a faulty fleet against a simple oracle."""
+
+import random
+from collections import Counter
+from datetime import timedelta
+
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    invariant,
+    precondition,
+    rule,
+)
+from twisted.internet.task import Clock
+
+from faulty_fleet import FaultyStore, Links, ProcessClock, StoreFault, run
+from pomeloglade_coordination.claims import Claimed, Claims, Finished
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.members import FixedMembership, Member
+from pomeloglade_coordination.refusals import Reason, Refusal
+from pomeloglade_coordination.request_ids import RequestIds
+
+INSTANCES = ("i0", "i1", "i2")
+KEYS = ("booking-1", "booking-2")
+BODIES = ("body", "body", "body", "other body")
+SETTLE_SECONDS = 15
+
+instances = st.sampled_from(INSTANCES)
+keys = st.sampled_from(KEYS)
+waits = st.sampled_from([0.0, 0.002, 0.004, 0.008, 0.03, 0.03, 0.3, 4.0])
+
+
+class Instance:
+    """One run of an instance with its claims."""
+
+    def __init__(self, name, incarnation, clock, shared, links):
+        self.own = Member(name, "zone", incarnation)
+        self.process = ProcessClock(clock)
+        self.store = FaultyStore(clock, self.process, shared)
+        self.ids = RequestIds(self.own)
+        others = tuple(Member(i, "zone", 1) for i in INSTANCES if i != name)
+        sender = links.join(name, self.process, self.receive)
+        self.claims = Claims(
+            clock=self.process,
+            store=self.store,
+            own=self.own,
+            random=random.Random(incarnation),
+            members=FixedMembership(self.own, others),
+            sender=sender,
+            keep=timedelta(hours=1),
+            outcome_keep=timedelta(hours=1),
+        )
+
+    def receive(self, source, message):
+        """Take a peer message."""
+        self.claims.receive(source, message)
+
+
+class Attempt:
+    """One call with an idempotency key through one instance."""
+
+    def __init__(self, instance, key, body):
+        self.instance = instance
+        self.key = key
+        self.body = body
+        self.answer = None
+        self.dispatched = False
+        self.ended = False
+
+    def can_dispatch(self):
+        """Whether the request may be sent now."""
+        process = self.instance.process
+        held = isinstance(self.answer, Claimed) and not self.dispatched
+        able = process.alive and not process.frozen and not self.ended
+        return held and able and self.instance.claims.may_dispatch(self.answer.claim)
+
+    def running(self):
+        """Whether the request has been sent and its instance can act."""
+        process = self.instance.process
+        able = process.alive and not process.frozen
+        return self.dispatched and not self.ended and able
+
+
+class ClaimsMachine(RuleBasedStateMachine):
+    """Calls, faults and the oracle: a key runs at most once."""
+
+    @initialize()
+    def start(self):
+        """Start the fleet."""
+        self.clock = Clock()
+        self.shared = MemoryKeyValueStore(self.clock)
+        self.links = Links(self.clock)
+        self.incarnations = Counter()
+        self.instances = {}
+        for name in INSTANCES:
+            self.start_instance(name)
+        self.runs_by_key = Counter()
+        self.called = set()
+        self.outcomes_by_key = {}
+        self.recorded = set()
+        self.failures = []
+        self.attempts = []
+
+    def start_instance(self, name):
+        """Start a run of an instance."""
+        self.incarnations[name] += 1
+        self.instances[name] = Instance(
+            name, self.incarnations[name], self.clock, self.shared, self.links
+        )
+
+    @rule(name=instances, key=keys, body=st.sampled_from(BODIES), seconds=waits)
+    def call(self, name, key, body, seconds):
+        """Call, or resend, through any instance."""
+        self.start_call(name, key, body)
+        run(self.clock, seconds)
+
+    def start_call(self, name, key, body):
+        """Call and return the attempt, ``None`` at a frozen instance."""
+        instance = self.instances[name]
+        if instance.process.frozen:
+            return None
+        first = key not in self.called
+        self.called.add(key)
+        attempt = Attempt(instance, key, body)
+        self.attempts.append(attempt)
+        claim = instance.claims.claim(
+            "account", key, body, str(instance.ids.issue()), first_attempt=first
+        )
+        claim.addCallback(self.check, attempt, key in self.recorded)
+        claim.addErrback(self.failures.append)
+        return attempt
+
+    @rule(names=st.permutations(INSTANCES), key=keys)
+    def call_everywhere(self, names, key):
+        """Call through all instances at once."""
+        for name in names:
+            self.start_call(name, key, BODIES[0])
+        run(self.clock, 0.02)
+
+    def check(self, answer, attempt, recorded):
+        """Check an answer against the oracle."""
+        attempt.answer = answer
+        key = attempt.key
+        if isinstance(answer, Finished):
+            assert self.runs_by_key[key] == 1
+            assert answer.outcome == self.outcomes_by_key[key]
+        if isinstance(answer, Claimed):
+            assert not recorded
+        if isinstance(answer, Refusal) and answer.not_run:
+            assert self.runs_by_key[key] == 0
+
+    def able(self, condition):
+        """Return the attempts that meet a condition, oldest first."""
+        return [attempt for attempt in self.attempts if condition(attempt)]
+
+    @precondition(lambda self: self.able(Attempt.can_dispatch))
+    @rule(pick=st.randoms(use_true_random=False), seconds=waits)
+    def dispatch(self, pick, seconds):
+        """Send a claimed request, which runs it."""
+        self.send(pick.choice(self.able(Attempt.can_dispatch)))
+        run(self.clock, seconds)
+
+    def send(self, attempt):
+        """Run a request, which must be its key's first run."""
+        attempt.dispatched = True
+        self.runs_by_key[attempt.key] += 1
+        assert self.runs_by_key[attempt.key] == 1
+
+    @precondition(lambda self: self.able(Attempt.can_dispatch))
+    @rule()
+    def abandon(self):
+        """Give a claimed request up before it is sent."""
+        attempt = self.able(Attempt.can_dispatch)[0]
+        attempt.ended = True
+        attempt.instance.claims.abandon(attempt.answer.claim)
+
+    @precondition(lambda self: self.able(Attempt.running))
+    @rule(seconds=waits)
+    def finish(self, seconds):
+        """Get the answer and record it."""
+        attempt = self.able(Attempt.running)[0]
+        attempt.ended = True
+        key = attempt.key
+        self.outcomes_by_key[key] = f"answer of {key}".encode()
+        done = attempt.instance.claims.finish(
+            attempt.answer.claim, self.outcomes_by_key[key]
+        )
+        done.addCallback(lambda _none: self.recorded.add(key))
+        run(self.clock, seconds)
+
+    @precondition(lambda self: self.able(Attempt.running))
+    @rule()
+    def lose_answer(self):
+        """Lose the answer of a request that was sent."""
+        attempt = self.able(Attempt.running)[0]
+        attempt.ended = True
+        attempt.instance.claims.unknown(attempt.answer.claim)
+
+    @rule(seconds=waits)
+    def wait(self, seconds):
+        """Let time pass."""
+        run(self.clock, seconds)
+
+    @rule(name=instances)
+    def kill(self, name):
+        """Kill and restart an instance."""
+        self.instances[name].process.alive = False
+        self.start_instance(name)
+
+    @rule(name=instances, seconds=waits)
+    def freeze_or_thaw(self, name, seconds):
+        """Freeze an instance, or wake it."""
+        process = self.instances[name].process
+        if process.frozen:
+            process.thaw()
+        else:
+            process.frozen = True
+        run(self.clock, seconds)
+
+    @rule(names=st.sets(instances, min_size=1), fault=st.sampled_from(StoreFault))
+    def fail_store(self, names, fault):
+        """Change how the platform treats some instances."""
+        for name in names:
+            self.instances[name].store.fault = fault
+
+    @rule(names=st.sets(instances))
+    def cut(self, names):
+        """Cut the peer links of some instances."""
+        self.links.cut = names
+
+    @invariant()
+    def answers_were_true(self):
+        """Raise what failed in a callback."""
+        for failure in getattr(self, "failures", ()):
+            failure.raiseException()
+
+    def teardown(self):
+        """Heal everything and call each key again."""
+        if not hasattr(self, "clock"):
+            return
+        self.links.cut = set()
+        for instance in self.instances.values():
+            instance.store.fault = StoreFault.NONE
+            instance.process.thaw()
+        run(self.clock, SETTLE_SECONDS)
+        for name in INSTANCES:
+            for key in KEYS:
+                self.check_settled(name, key)
+        self.answers_were_true()
+
+    def check_settled(self, name, key):
+        """Check that a healthy fleet answers truly and at once."""
+        attempt = self.start_call(name, key, BODIES[0])
+        run(self.clock, 1)
+        if attempt.can_dispatch():
+            self.send(attempt)
+        answer = attempt.answer
+        assert answer is not None
+        if key in self.recorded and not isinstance(answer, Finished):
+            assert answer.reason is Reason.IDEMPOTENCY_KEY_REUSED
+        if isinstance(answer, Refusal):
+            assert answer.reason is not Reason.CLAIM_UNAVAILABLE
+            assert not answer.not_run
+
+
+ClaimsMachine.TestCase.settings = settings(max_examples=150, stateful_step_count=40)
+TestClaims = ClaimsMachine.TestCase
