Share bounded HTTP calls between both clients

The status client had no test, and a first one went red: an instance that stays silent was reported as a nested representation of a cancelled call. The logic of a bounded call stood twice, so both clients now use one that says "no answer within 2s" or "the connection was lost before the answer", and whether the call surely never left.

Ruled out: counting a request that was not fully written as never sent, because the service may act on what it got.

--- a/packages/pomeloglade/src/pomeloglade/cli.py
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -22,7 +22,8 @@
     parse_url,
 )
 from .state.folder import BadFolderError
-from .transport.key_value import http_client, open_key_value_store
+from .transport.calls import http_client
+from .transport.key_value import open_key_value_store
 from .transport.status import HttpStatusClient
 
 EXIT_REFUSED = 1
--- a/packages/pomeloglade/src/pomeloglade/transport/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/key_value.py
@@ -1,16 +1,14 @@
 """HTTP client of the platform's key-value service."""
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable, Coroutine
 from datetime import timedelta
-from typing import Any, Protocol, TypeVar
+from typing import Any, TypeVar
 from urllib.parse import quote, urlencode
 
-import msgspec
-from treq.client import HTTPClient
 from twisted.internet.defer import Deferred
-from twisted.internet.error import ConnectError, DNSLookupError
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.client import Agent, HTTPConnectionPool, readBody
+from twisted.python.failure import Failure
+from twisted.web.client import readBody
 
 from pomeloglade_coordination.errors import (
     KeyValueError,
@@ -38,38 +36,14 @@
     encode,
     entry_of,
 )
-from ..state.durations import format_duration
+from .calls import HTTP_OK, CallFailedError, HttpClient, bounded_call, http_client
 
 PEER = "key-value service"
 CALL_TIMEOUT = timedelta(seconds=2)
-MAX_IDLE_CONNECTION_SECONDS = 30.0
-MAX_CONNECTIONS = 16
-HTTP_OK = 200
 
 Result = TypeVar("Result")
 
 
-class HttpClient(Protocol):
-    """The part of ``treq.client.HTTPClient`` that is used."""
-
-    def request(self, method: str, url: str, **options: Any) -> Deferred:
-        """Send a request and return a Deferred of its response."""
-
-
-def http_client(reactor: Any, timeout: timedelta) -> HTTPClient:
-    """Return a client that keeps connections and never resends a request.
-
-    It gives up connecting after half of ``timeout``, so that a call which has
-    not left can be told from one whose answer is missing.
-    """
-    pool = HTTPConnectionPool(reactor, persistent=True)
-    pool.retryAutomatically = False
-    pool.maxPersistentPerHost = MAX_CONNECTIONS
-    pool.cachedConnectionTimeout = MAX_IDLE_CONNECTION_SECONDS
-    connect_seconds = timeout.total_seconds() / 2
-    return HTTPClient(Agent(reactor, connectTimeout=connect_seconds, pool=pool))
-
-
 def open_key_value_store(
     reactor: Any, url: str, *, timeout: timedelta = CALL_TIMEOUT, name: str = ""
 ) -> "HttpKeyValueStore":
@@ -197,26 +171,17 @@
 
     def _bounded(
         self,
-        call: Awaitable[Result],
+        call: Coroutine[Any, Any, Result],
         step: str,
         bound: timedelta,
         lost: Callable[[str, str], KeyValueError],
     ) -> "Deferred[Result]":
-        ends = self._clock.seconds() + bound.total_seconds()
-        deferred = Deferred.fromCoroutine(call)
-        deferred.addTimeout(bound.total_seconds(), self._clock)
-
-        def translate(failure: Any) -> None:
-            cause = failure.value
-            if failure.check(KeyValueError):
-                failure.raiseException()
-            if failure.check(ConnectError, DNSLookupError):
-                raise _unavailable(step, _describe(cause)) from cause
-            if self._clock.seconds() >= ends:
-                raise lost(step, f"none within {format_duration(bound)}") from cause
-            raise lost(step, _describe(cause)) from cause
-
-        return deferred.addErrback(translate)
+        def translate(failure: Failure) -> None:
+            failure.trap(CallFailedError)
+            error = lost if failure.value.sent else _unavailable
+            raise error(step, str(failure.value)) from failure.value
+
+        return bounded_call(self._clock, bound, call).addErrback(translate)
 
     async def _call(
         self, step: str, method: str, path: str, answer: type[Result], body: bytes
@@ -270,19 +235,10 @@
 
 
 def _unavailable(step: str, reason: str) -> KeyValueUnavailableError:
-    message = f"cannot {step}: no answer from the {PEER}: {reason}"
+    message = f"cannot {step} at the {PEER}: {reason}"
     return KeyValueUnavailableError(message, step=step, peer=PEER)
 
 
 def _outcome_unknown(step: str, reason: str) -> KeyValueOutcomeUnknownError:
-    message = (
-        f"cannot tell whether {step} was applied: the answer of the {PEER} is"
-        f" missing: {reason}"
-    )
+    message = f"cannot tell whether the {PEER} applied the {step}: {reason}"
     return KeyValueOutcomeUnknownError(message, step=step, peer=PEER)
-
-
-def _describe(cause: object) -> str:
-    if isinstance(cause, msgspec.MsgspecError):
-        return f"answer not understood: {cause}"
-    return f"{type(cause).__name__}: {cause}" if str(cause) else type(cause).__name__
--- a/packages/pomeloglade/src/pomeloglade/transport/status.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/status.py
@@ -1,17 +1,17 @@
 """HTTP client that asks instances for their status."""
 
 from datetime import timedelta
-from typing import Any, Protocol
+from typing import Protocol
 
-import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
+from twisted.python.failure import Failure
 from twisted.web.client import readBody
 
 from pomeloglade_coordination.errors import CoordinationError
 
 from ..protocol.instances import STATUS_PATH, InstanceStatus, decode_status
-from .key_value import HttpClient
+from .calls import HTTP_OK, CallFailedError, HttpClient, bounded_call
 
 STATUS_TIMEOUT = timedelta(seconds=2)
 
@@ -55,21 +55,19 @@
 
     def fetch(self, address: str) -> "Deferred[InstanceStatus]":
         """Return the status of the instance at ``host:port``."""
-        fetched = Deferred.fromCoroutine(self._fetch(address))
-        fetched.addTimeout(self._timeout.total_seconds(), self._clock)
-        return fetched.addErrback(self._translate, address)
+
+        def translate(failure: Failure) -> None:
+            failure.trap(CallFailedError)
+            reason = str(failure.value)
+            raise StatusUnavailableError(reason, step="status", peer=address) from None
+
+        fetched = bounded_call(self._clock, self._timeout, self._fetch(address))
+        return fetched.addErrback(translate)
 
     async def _fetch(self, address: str) -> InstanceStatus:
         url = f"http://{address}{STATUS_PATH}"
         response = await self._client.request("GET", url, unbuffered=True)
         body = await readBody(response)
-        if response.code != 200:
-            raise ValueError(f"status code {response.code}")
+        if response.code != HTTP_OK:
+            raise CallFailedError(f"status code {response.code}", sent=True)
         return decode_status(body)
-
-    def _translate(self, failure: Any, address: str) -> None:
-        cause = failure.value
-        reason = str(cause) or type(cause).__name__
-        if isinstance(cause, msgspec.MsgspecError):
-            reason = f"answer not understood: {cause}"
-        raise StatusUnavailableError(reason, step="status", peer=address) from cause
--- a/tests/test_http_key_value.py
+++ b/tests/test_http_key_value.py
@@ -132,7 +132,7 @@
     clock.advance(CALL_SECONDS)
     assert failures["get"].check(KeyValueUnavailableError)
     assert failures["put"].check(KeyValueOutcomeUnknownError)
-    assert "none within 2s" in failures["put"].getErrorMessage()
+    assert "no answer within 2s" in failures["put"].getErrorMessage()
     assert "watch" not in failures
     clock.advance(10)
     assert failures["watch"].check(KeyValueUnavailableError)
