Reserve whole path segments only

A route with the prefix "/administrators" was refused because it begins with the reserved "/admin"; the test for it was red first. Reserved prefixes now count by whole segments.

Ruled out: dropping the reservation, because a route under "/admin" would hide the instance's own pages or be hidden by them.

--- a/packages/pomeloglade/src/pomeloglade/state/folder.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder.py
@@ -71,7 +71,7 @@
 class BadFolderError(Exception):
     """A folder with errors.
 
-    ``problems`` holds every one, save those that cannot be told before an other
+    ``problems`` holds every one, save those that cannot be told before another
     one is mended: what is missing while a file is unreadable, and the pools of
     routes while a backend server is faulty.
     """
--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -171,7 +171,7 @@
     if prefix != "/" and not _PREFIX.fullmatch(prefix):
         reason = "allowed: '/' or '/' and segments, without a last '/'"
         yield _Finding(path, f"{prefix!r} is not a prefix; {reason}")
-    if prefix.startswith(RESERVED_PREFIXES):
+    if any(f"{prefix}/".startswith(f"{each}/") for each in RESERVED_PREFIXES):
         reserved = ", ".join(RESERVED_PREFIXES)
         yield _Finding(path, f"{prefix!r} is reserved; reserved: {reserved}")
 
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -127,6 +127,13 @@
     assert len(found.splitlines()) == 3
 
 
+def test_only_whole_segments_are_reserved(write):
+    later = '[routes.roster]\nprefix = "{}"'
+    for prefix in ("/admin", "/metrics/x"):
+        assert "is reserved" in problems(write(a=GOOD, b=later.format(prefix)))
+    read_folder(write(a=GOOD, b=later.format("/administrators")))
+
+
 def test_only_commands_withdraw_digests(write):
     later = "[accounts.league]\nwithdrawn_digests = []"
     assert "withdrawn_digests: unknown field" in problems(write(a=GOOD, b=later))
