Confirm a shard's view before answering and tell proposals of runs apart

Cause: the stateful test over random examples found two faults. A writer that had missed another's write refused a resend with CLAIM_IN_PROGRESS although the outcome was recorded: it answered from its view without asking the platform. And a restarted instance numbered its proposals from 0 again, so that verdicts for its earlier run answered new proposals. Both were seen red there; now a view is confirmed by a write or one read before it answers, and numbers begin with the incarnation and are checked with the key's digest. Red with the mechanism disabled, in the stateful test: put without expected revision, a slot skipped unread, 'not run' for every attempt, a key taken again after an unknown outcome. Orders and recovery get their tests with freezes, kills and late messages.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
@@ -26,6 +26,7 @@
 WORKING_DELAY = timedelta(milliseconds=50)
 WORKING_INTERVAL = timedelta(milliseconds=500)
 WORKING_TIMEOUT = timedelta(milliseconds=1200)
+INCARNATION_SHIFT = 40
 GATHER_INTERVAL = timedelta(milliseconds=1)
 
 
@@ -80,7 +81,7 @@
         self._members = members
         self._sender = sender
         self._logs = logs
-        self._number = 0
+        self._number = members.own.incarnation << INCARNATION_SHIFT
         self._outstanding_by_number: dict[int, _Outstanding] = {}
         self._silent_until: dict[str, float] = {}
         self._outbox: dict[type, _Outbox] = {
@@ -115,8 +116,8 @@
         waiting: dict[int, Deferred[Any]] = {}
         for proposal in message.proposals:
             done = self._logs[proposal.shard].propose(proposal.record())
-            done.addCallback(_verdict, proposal.number)
-            done.addErrback(_no_verdict, proposal.number)
+            done.addCallback(_verdict, proposal)
+            done.addErrback(_no_verdict, proposal)
             done.addCallback(self._enqueue, instance, Verdicts)
             waiting[proposal.number] = done
         pause = WORKING_DELAY.total_seconds()
@@ -206,10 +207,11 @@
         self._try_next(outstanding)
 
     def _judged(self, verdict: Verdict) -> None:
-        outstanding = self._outstanding_by_number.pop(verdict.number, None)
-        if outstanding is None:
+        outstanding = self._outstanding_by_number.get(verdict.number)
+        if outstanding is None or outstanding.record.digest != verdict.digest:
             self.counters[ExchangeCounter.LATE_VERDICTS] += 1
             return
+        del self._outstanding_by_number[verdict.number]
         outstanding.timeout.cancel()
         if not verdict.state:
             maybe = verdict.maybe_written or len(outstanding.tried) > 1
@@ -239,12 +241,17 @@
             self._sender.send(instance, kind(tuple(items)))
 
 
-def _verdict(record: ClaimRecord, number: int) -> Verdict:
+def _verdict(record: ClaimRecord, proposal: Proposal) -> Verdict:
     return Verdict(
-        number, record.body, record.request_id, int(record.state), record.outcome
+        proposal.number,
+        proposal.digest,
+        record.body,
+        record.request_id,
+        int(record.state),
+        record.outcome,
     )
 
 
-def _no_verdict(failure: Failure, number: int) -> Verdict:
+def _no_verdict(failure: Failure, proposal: Proposal) -> Verdict:
     maybe = not failure.check(KeyValueUnavailableError)
-    return Verdict(number, maybe_written=maybe)
+    return Verdict(proposal.number, proposal.digest, maybe_written=maybe)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -104,7 +104,6 @@
         keep: timedelta,
         outcome_keep: timedelta,
         commit_interval: timedelta = COMMIT_INTERVAL,
-        slots: int = SLOTS,
     ) -> None:
         self.counters: Counter[LogCounter] = Counter()
         self._clock = clock
@@ -114,7 +113,7 @@
         self._keep = keep.total_seconds()
         self._outcome_keep = outcome_keep.total_seconds()
         self._interval = commit_interval.total_seconds()
-        self._slots = slots
+        self._slots = SLOTS
         self._pending: deque[_Pending] = deque()
         self._kept_by_digest: dict[bytes, _Kept] = {}
         self._digests_by_slot: dict[int, list[bytes]] = {}
@@ -200,15 +199,24 @@
 
     @inlineCallbacks
     def _commit(self) -> Generator[Any, Any, None]:
+        asked = tuple(self._pending)
         if not self._loaded:
             yield self._load()
         elif self._failed_since is not None:
             yield self._catch_up()
         self._purge()
         carried = self._carried()
-        batch = self._settle(MAX_SEGMENT_BYTES - sum(map(_size, carried)))
-        if not batch and not (carried and self._waiting()):
-            return
+        batch = self._batch(MAX_SEGMENT_BYTES - sum(map(_size, carried)))
+        if batch or (carried and self._crowded()):
+            yield self._append(carried, batch)
+        else:
+            yield self._catch_up()
+        self._answer(asked)
+
+    @inlineCallbacks
+    def _append(
+        self, carried: tuple[ClaimRecord, ...], batch: list[_Pending]
+    ) -> Generator[Any, Any, None]:
         records = (*carried, *(pending.record for pending in batch))
         segment = Segment(self._next, records)
         try:
@@ -227,19 +235,16 @@
             self.counters[LogCounter.RECORDS] += len(records)
             self._pace = max(self._interval, self._pace * PACE_RECOVERY)
             self._learn(segment, revision)
-        self._settle(0)
 
-    def _settle(self, room: int) -> list[_Pending]:
-        """Answer what needs no write; return what to write within ``room`` bytes."""
+    def _batch(self, room: int) -> list[_Pending]:
+        """Return what needs a write, a record a key, within ``room`` bytes."""
         batch: list[_Pending] = []
         taken: set[bytes] = set()
-        for pending in tuple(self._pending):
+        for pending in self._pending:
             record = pending.record
             if pending.waiting.called or record.digest in taken:
                 continue
-            stands = standing(record, self._recorded(record.digest))
-            if stands is not None:
-                pending.waiting.callback(stands)
+            if standing(record, self._recorded(record.digest)) is not None:
                 continue
             room -= _size(record)
             if room >= 0:
@@ -247,8 +252,23 @@
                 batch.append(pending)
         return batch
 
-    def _waiting(self) -> bool:
-        return any(not pending.waiting.called for pending in self._pending)
+    def _answer(self, asked: tuple[_Pending, ...]) -> None:
+        """Answer what was asked before the platform confirmed this view."""
+        if not self._loaded:
+            return
+        for pending in asked:
+            record = pending.record
+            stands = standing(record, self._recorded(record.digest))
+            if stands is not None and not pending.waiting.called:
+                pending.waiting.callback(stands)
+
+    def _crowded(self) -> bool:
+        """Return whether records wait that found no room in the next slot."""
+        return any(
+            standing(pending.record, self._recorded(pending.record.digest)) is None
+            for pending in self._pending
+            if not pending.waiting.called
+        )
 
     def _write(self, segment: Segment) -> "Deferred[int]":
         self.counters[LogCounter.WRITES] += 1
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_messages.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_messages.py
@@ -34,6 +34,7 @@
     """
 
     number: int
+    digest: bytes
     body: bytes = b""
     request_id: str = ""
     state: int = 0
