Carry the claims' messages between instances

Cause: claims are now routed to one writer of a shard by messages, which the instance did not deliver to them.

Ruled out: a peer of the same name as the dead run; such a resend is told that the outcome is unknown, which is right.

--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -7,6 +7,7 @@
 from twisted.internet.task import LoopingCall
 
 from pomeloglade_coordination import (
+    claim_messages,
     configuration_messages,
     membership_messages,
     placement_messages,
@@ -193,6 +194,7 @@
         register(share_messages, self.parts.shares.receive)
         register(placement_messages, self.parts.placement.receive)
         register(recovery, self.recovery.receive)
+        register(claim_messages, self.parts.claims.receive)
         self.counters.add("membership", lambda: self.members.counters)
         self.counters.add("configuration", lambda: self.spread.counters)
         self.counters.add("shares", self.parts.shares.counters)
