Credit refunds at once in the own part instead of sending them

Refunds now go into the own part's bucket at the moment they are given, as far as it has room; an instance that owns no part of the account loses them. That is safe and costs some rate; the message for refunds is gone. Ruled out: to keep the refundable part reserved until the end of a stream, as it would stop the refill of accounts with long answers.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_messages.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_messages.py
@@ -60,17 +60,3 @@
 
     incarnation: int
     sequence: int
-
-
-@dataclass(frozen=True, slots=True)
-class LoanRefund(PeerMessage):
-    """Gives an owner tokens that dispatched requests did not use.
-
-    ``sequence`` grows with each refund of a sender's run, so that none counts
-    twice.
-    """
-
-    account: str
-    incarnation: int
-    sequence: int
-    tokens: int
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
@@ -20,7 +20,6 @@
 from .share_lending import LOAN_LEASE_SECONDS, Lender
 from .share_messages import (
     LoanGrant,
-    LoanRefund,
     LoanRenewal,
     LoanReport,
     LoanRequest,
@@ -154,8 +153,6 @@
         self._asked_by_request: dict[int, _Asked] = {}
         self._sent_by_sequence: dict[int, tuple[float, list[Loan]]] = {}
         self._silent_until_by_owner: dict[str, float] = {}
-        self._refunds_by_owner: dict[tuple[str, str], int] = {}
-        self._refunds_seen_by_sender: dict[tuple[str, int], int] = {}
         self._numbers = itertools.count(1)
         self._revision = -1
         self._counts: Counter[ShareEvent] = Counter()
@@ -226,7 +223,10 @@
     def refund(self, grant: Grant, unused: int) -> None:
         """Give back what a request did not use; counts once for each grant.
 
-        A grant that was not confirmed goes back whole.
+        A grant that was not confirmed goes back whole. After ``confirm`` the tokens
+        go into the bucket of this instance's own part at once, as far as its burst
+        has room. Sent to the owner that lent them, they would arrive after the
+        refund, when room may have come free that there was not before.
         """
         escrow = grant.escrow
         now = self._clock.seconds()
@@ -240,13 +240,8 @@
         if unused <= 0:
             return
         self._counts[ShareEvent.REFUNDED] += 1
-        for loan, tokens in escrow.loans:
-            part = min(unused, tokens)
-            key = (loan.lender, grant.account)
-            self._refunds_by_owner[key] = self._refunds_by_owner.get(key, 0) + part
-            unused -= part
         bucket = self._lender.bucket(grant.account, now)
-        if bucket is not None and unused > 0:
+        if bucket is not None:
             bucket.refill(now)
             bucket.add(unused)
 
@@ -272,7 +267,6 @@
                     reports_by_lender.setdefault(key, []).append((loan, False))
         for (lender, incarnation), loans in reports_by_lender.items():
             self._report(lender, incarnation, loans, now)
-        self._send_refunds()
         self._forget(now)
 
     def hand_back(self) -> None:
@@ -280,7 +274,6 @@
         now = self._clock.seconds()
         for state in self._accounts_by_name.values():
             self._close(state.borrowed.close_idle(now, everything=True), now)
-        self._send_refunds()
 
     def counters(self) -> Mapping[ShareEvent, int]:
         """Return how often each event has occurred."""
@@ -498,13 +491,6 @@
         message = LoanReport(self._own.incarnation, incarnation, sequence, states)
         self._sender.send(lender, message)
 
-    def _send_refunds(self) -> None:
-        for (owner, account), tokens in self._refunds_by_owner.items():
-            number = next(self._numbers)
-            message = LoanRefund(account, self._own.incarnation, number, tokens)
-            self._sender.send(owner, message)
-        self._refunds_by_owner.clear()
-
     def _forget(self, now: float) -> None:
         oldest = now - LOAN_LEASE_SECONDS
         for number in [n for n, a in self._asked_by_request.items() if a.sent < oldest]:
@@ -583,18 +569,6 @@
             if loan.lender == instance and loan.expires > self._clock.seconds():
                 loan.expires = max(loan.expires, sent + LOAN_LEASE_SECONDS)
 
-    @_handle.register
-    def _(self, message: LoanRefund, instance: str) -> None:
-        sender = (instance, message.incarnation)
-        if message.sequence <= self._refunds_seen_by_sender.get(sender, 0):
-            return
-        self._refunds_seen_by_sender[sender] = message.sequence
-        now = self._clock.seconds()
-        bucket = self._lender.bucket(message.account, now)
-        if bucket is not None:
-            bucket.refill(now)
-            bucket.add(message.tokens)
-
     def _take_loan(
         self, state: _Account, loan: Loan, revision: int, now: float
     ) -> None:
