--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -387,6 +387,8 @@
         """Repeat unanswered asks and tell the owners what is in flight."""
         self._notice_pause()
         self._ask_again(force=False)
+        for placing in list(self._owners_by_group.values()):
+            placing.tick()
         now = self._clock.seconds()
         if now - self._counted_at < HOLDINGS_SECONDS:
             return
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
@@ -30,6 +30,9 @@
 SLOTS_PER_KEPT_SLOT = 32
 """Slots of which one is kept, in overload, for accounts within their share."""
 
+REPEAT_SECONDS = 0.5
+"""How often instances are asked again for what they hold."""
+
 URGENT_SECONDS = 0.1
 """Time before its latest start at which a request is held back no more."""
 
@@ -105,7 +108,8 @@
         self._waiting_by_id: dict[str, _Waiting] = {}
         self._queue = DeadlineQueue()
         self._seconds_per_prompt_token = 0.0
-        self._unheard: set[str] = set()
+        self._asked_at_by_unheard: dict[str, float] = {}
+        self._wanted_at = 0.0
         self._number = 0
         self._started_number = 0
         self._miscounted: set[str] = set()
@@ -132,9 +136,8 @@
         self._servers.clear()
         self._block_for_lost(lost_seconds)
         self._number = self._started_number = next(self._numbers)
-        self._unheard = set(instances)
-        for instance in sorted(self._unheard):
-            self._send(instance, HoldingsWanted(self.group, self._number))
+        self._asked_at_by_unheard = dict.fromkeys(sorted(instances), now)
+        self._ask_unheard()
 
     def stop(self) -> None:
         """Cancel the timer; the owner is used no more."""
@@ -142,10 +145,31 @@
             self._timer.cancel()
 
     def instance_joined(self, instance: str) -> None:
-        """Ask an instance that came (back) what it holds."""
+        """Ask an instance that came (back) what it holds, before more grants."""
         self._lost_at_by_instance.pop(instance, None)
         self._number = next(self._numbers)
-        self._send(instance, HoldingsWanted(self.group, self._number))
+        self._asked_at_by_unheard[instance] = self._clock.seconds()
+        self._ask_unheard()
+
+    def tick(self) -> None:
+        """Ask the instances again that have not told what they hold.
+
+        One that stays silent for a lease holds nothing any more.
+        """
+        now = self._clock.seconds()
+        if not self._asked_at_by_unheard or now - self._wanted_at < REPEAT_SECONDS:
+            return
+        for instance, asked_at in list(self._asked_at_by_unheard.items()):
+            if now - asked_at >= SLOT_LEASE_SECONDS:
+                self.counters["instances_unheard"] += 1
+                del self._asked_at_by_unheard[instance]
+        self._ask_unheard()
+        self.serve()
+
+    def _ask_unheard(self) -> None:
+        self._wanted_at = self._clock.seconds()
+        for instance in list(self._asked_at_by_unheard):
+            self._send(instance, HoldingsWanted(self.group, self._number))
 
     def instance_lost(self, instance: str) -> None:
         """Drop the asks of an instance, and keep its slots for their lease."""
@@ -155,8 +179,7 @@
         for request_id, waiting in list(self._waiting_by_id.items()):
             if waiting.instance == instance:
                 self._forget_waiting(request_id)
-        if instance in self._unheard:
-            self._unheard.discard(instance)
+        if self._asked_at_by_unheard.pop(instance, None) is not None:
             self._block_for_lost(0.0)
         self.serve()
 
@@ -190,8 +213,7 @@
         for holding in message.holdings:
             if holding.request_id not in self._held_by_id:
                 self._hold(instance, holding, prompt_tokens=0)
-        if instance in self._unheard:
-            self._unheard.discard(instance)
+        if self._asked_at_by_unheard.pop(instance, None) is not None:
             self._block_for_lost(message.lost_seconds)
         self.serve()
 
@@ -218,7 +240,7 @@
 
     def observe_load(self, replica: str, held: int, reported_at: float) -> None:
         """Learn from a load report how many requests of lost instances run."""
-        if reported_at <= self._started_at or self._unheard:
+        if reported_at <= self._started_at or self._asked_at_by_unheard:
             return
         if self._servers.observe_load(replica, held):
             self.serve()
@@ -313,7 +335,7 @@
         self._set_timer()
 
     def _grant_next(self) -> None:
-        if self._unheard or not self._servers.has_room():
+        if self._asked_at_by_unheard or not self._servers.has_room():
             return
         for request_id in self._queue.in_order():
             waiting = self._waiting_by_id[request_id]
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -1,110 +1,430 @@
 """Tests of placement."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, precondition, rule
+from twisted.internet.task import Clock
 
 from pomeloglade_coordination.members import FixedMembership, Member
 from pomeloglade_coordination.placement import Assignment, Job, Placement, Replica
-from pomeloglade_coordination.refusals import Reason
+from pomeloglade_coordination.placement_messages import PlacementGrant
+from pomeloglade_coordination.placement_owner import SLOT_LEASE_SECONDS
+from pomeloglade_coordination.refusals import Reason, Refusal
+from pomeloglade_coordination.suspects import Suspects
+
+POOL = "assessor-llm"
+REPLICAS = (
+    Replica("p1", POOL, "prefill", "zone-a", 4),
+    Replica("d1", POOL, "decode", "zone-a", 2),
+    Replica("d2", POOL, "decode", "zone-b", 2),
+)
 
 
-class _Network:
-    """Delivers messages between placements after a delay, in order."""
+class Fleet:
+    """Three instances whose messages take a millisecond, in order."""
 
-    def __init__(self, clock):
+    def __init__(self, clock, replicas=REPLICAS):
         self.clock = clock
-        self.delay = 0.001
-        self.placements_by_instance = {}
         self.down = set()
+        self.mute = set()
+        self.answers_by_id = {}
+        self.members = [
+            Member("i1", "zone-a", 1),
+            Member("i2", "zone-a", 1),
+            Member("i3", "zone-b", 1),
+        ]
+        self.views = {}
+        self.placements = {}
+        self.suspects = {}
+        for member in self.members:
+            self._add(member)
+        for placement in self.placements.values():
+            placement.configure(replicas)
+        self.advance(0.01)
 
-    def sender(self, instance):
-        return _Sender(self, instance)
+    def _add(self, member):
+        name = member.instance
+        view = self.views[name] = FixedMembership(member, tuple(self.members))
+        sender = _Sender(self, name)
+        suspects = self.suspects[name] = Suspects(
+            clock=self.clock, members=view, sender=sender
+        )
+        self.placements[name] = Placement(
+            clock=self.clock,
+            members=view,
+            sender=sender,
+            random=Random(1),
+            suspects=suspects,
+        )
 
     def deliver(self, source, target, message):
+        """Hand a message to both parts of an instance that is up."""
         if source not in self.down and target not in self.down:
-            self.placements_by_instance[target].receive(source, message)
+            self.placements[target].receive(source, message)
+            self.suspects[target].receive(source, message)
+
+    def owner(self):
+        """Return the instance that places on the replicas."""
+        up = next(name for name in self.placements if name not in self.down)
+        return self.placements[up]._owner_of(POOL)
+
+    def others(self):
+        """Return the instances that are up and don't own the replicas."""
+        up = [name for name in self.placements if name not in self.down]
+        return [name for name in up if name != self.owner()]
+
+    def lose(self, instance):
+        """Stop an instance and take it out of the others' views."""
+        self.down.add(instance)
+        for name, view in self.views.items():
+            if name not in self.down:
+                view.set_members(
+                    tuple(m for m in self.members if m.instance not in self.down)
+                )
+
+    def assign(self, instance, request_id, **changes):
+        """Ask for an assignment and note every answer."""
+        answers = self.answers_by_id[request_id] = []
+        now = self.clock.seconds()
+        job = Job(request_id, "club", 1, POOL, "model", 1000, 100, now + 1.1)
+        job = replace(job, **changes)
+        self.placements[instance].assign(job).addCallback(answers.append)
+        return answers
+
+    def assigned(self):
+        """Return the requests that have replicas."""
+        return [
+            request_id
+            for request_id, answers in self.answers_by_id.items()
+            if answers and isinstance(answers[0], Assignment)
+        ]
+
+    def advance(self, seconds, step=0.005):
+        """Let time pass, with ticks at the instances that are up."""
+        for _ in range(round(seconds / step)):
+            self.clock.advance(step)
+            for name, placement in self.placements.items():
+                if name not in self.down:
+                    placement.tick()
+                    self.suspects[name].tick()
 
 
 class _Sender:
-    def __init__(self, network, instance):
-        self.network = network
+    def __init__(self, fleet, instance):
+        self.fleet = fleet
         self.instance = instance
 
     def send(self, instance, message):
-        network = self.network
-        network.clock.callLater(
-            network.delay, network.deliver, self.instance, instance, message
-        )
+        fleet = self.fleet
+        if self.instance not in fleet.mute:
+            fleet.clock.callLater(
+                0.001, fleet.deliver, self.instance, instance, message
+            )
 
 
-def job(request_id, clock, **changes):
-    values = {
-        "account": "club",
-        "weight": 1,
-        "pool": "assessor-llm",
-        "kind": "model",
-        "prompt_tokens": 1000,
-        "output_tokens": 100,
-        "deadline": clock.seconds() + 1.1,
-    }
-    return Job(request_id, **{**values, **changes})
+@pytest.fixture
+def fleet(clock):
+    return Fleet(clock)
 
 
-REPLICAS = (
-    Replica("p1", "assessor-llm", "prefill", "zone-a", 2),
-    Replica("d1", "assessor-llm", "decode", "zone-a", 2),
-    Replica("d2", "assessor-llm", "decode", "zone-b", 2),
-)
+def _fill(fleet, instances):
+    for number, instance in enumerate(instances):
+        fleet.assign(instance, f"held-{number}")
+        fleet.advance(0.01)
+        fleet.placements[instance].prefilled(f"held-{number}")
+    fleet.advance(0.01)
+    assert len(fleet.assigned()) == len(instances)
 
 
-class _Fleet:
-    def __init__(self, clock, replicas=REPLICAS):
-        self.clock = clock
-        self.network = _Network(clock)
-        self.members = [
-            Member("i1", "zone-a", 1),
-            Member("i2", "zone-a", 1),
-            Member("i3", "zone-b", 1),
-        ]
-        self.views_by_instance = {}
-        for member in self.members:
-            view = FixedMembership(member, tuple(self.members))
-            self.views_by_instance[member.instance] = view
-            self.network.placements_by_instance[member.instance] = Placement(
-                clock=clock,
-                members=view,
-                sender=self.network.sender(member.instance),
-                random=Random(1),
-            )
-        for each in self.placements():
-            each.configure(replicas)
-        self.advance(0.01)
+def test_late_request_is_refused_before_its_target(clock, fleet):
+    _fill(fleet, ["i1", "i2", "i3", "i1"])
+    asked_at = clock.seconds()
+    answers = fleet.assign("i2", "late")
+    while not answers:
+        fleet.advance(0.005)
+    assert answers[0].reason is Reason.TARGET_MISSED
+    assert answers[0].not_run
+    assert answers[0].retry_after.total_seconds() > 0
+    assert clock.seconds() - asked_at < 1.1
 
-    def placements(self):
-        return list(self.network.placements_by_instance.values())
 
-    def advance(self, seconds, step=0.005):
-        for _ in range(round(seconds / step)):
-            self.clock.advance(step)
-            for instance, each in self.network.placements_by_instance.items():
-                if instance not in self.network.down:
-                    each.tick()
+def test_new_owner_counts_what_all_hold_and_answers_the_queue(fleet):
+    killed = fleet.owner()
+    first, second = fleet.others()
+    _fill(fleet, [first, second, first, second])
+    queued = fleet.assign(first, "queued", patient=True, give_up=60.0)
+    fleet.advance(0.01)
+    fleet.lose(killed)
+    fleet.advance(SLOT_LEASE_SECONDS + 0.5)
+    assert queued == []
+    fleet.placements[second].release("held-1")
+    fleet.advance(0.02)
+    assert [type(answer) for answer in queued] == [Assignment]
 
 
-@pytest.fixture
-def fleet(clock):
-    return _Fleet(clock)
+def test_slots_of_a_dead_owner_stay_taken_for_their_lease(fleet):
+    killed = fleet.owner()
+    other = fleet.others()[0]
+    _fill(fleet, [killed] * 4)
+    fleet.lose(killed)
+    queued = fleet.assign(other, "queued", patient=True, give_up=60.0)
+    fleet.advance(SLOT_LEASE_SECONDS - 0.5)
+    assert queued == []
+    fleet.advance(1.0)
+    assert len(queued) == 1
 
 
-def test_slots_are_shared_by_all_instances(clock, fleet):
-    answers = []
-    for number, placement in enumerate(fleet.placements() * 2):
-        placement.assign(job(f"r{number}", clock)).addCallback(answers.append)
-        fleet.advance(0.01)
-        placement.prefilled(f"r{number}")
+def test_slots_of_a_dead_instance_stay_taken_for_their_lease(fleet):
+    killed, other = fleet.others()
+    _fill(fleet, [killed] * 4)
+    fleet.lose(killed)
+    queued = fleet.assign(other, "queued", patient=True, give_up=60.0)
+    fleet.advance(SLOT_LEASE_SECONDS - 0.5)
+    assert queued == []
+    fleet.advance(1.0)
+    assert len(queued) == 1
+
+
+def test_joining_owner_grants_nothing_before_it_has_heard_all(clock):
+    joining = Fleet(clock).owner()
+    fleet = Fleet(clock)
+    present = [m for m in fleet.members if m.instance != joining]
+    for member in present:
+        fleet.views[member.instance].set_members(tuple(present))
+    fleet.advance(SLOT_LEASE_SECONDS + 0.1)
+    _fill(fleet, [member.instance for member in present] * 2)
+    fleet.views[joining].set_members(())
+    for view in fleet.views.values():
+        view.set_members(tuple(fleet.members))
+    queued = fleet.assign(joining, "queued", patient=True, give_up=60.0)
+    fleet.advance(0.1)
+    assert fleet.owner() == joining
+    assert queued == []
+
+
+def test_question_whose_answer_was_lost_is_repeated(fleet):
+    owner = fleet.owner()
+    instance = fleet.others()[0]
+    fleet.mute.add(instance)
+    fleet.placements[owner]._owners_by_group[POOL].instance_joined(instance)
+    fleet.advance(0.1)
+    fleet.mute.clear()
+    answers = fleet.assign(instance, "r1")
+    fleet.advance(0.7)
+    assert [type(answer) for answer in answers] == [Assignment]
+
+
+def test_load_report_frees_a_new_owner_before_the_lease_ends(clock, fleet):
+    fleet.lose(fleet.owner())
+    fleet.advance(0.1)
+    queued = fleet.assign(fleet.owner(), "queued", patient=True, give_up=60.0)
+    fleet.advance(0.1)
+    assert queued == []
+    for placement in fleet.placements.values():
+        for replica in REPLICAS:
+            placement.observe_load(replica.name, 0, 0, clock.seconds())
+    fleet.advance(0.01)
+    assert len(queued) == 1
+
+
+def test_frozen_owner_wakes_and_its_queued_grant_is_not_used(clock, fleet):
+    frozen = fleet.owner()
+    other = fleet.others()[0]
+    answers = fleet.assign(other, "r1", patient=True, give_up=60.0)
+    number = max(fleet.placements[other]._pending_by_id["r1"].asked_at_by_number)
+    fleet.lose(frozen)
+    fleet.advance(0.1)
+    fleet.down.discard(frozen)
+    stale = PlacementGrant(POOL, number, "r1", "p1", "d1", "")
+    fleet.deliver(frozen, other, stale)
+    assert answers == []
+    assert fleet.placements[other].counters()["grants_unused"] == 1
+
+
+def test_woken_owner_grants_nothing_before_it_has_asked_all(clock, fleet):
+    owner = fleet.owner()
+    first, second = fleet.others()
+    _fill(fleet, [first, second, first, second])
+    fleet.down.add(owner)
+    fleet.placements[first].release("held-0")
+    fleet.advance(2.0)
+    fleet.down.discard(owner)
+    fleet.down.add(second)
+    answers = fleet.assign(owner, "r1", patient=True, give_up=60.0)
+    fleet.advance(0.3)
+    assert answers == []
+    fleet.down.discard(second)
+    fleet.advance(SLOT_LEASE_SECONDS)
+    assert len(answers) == 1
+    assert fleet.placements[owner].counters()["pauses"] == 1
+
+
+def test_leaving_replica_gets_no_queued_work(fleet):
+    _fill(fleet, ["i1", "i2", "i3", "i1"])
+    queued = fleet.assign("i2", "queued", patient=True, give_up=60.0)
+    leaving = [replace(r, accepting=r.role != "decode") for r in REPLICAS]
+    fleet.advance(0.01)
+    for placement in fleet.placements.values():
+        placement.configure(leaving)
+    fleet.placements["i1"].release("held-0")
     fleet.advance(0.02)
-    assert len(answers) == 4
-    assert all(isinstance(answer, Assignment) for answer in answers)
-    fleet.advance(1.2)
-    assert [answer.reason for answer in answers[4:]] == [Reason.TARGET_MISSED] * 2
+    assert [answer.reason for answer in queued] == [Reason.NO_BACKEND_SERVER]
+
+
+def test_engine_refusal_frees_the_grant_and_spares_the_replica(fleet):
+    refused = fleet.assign("i1", "r1")
+    fleet.advance(0.01)
+    full = refused[0].decode
+    fleet.placements["i1"].refused_by_engine("r1", full)
+    fleet.advance(0.01)
+    again = [fleet.assign("i1", f"again-{n}") for n in range(2)]
+    third = fleet.assign("i1", "again-2")
+    fleet.advance(0.1)
+    assert full not in {answers[0].decode for answers in again}
+    assert third == []
+    fleet.advance(0.5)
+    assert third[0].decode == full
+
+
+def test_cancel_that_crosses_the_grant_frees_the_slot_once(fleet):
+    instance = fleet.others()[0]
+    answers = fleet.assign(instance, "r1")
+    fleet.clock.advance(0.001)
+    fleet.placements[instance].cancel("r1")
+    fleet.placements[instance].cancel("r1")
+    fleet.placements[instance].release("r1")
+    fleet.advance(0.05)
+    assert [answer.reason for answer in answers] == [Reason.CANCELLED]
+    assert fleet.placements[instance].in_flight("d1") == 0
+    _fill(fleet, ["i1", "i2", "i3", "i1"])
+
+
+def test_grant_whose_cancel_was_lost_is_given_back(fleet):
+    owner = fleet.owner()
+    instance = fleet.others()[0]
+    fleet.assign(instance, "r1")
+    fleet.clock.advance(0.0015)
+    fleet.mute.add(instance)
+    fleet.placements[instance].cancel("r1")
+    fleet.mute.clear()
+    fleet.advance(0.05)
+    held = fleet.placements[owner]._owners_by_group[POOL]._held_by_id
+    assert list(held) == []
+
+
+def test_lost_release_is_found_by_counting(fleet):
+    owner = fleet.owner()
+    instance = fleet.others()[0]
+    _fill(fleet, [instance] * 4)
+    fleet.down.add(owner)
+    fleet.placements[instance].release("held-0")
+    fleet.advance(0.5)
+    fleet.down.discard(owner)
+    fleet.advance(5.0)
+    answers = fleet.assign(instance, "r1")
+    fleet.advance(0.05)
+    assert len(answers) == 1
+
+
+def test_prefix_goes_to_its_replica_unless_that_is_too_busy(clock):
+    second = Replica("p2", POOL, "prefill", "zone-a", 4)
+    fleet = Fleet(clock, (*REPLICAS, second))
+    prefills = []
+    for number in range(3):
+        answers = fleet.assign("i1", f"r{number}", prefix=(1, 2))
+        fleet.advance(0.01)
+        prefills.append(answers[0].prefill)
+    assert prefills[0] == prefills[1]
+    assert prefills[2] != prefills[0]
+
+
+class PlacementMachine(RuleBasedStateMachine):
+    """Compares what the instances believe to hold with the replicas' slots."""
+
+    def __init__(self):
+        super().__init__()
+        self.fleet = Fleet(Clock())
+        self.instance_by_id = {}
+        self.ended = set()
+        self.lost_at_by_instance = {}
+
+    def _live(self, request_id):
+        return self.instance_by_id[request_id] not in self.fleet.down
+
+    def _holding(self):
+        now = self.fleet.clock.seconds()
+        for request_id in self.fleet.assigned():
+            lost_at = self.lost_at_by_instance.get(self.instance_by_id[request_id])
+            lapsed = lost_at is not None and now - lost_at >= SLOT_LEASE_SECONDS
+            if request_id not in self.ended and not lapsed:
+                yield request_id
+
+    @rule(instance=st.sampled_from(["i1", "i2", "i3"]), patient=st.booleans())
+    def assign(self, instance, patient):
+        """Send a request."""
+        if instance in self.fleet.down:
+            return
+        request_id = f"r{len(self.instance_by_id)}"
+        self.instance_by_id[request_id] = instance
+        give_up = self.fleet.clock.seconds() + 20.0
+        self.fleet.assign(instance, request_id, patient=patient, give_up=give_up)
+
+    @rule(data=st.data(), way=st.sampled_from(["release", "cancel", "refuse"]))
+    def end(self, data, way):
+        """End one request in one of the possible ways."""
+        live = [i for i in self.instance_by_id if self._live(i) and i not in self.ended]
+        if not live:
+            return
+        request_id = data.draw(st.sampled_from(live))
+        placement = self.fleet.placements[self.instance_by_id[request_id]]
+        if way == "cancel":
+            placement.cancel(request_id)
+        elif request_id in self.fleet.assigned() and way == "refuse":
+            answer = self.fleet.answers_by_id[request_id][0]
+            placement.refused_by_engine(request_id, answer.decode)
+        elif request_id in self.fleet.assigned():
+            placement.prefilled(request_id)
+            placement.release(request_id)
+        else:
+            return
+        self.ended.add(request_id)
+
+    @rule(seconds=st.sampled_from([0.005, 0.02, 0.6, 3.0]))
+    def wait(self, seconds):
+        """Let time pass."""
+        self.fleet.advance(seconds, step=min(seconds, 0.1))
+
+    @precondition(lambda self: len(self.fleet.down) < 2)
+    @rule(instance=st.sampled_from(["i1", "i2", "i3"]))
+    def kill(self, instance):
+        """Kill an instance for good."""
+        if instance not in self.fleet.down:
+            self.lost_at_by_instance[instance] = self.fleet.clock.seconds()
+            self.fleet.lose(instance)
+
+    @invariant()
+    def slots_are_never_exceeded(self):
+        """No replica has more requests than slots."""
+        for replica in REPLICAS:
+            if replica.role == "decode":
+                held = [
+                    request_id
+                    for request_id in self._holding()
+                    if self.fleet.answers_by_id[request_id][0].decode == replica.name
+                ]
+                assert len(held) <= replica.slots
+
+    def teardown(self):
+        """Every request of a live instance has exactly one answer."""
+        self.fleet.advance(25.0, step=0.1)
+        for request_id, answers in self.fleet.answers_by_id.items():
+            assert len(answers) == 1 or (not self._live(request_id) and not answers)
+            assert all(isinstance(each, Assignment | Refusal) for each in answers)
+
+
+TestPlacementMachine = PlacementMachine.TestCase
+TestPlacementMachine.settings = settings(max_examples=30, stateful_step_count=30)
