Sharpen the tests that stayed green with their mechanism disabled

Cause: each mechanism was disabled in a scratch copy and the tests run. Some stayed green: late assembly after a newer revision, shards removed after a lost answer, a redialled connection that the other end took for a duplicate, a publish whose push was lost, a newcomer that no list names.

Now red with the mechanism disabled, each tried: adopting any revision, no own fence, no allowance for an own pause, no age on the platform's word, no digest check, no refusal of old incarnations, no fleet fingerprint, no greeting of unheard instances, no silence check and no proof on links, no replacement flag, no wait before a replaced incarnation's death, retrying a rejected value, a fence too early, removing shards after a lost answer. Without repeated reports and announcements three tests of zones without the platform turn red.

A seed in another zone now tells a newcomer its own zone's members too; without that an instance without a list never found its zone. Asking random peers for a first value was taken out: with it disabled nothing turned red, as every instance asks its watchers at its start.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
@@ -48,7 +48,6 @@
 REMINDERS_FOR_SECONDS = 5.0
 SECOND_PUSH_SECONDS = 0.3
 CUT_OFF_SECONDS = 20.0
-FIRST_QUESTIONS = 3
 DELTA_HISTORY = 16
 DELTA_BYTES = 65_536
 """A larger change is not sent as a delta but asked for in chunks."""
@@ -115,7 +114,6 @@
         self._changed = now
         self._announced = now
         self._reminded = now
-        self._asked = now - RETRY_SECONDS
         self._requested = now - RETRY_SECONDS
         self._known: set[Member] = set()
         self._live: set[str] = set()
@@ -159,6 +157,7 @@
     def start(self) -> None:
         """Begin to watch, to poll and to tell the peers."""
         self._running = True
+        self._announce()
         self._step()
         self._source.start()
 
@@ -309,7 +308,7 @@
             self.counters[ConfigurationEvent.TRANSFER_FAILED] += 1
             self._revisions_by_instance.pop(self._transfer.instance, None)
             self._transfer = None
-        self._ask_ahead(now)
+        self._ask_ahead()
         if now - self._announced >= ANNOUNCE_SECONDS:
             self._announced = now
             self._announce()
@@ -318,8 +317,8 @@
             self._remind(now)
         self._later("step", STEP_SECONDS, self._step)
 
-    def _ask_ahead(self, now: float) -> None:
-        """Ask a peer that is ahead, or any peer while there is no value at all."""
+    def _ask_ahead(self) -> None:
+        """Ask a peer that is ahead."""
         seen = self.seen()
         ahead = [
             instance
@@ -328,15 +327,6 @@
         ]
         if ahead:
             self._request_soon(self._random.choice(sorted(ahead)))
-        elif not self.revision and now - self._asked >= RETRY_SECONDS:
-            self._asked = now
-            self._ask_anyone()
-
-    def _ask_anyone(self) -> None:
-        others = sorted(self._live - {self._own})
-        count = min(FIRST_QUESTIONS, len(others))
-        for instance in self._random.sample(others, count):
-            self._send_revision(instance, reply=True)
 
     def _request_soon(self, instance: str) -> None:
         """Ask a peer that is ahead, unless a request is under way."""
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
@@ -6,6 +6,7 @@
 from .members import Member
 
 UNKNOWN_INCARNATION = 0
+NAMED_SECONDS = 10.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -18,36 +19,55 @@
     leaving: bool = False
 
 
+@dataclass(frozen=True, slots=True)
+class _Named:
+    """A member that a peer named, and until when to count it."""
+
+    member: Member
+    until: float
+
+
 class Listing:
-    """The entries listed last, by zone.
+    """The instances listed last, and those that peers have named since.
 
     Parameters
     ----------
-    entries : iterable of ListedInstance
-        The platform's list.
     own : str
         The own instance, which is left out.
     """
 
-    def __init__(self, entries: Iterable[ListedInstance] = (), own: str = "") -> None:
-        self.leaving: set[str] = set()
-        self._members_by_zone: dict[str, list[Member]] = {}
-        for entry in sorted(entries, key=lambda each: each.instance):
-            self._add(entry, own)
-
-    def _add(self, entry: ListedInstance, own: str) -> None:
-        if entry.leaving:
-            self.leaving.add(entry.instance)
-            return
-        zone = entry.availability_zone
-        member = Member(entry.instance, zone, UNKNOWN_INCARNATION, entry.address)
-        if entry.instance != own:
-            self._members_by_zone.setdefault(zone, []).append(member)
-
-    def availability_zones(self) -> tuple[str, ...]:
+    def __init__(self, own: str) -> None:
+        self.leaving: frozenset[str] = frozenset()
+        self._own = own
+        self._listed: dict[str, Member] = {}
+        self._named_by_instance: dict[str, _Named] = {}
+
+    def set_entries(self, entries: Iterable[ListedInstance]) -> None:
+        """Take the platform's list in place of the earlier one."""
+        known = [each for each in entries if each.instance != self._own]
+        self.leaving = frozenset(each.instance for each in known if each.leaving)
+        self._listed = {
+            each.instance: Member(
+                each.instance, each.availability_zone, UNKNOWN_INCARNATION, each.address
+            )
+            for each in sorted(known, key=lambda each: each.instance)
+            if not each.leaving
+        }
+
+    def name(self, member: Member, now: float) -> None:
+        """Count a member that a peer named for ``NAMED_SECONDS``."""
+        until = now + NAMED_SECONDS
+        self._named_by_instance[member.instance] = _Named(member, until)
+
+    def availability_zones(self) -> set[str]:
         """Return the zones of the instances listed."""
-        return tuple(self._members_by_zone)
+        return {each.availability_zone for each in self._listed.values()}
 
-    def members(self, availability_zone: str) -> tuple[Member, ...]:
-        """Return the instances listed as live in a zone, their incarnation unknown."""
-        return tuple(self._members_by_zone.get(availability_zone, ()))
+    def members(self, availability_zone: str, now: float) -> list[Member]:
+        """Return the instances of a zone that should run; incarnations may be 0."""
+        named = self._named_by_instance
+        for instance in [name for name, each in named.items() if each.until <= now]:
+            del named[instance]
+        found = dict(self._listed)
+        found |= {name: each.member for name, each in named.items()}
+        return [m for m in found.values() if m.availability_zone == availability_zone]
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
@@ -96,7 +96,7 @@
         self._last_heartbeat = now - HEARTBEAT_SECONDS
         self._last_join = now - JOIN_SECONDS
         self._last_fleet = now
-        self._listing = Listing()
+        self._listing = Listing(own.instance)
         self._inside = FailureDetector()
         self._across = FailureDetector(SILENCE_SECONDS)
         self._exchange = ZoneExchange(self, sender, self.counters)
@@ -174,7 +174,7 @@
 
     def listed(self, entries: Iterable[ListedInstance]) -> None:
         """Take in the platform's list; it adds candidates and never removes."""
-        self._listing = Listing(entries, self.own.instance)
+        self._listing.set_entries(entries)
         for name, peer in self._inside.peers_by_instance.items():
             peer.leaving = peer.leaving or name in self._listing.leaving
         self._refresh()
@@ -330,25 +330,26 @@
 
     def _candidates(self) -> list[Member]:
         """Return the instances to greet: own zone's unheard, and unheard zones'."""
-        inside = self._listing.members(self.own.availability_zone)
+        now = self._clock.seconds()
+        inside = self._listing.members(self.own.availability_zone, now)
         found = [each for each in inside if self._inside.peer(each.instance) is None]
         if not self._is_contact:
             return found
         heard = set(self._exchange.heard())
         for zone in self._other_zones():
             if zone not in heard:
-                found += self._zone_candidates(zone)
+                found += self._zone_candidates(zone, now)
         return found
 
-    def _zone_candidates(self, zone: str) -> list[Member]:
+    def _zone_candidates(self, zone: str, now: float) -> list[Member]:
         """Return the zone's likely contacts and, in turn, each other member."""
         known = self._exchange.zones.known(zone)
-        listed = self._listing.members(zone)
+        listed = self._listing.members(zone, now)
         by_instance = {each.instance: each for each in (*known, *listed)}
         members = [member for _, member in sorted(by_instance.items())]
         found = list(contacts(zone, members, self._contacts_per_zone))
         if members:
-            turn = members[int(self._clock.seconds()) % len(members)]
+            turn = members[int(now) % len(members)]
             found += [turn] if turn not in found else []
         return found
 
@@ -450,6 +451,7 @@
         for member in message.joined:
             known = self._inside.peer(member.instance) is not None
             if not known and member.instance != self.own.instance:
+                self._listing.name(member, self._clock.seconds())
                 self._greet(member.instance, reply=True)
 
     # The live members
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/zone_exchange.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/zone_exchange.py
@@ -94,6 +94,9 @@
         self._sender.send(member.instance, self._whole(own))
         if member.availability_zone == own:
             self._tell_heard(member.instance)
+        elif member.availability_zone in self.heard():
+            whole = self.zones.whole(member.availability_zone)
+            self._sender.send(member.instance, whole)
 
     def tell_fingerprint(self) -> None:
         """Send the own zone one number that shows whether an update was lost."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -166,6 +166,7 @@
     old = ConfigurationDelta(0, before - 1, digest(b"x"), (Splice(0, 0, b"x"),))
     node.deliver("z1-i0", old)
     node.deliver("z1-i0", ConfigurationChunk(before - 1, digest(b"x"), 1, 0, b"x"))
+    node.spread.adopt(before - 1, b"assembled too late")
     fleet.advance(5)
     assert node.spread.value == b"two"
     assert node.spread.counters[ConfigurationEvent.OLD_REVISION] >= 2
@@ -188,6 +189,19 @@
     publish_and_wait(fleet, b"three")
 
 
+def test_lost_push_is_repeated_within_the_bound():
+    fleet = Fleet((5, 4, 4))
+    fleet.advance(SETTLE_SECONDS)
+    publish_and_wait(fleet, b"one")
+    fleet.network.loss = 1.0
+    revision = fleet.publish(b"two")
+    fleet.advance(0.5)
+    assert not fleet.in_force(revision)
+    fleet.network.loss = 0.0
+    fleet.advance(IN_FORCE_SECONDS - 0.5)
+    assert fleet.in_force(revision)
+
+
 def test_large_configuration_reaches_a_new_instance_with_lost_messages(fleet):
     value = deployment(2000)
     publish_and_wait(fleet, value)
@@ -326,7 +340,10 @@
 
 def test_lost_answer_before_another_operators_publish_is_not_claimed(store):
     base = result(sharded(store).publish(LARGE, 0))
-    other = deployment(6000, changed=99)
+    mine = deployment(6000, changed=10)
+    other = mine.replace(
+        b'"account-05000": {"rate": 10', b'"account-05000": {"rate": 9'
+    )
 
     def overtake():
         entry = result(store.get(CONFIGURATION_KEY))
@@ -334,7 +351,7 @@
 
     losing = LosingStore(store, applied=True, then=overtake)
     with pytest.raises(PublishOvertakenError):
-        result(sharded(losing, 2).publish(deployment(6000, changed=10), base))
+        result(sharded(losing, 2).publish(mine, base))
     assert result(sharded(store).read()).value == other
 
 
--- a/tests/test_configuration_stateful.py
+++ b/tests/test_configuration_stateful.py
@@ -71,9 +71,10 @@
     def watches(self, number, silent):
         self.pick(number).store.silent_watches = silent
 
-    @rule(number=picks)
-    def freeze(self, number):
+    @rule(number=picks, seconds=strategies.sampled_from([0.0, 2.0, 7.0]))
+    def freeze(self, number, seconds):
         self.pick(number).freeze()
+        self.fleet.advance(seconds)
 
     @rule(number=picks)
     def wake(self, number):
@@ -105,7 +106,7 @@
         node, sender = self.pick(number), self.pick(other)
         node.deliver(sender.instance, ConfigurationRevision(revision))
 
-    @rule(seconds=strategies.sampled_from([0.1, 1.0, 3.0, 12.0]))
+    @rule(seconds=strategies.sampled_from([0.1, 1.0, 12.0]))
     def advance(self, seconds):
         self.fleet.advance(seconds)
 
@@ -144,6 +145,6 @@
 
 
 _SpreadMachine.TestCase.settings = hypothesis.settings(
-    max_examples=15, stateful_step_count=20
+    max_examples=20, stateful_step_count=25
 )
 TestSpread = _SpreadMachine.TestCase
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -154,6 +154,21 @@
     assert len(reactor.pipes) >= 2
 
 
+def test_redialled_connection_replaces_one_that_the_other_end_still_hears(reactor):
+    (one, got_one), (two, _) = links(reactor, "a"), links(reactor, "b")
+    two.connect(f"h:{one.listening_port}")
+    reactor.run(1)
+    dialled, accepted = reactor.pipes[0]
+    accepted.swallows = True
+    reactor.run(1.5)
+    dialled.swallows = True
+    reactor.run(1.6)
+    two.send("a", Heartbeat(7))
+    reactor.run(0.2)
+    assert got_one == [("b", Heartbeat(7))]
+    assert one.counters[LinkEvent.REPLACED] == 1
+
+
 def test_peer_without_the_secret_is_refused_and_the_secret_is_not_sent(reactor):
     (one, _), (two, got_two) = links(reactor, "a", "right"), links(reactor, "b", "no")
     one.connect(f"h:{two.listening_port}")
