Refuse withdrawn keys by name and announce the length of whole answers

Cause: the daemon looked only at the keys that accounts still list. A digest that was withdrawn with its account, and is kept at the configuration's top, could have come back with a folder; its callers now get key_withdrawn. Answers sent as one body had no Content-Length, so a caller could not tell a cut one.

Ruled out: a separate index of withdrawn digests beside the accounts.

--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -31,12 +31,13 @@
 
 from ..state.counters import CounterPage
 from ..state.deployment import BackendServer, Deployment
+from ..state.instance_record import InstanceRecord
 from ..state.metrics import Metrics
 from .engine import Engines, Services
 from .engine_directory import EngineDirectory
 from .health import Health
 from .in_force import InForce
-from .instance_list import InstanceList, PlatformInstance
+from .instance_list import InstanceList
 from .open_requests import OpenRequests
 from .owner_table import OwnerTable
 from .parts import Parts
@@ -218,7 +219,7 @@
         self.parts.placement.configure(_replicas(deployment))
         eliot.log_message("pomeloglade:in_force", revision=revision)
 
-    def _listed(self, instances: tuple[PlatformInstance, ...]) -> None:
+    def _listed(self, instances: tuple[InstanceRecord, ...]) -> None:
         self.members.listed(
             ListedInstance(
                 each.instance,
--- a/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
@@ -1,8 +1,6 @@
 """Reads the platform's lagging list of live and leaving instances."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
-from typing import Literal
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -12,40 +10,23 @@
 from pomeloglade_coordination.errors import KeyValueError
 from pomeloglade_coordination.key_value import Entry, KeyValueStore
 
+from ..state.instance_record import INSTANCES_PREFIX, InstanceRecord
 from ..state.metrics import Metrics
 
-INSTANCES_PREFIX = "instances/"
 READ_SECONDS = 2.0
 
 
-@dataclass(frozen=True, slots=True)
-class PlatformInstance:
-    """One entry of the platform's list.
-
-    ``address`` is where callers connect and ``peer_address`` where other
-    instances do.
-    """
-
-    instance: str
-    availability_zone: str
-    address: str
-    peer_address: str
-    state: Literal["live", "leaving"] = "live"
-
-
 class InstanceList:
     """Polls the list and tells subscribers of what it read last."""
 
     def __init__(self, clock: Clock, store: KeyValueStore, metrics: Metrics) -> None:
         self._store = store
         self._metrics = metrics
-        self._subscribers: list[Callable[[tuple[PlatformInstance, ...]], None]] = []
+        self._subscribers: list[Callable[[tuple[InstanceRecord, ...]], None]] = []
         self._loop = LoopingCall(self._read)
         self._loop.clock = clock
 
-    def subscribe(
-        self, changed: Callable[[tuple[PlatformInstance, ...]], None]
-    ) -> None:
+    def subscribe(self, changed: Callable[[tuple[InstanceRecord, ...]], None]) -> None:
         """Call ``changed`` after each read."""
         self._subscribers.append(changed)
 
@@ -71,9 +52,9 @@
     def _read(self) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._read_entries())
 
-    def _decode(self, entry: Entry) -> PlatformInstance | None:
+    def _decode(self, entry: Entry) -> InstanceRecord | None:
         try:
-            return msgspec.json.decode(entry.value, type=PlatformInstance)
+            return msgspec.json.decode(entry.value, type=InstanceRecord)
         except (msgspec.DecodeError, msgspec.ValidationError):
             self._metrics.event("instance_list", "bad_entry")
             return None
--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -12,9 +12,9 @@
 from pomeloglade_coordination.members import Member
 
 from .coordination.entry_instance import EntryInstance
-from .coordination.instance_list import PlatformInstance
-from .protocol.deployment import decode
+from .protocol.deployment import accepted_deployment, decode
 from .settings import Settings, run_with_settings
+from .state.instance_record import InstanceRecord
 from .transport.engines import HttpEngines
 from .transport.http_client import HttpClient
 from .transport.key_value import open_key_value_store
@@ -63,7 +63,7 @@
             sender=self._links,
             engines=HttpEngines(self._http, reactor),
             services=HttpServices(self._http, reactor),
-            decode=lambda value: decode(value).deployment,
+            decode=lambda value: accepted_deployment(decode(value)),
         )
         self._status = StatusPage(
             self._instance.members,
@@ -96,7 +96,7 @@
             peer_port=self._links.listening_port,
         )
 
-    def _listed(self, instances: tuple[PlatformInstance, ...]) -> None:
+    def _listed(self, instances: tuple[InstanceRecord, ...]) -> None:
         own = self._settings.instance
         partners = self._instance.members.partners()
         self._links.set_peers(
--- a/packages/pomeloglade/src/pomeloglade/porcelain.py
+++ b/packages/pomeloglade/src/pomeloglade/porcelain.py
@@ -11,7 +11,7 @@
 from pomeloglade_coordination.errors import CoordinationError
 from pomeloglade_coordination.key_value import KeyValueStore
 
-from .keys import create_key, digest_key
+from .keys import create_key
 from .protocol.deployment import DeploymentTooLargeError, Published, encode
 from .publishing import (
     Current,
@@ -26,6 +26,7 @@
 from .state.folder import BadFolderError, Folder, read_folder
 from .state.folder_checks import NAME_REASON, Problem, is_name
 from .state.folder_merge import FieldChange, Merged, diff_deployments, merge_folder
+from .state.keys import digest_key
 from .transport.status import StatusClient
 
 DEFAULT_WAIT = timedelta(seconds=30)
--- a/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
@@ -1,6 +1,6 @@
 """Encoding of the published configuration as the value kept by the platform."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 import msgspec
 
@@ -54,3 +54,24 @@
     Raises ``msgspec.ValidationError`` with the path of the first bad field.
     """
     return msgspec.json.decode(value, type=Published)
+
+
+def accepted_deployment(published: Published) -> Deployment:
+    """Return what comes into force: the deployment without withdrawn keys.
+
+    A digest in ``published.withdrawn_digests`` is no key of any account, whatever
+    the accounts say.
+    """
+    withdrawn = set(published.withdrawn_digests)
+    accounts = {
+        name: replace(
+            account,
+            key_digests={
+                key_name: digest
+                for key_name, digest in account.key_digests.items()
+                if digest not in withdrawn
+            },
+        )
+        for name, account in published.deployment.accounts_by_name.items()
+    }
+    return replace(published.deployment, accounts_by_name=accounts)
--- a/packages/pomeloglade/src/pomeloglade/protocol/instances.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/instances.py
@@ -1,30 +1,23 @@
 """Messages in which instances and the platform describe the fleet to operators."""
 
 from dataclasses import dataclass, field
-from typing import Literal
 
 import msgspec
 
-INSTANCES_PREFIX = "instances/"
-"""Prefix of the platform's own list of instances, one key for each."""
+from ..state.instance_record import INSTANCES_PREFIX, InstanceRecord
 
 STATUS_PATH = "/admin/status"
 """Path at which an instance answers with its ``InstanceStatus``."""
 
-
-@dataclass(frozen=True, slots=True)
-class InstanceRecord:
-    """An entry of the platform's list, which lags behind the fleet.
-
-    ``address`` is the ``host:port`` for callers and operators, ``peer_address``
-    that for other instances.
-    """
-
-    instance: str
-    availability_zone: str
-    address: str
-    peer_address: str = ""
-    state: Literal["live", "leaving"] = "live"
+__all__ = [
+    "INSTANCES_PREFIX",
+    "STATUS_PATH",
+    "InstanceRecord",
+    "InstanceStatus",
+    "decode_record",
+    "decode_status",
+    "encode",
+]
 
 
 @dataclass(frozen=True, slots=True)
@@ -33,6 +26,8 @@
 
     ``revision`` is that of the configuration in force here, and
     ``in_force_by_instance`` what the other instances last reported of theirs.
+    ``cut_off`` tells that neither the platform nor a peer that reaches it has
+    answered lately.
     """
 
     instance: str
@@ -41,6 +36,10 @@
     revision: int
     ready: bool
     in_force_by_instance: dict[str, int] = field(default_factory=dict)
+    draining: bool = False
+    cut_off: bool = False
+    open_requests: int = 0
+    live_instances: tuple[str, ...] = ()
 
 
 def decode_record(value: bytes) -> InstanceRecord:
--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -16,7 +16,7 @@
 MAX_SLOTS = 100_000
 MAX_PLAIN_COST = 1_000_000  # tokens
 MAX_TIMEOUT = timedelta(hours=1)
-RESERVED_PREFIXES = ("/admin", "/health", "/metrics")
+RESERVED_PREFIXES = ("/admin", "/live", "/metrics", "/ready")
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
--- a/packages/pomeloglade/src/pomeloglade/state/keys.py
+++ b/packages/pomeloglade/src/pomeloglade/state/keys.py
@@ -1,6 +1,7 @@
-"""Index from key digests to client accounts."""
+"""Digests of keys, and the client accounts that they belong to."""
 
 import hashlib
+from dataclasses import dataclass
 
 from pomeloglade_coordination.refusals import Reason, Refusal, Step
 
@@ -8,19 +9,54 @@
 from .deployment import Deployment, Route
 
 
+@dataclass(frozen=True, slots=True)
+class KeyOwner:
+    """The client account and key name that a digest belongs to."""
+
+    account: str
+    key_name: str
+    withdrawn: bool = False
+
+
 def digest_key(key: str) -> str:
-    """Return the digest under which a key is stored."""
+    """Return the digest of ``key`` in hexadecimal, the only form that is stored.
+
+    A key has 256 random bits, so one round of SHA-256 without salt is enough,
+    and a caller's key is found by one look-up.
+
+    >>> digest_key("pg_example")[:8]
+    '5c8ff7f8'
+    """
     return hashlib.sha256(key.encode()).hexdigest()
 
 
+def key_owners_by_digest(deployment: Deployment) -> dict[str, KeyOwner]:
+    """Return the owner of every digest, withdrawn ones included.
+
+    A digest that is withdrawn anywhere counts as withdrawn.
+    """
+    owners_by_digest: dict[str, KeyOwner] = {}
+    for account in deployment.accounts_by_name.values():
+        for key_name, digest in account.key_digests.items():
+            owners_by_digest[digest] = KeyOwner(account.name, key_name)
+    for account in deployment.accounts_by_name.values():
+        for digest in account.withdrawn_digests:
+            owners_by_digest[digest] = KeyOwner(account.name, "", withdrawn=True)
+    return owners_by_digest
+
+
 class KeyIndex:
     """Finds the caller of a key in the configuration in force."""
 
     def __init__(self, deployment: Deployment) -> None:
         self._callers_by_digest: dict[str, Caller] = {}
-        for account in deployment.accounts_by_name.values():
-            for digest in account.key_digests.values():
-                self._callers_by_digest[digest] = Caller(account, digest)
+        self._withdrawn: set[str] = set()
+        for digest, found in key_owners_by_digest(deployment).items():
+            if found.withdrawn:
+                self._withdrawn.add(digest)
+                continue
+            account = deployment.accounts_by_name[found.account]
+            self._callers_by_digest[digest] = Caller(account, digest)
 
     def knows(self, digest: str) -> bool:
         """Return whether the key with this digest may be used now."""
@@ -35,5 +71,8 @@
             return Caller()
         if not key:
             return Refusal(Reason.KEY_MISSING, Step.AUTHENTICATE)
-        caller = self._callers_by_digest.get(digest_key(key))
+        digest = digest_key(key)
+        if digest in self._withdrawn:
+            return Refusal(Reason.KEY_WITHDRAWN, Step.AUTHENTICATE)
+        caller = self._callers_by_digest.get(digest)
         return caller or Refusal(Reason.KEY_UNKNOWN, Step.AUTHENTICATE)
--- a/packages/pomeloglade/src/pomeloglade/transport/answers.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/answers.py
@@ -21,7 +21,14 @@
     retry_after = completions.retry_after_of(refusal)
     if retry_after is not None:
         http.setHeader("Retry-After", str(retry_after))
-    return completions.encode_refusal(refusal, request_id)
+    body = completions.encode_refusal(refusal, request_id)
+    return whole_body(http, body)
+
+
+def whole_body(http: IRequest, body: bytes) -> bytes:
+    """Announce the length of a whole body, so that its caller can tell a cut one."""
+    http.setHeader("Content-Length", str(len(body)))
+    return body
 
 
 class StreamedAnswer:
@@ -85,11 +92,10 @@
         """Send the whole answer."""
         text = "".join(self._texts)
         self._http.setHeader("Content-Type", JSON_TYPE)
-        self._http.write(
-            completions.encode_answer(
-                text, usage, self._request_id, self._model, chat=self._chat
-            )
+        body = completions.encode_answer(
+            text, usage, self._request_id, self._model, chat=self._chat
         )
+        self._http.write(whole_body(self._http, body))
 
     def refuse(self, refusal: Refusal) -> None:
         """Send a refusal; none of the collected tokens are sent."""
--- a/packages/pomeloglade/src/pomeloglade/transport/site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/site.py
@@ -17,7 +17,7 @@
 from ..state.call import Caller, Header, ModelCall, PlainCall
 from ..state.deployment import Route
 from ..state.metrics import Metrics
-from .answers import StreamedAnswer, WholeAnswer, write_refusal
+from .answers import StreamedAnswer, WholeAnswer, whole_body, write_refusal
 from .connections import Connections
 from .limited_request import LimitedSite
 from .status_page import StatusPage
@@ -173,7 +173,7 @@
             http.responseHeaders.addRawHeader(header.name, header.value)
         if answer.replayed:
             http.setHeader(REPLAYED_HEADER, "true")
-        return answer.body
+        return whole_body(http, answer.body)
 
     def _open(self, http: IRequest, caller: Caller) -> OpenRequest:
         request = self._tasks.open(caller)
--- a/packages/pomeloglade/src/pomeloglade/transport/status_page.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/status_page.py
@@ -1,38 +1,20 @@
 """What one instance tells probes and operators about itself."""
 
-from dataclasses import dataclass
 from datetime import timedelta
 
-import msgspec
-
 from pomeloglade_coordination.configuration import ConfigurationSpread
 from pomeloglade_coordination.members import MembershipView
 from pomeloglade_coordination.refusals import Reason, Refusal, Step
 
 from ..coordination.in_force import InForce
 from ..coordination.open_requests import OpenRequests
+from ..protocol.instances import InstanceStatus, encode
 from ..state.call import Caller
 from ..state.counters import CounterPage
 
 CUT_OFF_RETRY = timedelta(seconds=5)
 
 
-@dataclass(frozen=True, slots=True)
-class StatusBody:
-    """Body of ``GET /admin/status``."""
-
-    instance: str
-    availability_zone: str
-    incarnation: int
-    revision: int
-    ready: bool
-    draining: bool
-    cut_off: bool
-    open_requests: int
-    live_instances: tuple[str, ...]
-    in_force_by_instance: dict[str, int]
-
-
 class StatusPage:
     """Readiness, cut-off policy and status of this instance."""
 
@@ -68,7 +50,7 @@
     def render(self) -> bytes:
         """Return the status as JSON."""
         own = self._members.own
-        body = StatusBody(
+        body = InstanceStatus(
             instance=own.instance,
             availability_zone=own.availability_zone,
             incarnation=own.incarnation,
@@ -80,7 +62,7 @@
             live_instances=tuple(each.instance for each in self._members.live()),
             in_force_by_instance=dict(self._spread.in_force_by_instance()),
         )
-        return msgspec.json.encode(body)
+        return encode(body)
 
     def render_counters(self) -> bytes:
         """Return the library parts' counters in Prometheus' text format."""
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -7,7 +7,13 @@
 from pomeloglade.coordination.engine import Engines, Services
 from pomeloglade.coordination.entry_instance import EntryInstance
 from pomeloglade.errors import BackendFullError
-from pomeloglade.protocol.deployment import CONFIGURATION_KEY, Published, decode, encode
+from pomeloglade.protocol.deployment import (
+    CONFIGURATION_KEY,
+    Published,
+    accepted_deployment,
+    decode,
+    encode,
+)
 from pomeloglade.state.call import EngineLoad, PlainAnswer, Prefilled, Token, Usage
 from pomeloglade.state.deployment import (
     BackendServer,
@@ -192,7 +198,7 @@
         sender=NoPeers(),
         engines=engines or FakeEngines(),
         services=services or FakeServices(),
-        decode=lambda value: decode(value).deployment,
+        decode=lambda value: accepted_deployment(decode(value)),
     )
     instance.start()
     return instance
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -9,9 +9,9 @@
 from typer.testing import CliRunner
 
 from pomeloglade.cli import build_app
-from pomeloglade.keys import digest_key
 from pomeloglade.porcelain import Operations
 from pomeloglade.settings import settings_app
+from pomeloglade.state.keys import digest_key
 from pomeloglade.transport.status import StatusUnavailableError
 from pomeloglade_coordination.errors import KeyValueUnavailableError
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -6,7 +6,6 @@
 import pytest
 from twisted.internet.defer import fail, succeed
 
-from pomeloglade.keys import digest_key, key_owners_by_digest
 from pomeloglade.porcelain import OperationRefusedError, Operations
 from pomeloglade.protocol.deployment import (
     CONFIGURATION_KEY,
@@ -27,6 +26,7 @@
 )
 from pomeloglade.state.deployment import ClientAccount, Deployment, Route
 from pomeloglade.state.folder import BadFolderError
+from pomeloglade.state.keys import digest_key, key_owners_by_digest
 from pomeloglade.transport.status import StatusUnavailableError
 from pomeloglade_coordination.errors import (
     KeyValueOutcomeUnknownError,
--- a/tests/test_publishing_stateful.py
+++ b/tests/test_publishing_stateful.py
@@ -8,7 +8,6 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
-from pomeloglade.keys import digest_key
 from pomeloglade.porcelain import OperationRefusedError, Operations
 from pomeloglade.protocol.deployment import decode
 from pomeloglade.publishing import (
@@ -17,6 +16,7 @@
     PublishReplacedError,
     PublishUnknownError,
 )
+from pomeloglade.state.keys import digest_key
 from pomeloglade_coordination.errors import (
     KeyValueOutcomeUnknownError,
     KeyValueUnavailableError,
