--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
@@ -251,6 +251,7 @@
         """Queue an ask; one that is repeated gets the same answer again."""
         held = self._held_by_id.get(ask.request_id)
         if held is not None:
+            held.number = self._number
             self._grant(instance, ask.number, held.holding)
             return
         waiting = self._waiting_by_id.get(ask.request_id)
