--- a/bench/membership_model.py
+++ b/bench/membership_model.py
@@ -109,12 +109,12 @@
         self.bytes_in: Counter[str] = Counter()
         self.bytes_by_type: Counter[str] = Counter()
         self._random = random
-        self._measure = measure
+        self.measure = measure
         self._on_the_way: deque[tuple[float, Node, Node, PeerMessage]] = deque()
 
     def send(self, source: "Node", instance: str, message: PeerMessage) -> None:
         """Deliver ``message`` after the delay, unless it is lost."""
-        size = self._measure(message)
+        size = self.measure(message)
         self.messages[source.instance] += 1
         self.bytes_out[source.instance] += size
         self.bytes_by_type[type(message).__name__] += size
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration.py
@@ -115,13 +115,13 @@
         self._announced = now
         self._reminded = now
         self._requested = now - RETRY_SECONDS
-        self._known: set[Member] = set()
-        self._live: set[str] = set()
+        self._is_stale = True
+        self._live: dict[str, Member] = {}
         self._watchers: tuple[str, ...] = ()
         self._zone_peers: tuple[str, ...] = ()
         self._remote_watchers: tuple[str, ...] = ()
         members.subscribe(self._members_changed)
-        self._members_changed()
+        self._follow_members()
 
     # The state
 
@@ -263,12 +263,17 @@
     # Who does what
 
     def _members_changed(self) -> None:
+        self._is_stale = True
+
+    def _follow_members(self) -> None:
         """Find the watchers anew, and tell the instances not known before."""
+        if not self._is_stale:
+            return
+        self._is_stale = False
         self._find_watchers()
-        live = set(self._members.live())
-        fresh = {member.instance for member in live - self._known} - {self._own}
-        self._known = live
-        self._live = {member.instance for member in live}
+        earlier, self._live = self._live, {m.instance: m for m in self._members.live()}
+        fresh = {name for name, m in self._live.items() if earlier.get(name) != m}
+        fresh.discard(self._own)
         for instance in fresh:
             self._revisions_by_instance.pop(instance, None)
         if not self._running:
@@ -304,6 +309,7 @@
 
     def _step(self) -> None:
         now = self._clock.seconds()
+        self._follow_members()
         if self._transfer is not None and self._transfer.stalled(now):
             self.counters[ConfigurationEvent.TRANSFER_FAILED] += 1
             self._revisions_by_instance.pop(self._transfer.instance, None)
@@ -442,7 +448,7 @@
     ) -> None:
         names = {self._own, *self._zone_peers}
         if message.whole_fleet:
-            names = self._live
+            names = set(self._live)
             self._ask_revisions()
         known = {**self._revisions_by_instance, self._own: self.revision}
         found = (InstanceRevision(n, known[n]) for n in sorted(names) if n in known)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_delta.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_delta.py
@@ -14,7 +14,8 @@
 """The mean size of the pieces that two values are compared by."""
 
 _SEPARATOR = re.compile(rb"[,\n]")
-_WINDOW_BYTES = 24
+_WINDOW_BYTES = 64
+_SEPARATOR_SPACING_BYTES = 24
 
 
 def digest(value: bytes) -> bytes:
@@ -42,7 +43,7 @@
         if end - ends[-1] < mean // 4:
             continue
         window = value[max(0, end - _WINDOW_BYTES) : end]
-        if xxhash.xxh32_intdigest(window) % mean < _WINDOW_BYTES:
+        if xxhash.xxh32_intdigest(window) % mean < _SEPARATOR_SPACING_BYTES:
             ends.append(end)
     while len(value) - ends[-1] > limit:
         ends.append(ends[-1] + limit)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/failure_detector.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/failure_detector.py
@@ -69,6 +69,34 @@
         peers = self.peers_by_instance.items()
         return sorted(name for name, peer in peers if not peer.suspected)
 
+    def incarnation(self, instance: str, incarnation: int) -> Peer | None:
+        """Return the peer if it is the one with this incarnation."""
+        peer = self.peers_by_instance.get(instance)
+        if peer is None or peer.member.incarnation != incarnation:
+            return None
+        return peer
+
+    def state(self) -> list[tuple[Member, bool, bool]]:
+        """Return each peer with whether it is suspected, and whether leaving."""
+        peers = self.peers_by_instance.values()
+        return [(peer.member, peer.suspected, peer.leaving) for peer in peers]
+
+    def live(self) -> dict[str, Member]:
+        """Return the members neither suspected nor leaving, by instance."""
+        peers = self.peers_by_instance.items()
+        return {n: p.member for n, p in peers if not (p.suspected or p.leaving)}
+
+    def leaving(self) -> list[str]:
+        """Return the instances that announced their shutdown."""
+        return [name for name, p in self.peers_by_instance.items() if p.leaving]
+
+    def forget_silent(self, now: float) -> None:
+        """Drop the peers that are gone without counting them as dead."""
+        for peer in list(self.peers_by_instance.values()):
+            if self.standing(peer, now) is Standing.GONE:
+                del self.peers_by_instance[peer.member.instance]
+        self._replaced.clear()
+
     def dead(self, instance: str) -> DeadMember | None:
         """Return the latest incarnation of an instance that is over."""
         return self._dead_by_instance.get(instance)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
@@ -30,6 +30,8 @@
 class Listing:
     """The instances listed last, and those that peers have named since.
 
+    ``version`` grows with each list.
+
     Parameters
     ----------
     own : str
@@ -37,13 +39,16 @@
     """
 
     def __init__(self, own: str) -> None:
+        self.version = 0
         self.leaving: frozenset[str] = frozenset()
+        self.availability_zones: frozenset[str] = frozenset()
         self._own = own
         self._listed: dict[str, Member] = {}
         self._named_by_instance: dict[str, _Named] = {}
 
     def set_entries(self, entries: Iterable[ListedInstance]) -> None:
         """Take the platform's list in place of the earlier one."""
+        self.version += 1
         known = [each for each in entries if each.instance != self._own]
         self.leaving = frozenset(each.instance for each in known if each.leaving)
         self._listed = {
@@ -53,16 +58,14 @@
             for each in sorted(known, key=lambda each: each.instance)
             if not each.leaving
         }
+        zones = (each.availability_zone for each in self._listed.values())
+        self.availability_zones = frozenset(zones)
 
     def name(self, member: Member, now: float) -> None:
         """Count a member that a peer named for ``NAMED_SECONDS``."""
         until = now + NAMED_SECONDS
         self._named_by_instance[member.instance] = _Named(member, until)
 
-    def availability_zones(self) -> set[str]:
-        """Return the zones of the instances listed."""
-        return {each.availability_zone for each in self._listed.values()}
-
     def members(self, availability_zone: str, now: float) -> list[Member]:
         """Return the instances of a zone that should run; incarnations may be 0."""
         named = self._named_by_instance
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
@@ -16,6 +16,7 @@
     Standing,
 )
 from .listing import ListedInstance, Listing
+from .member_index import MemberIndex
 from .members import Member
 from .membership_counters import MembershipEvent
 from .membership_messages import (
@@ -30,7 +31,7 @@
 )
 from .peer import PeerMessage, PeerSender
 from .zone_exchange import ZoneExchange
-from .zones import CONTACTS_PER_ZONE, contacts
+from .zones import contacts
 
 __all__ = ["DeadMember", "ListedInstance", "Membership", "MembershipEvent"]
 
@@ -81,7 +82,6 @@
         sender: PeerSender,
         availability_zones: tuple[str, ...] = (),
         random: random_module.Random | None = None,
-        contacts_per_zone: int = CONTACTS_PER_ZONE,
     ) -> None:
         self.own = own
         self.availability_zones = availability_zones or (own.availability_zone,)
@@ -89,9 +89,9 @@
         self._clock = clock
         self._sender = sender
         self._random = random or random_module.Random()
-        self._contacts_per_zone = contacts_per_zone
         self._leaving = False
         now = clock.seconds()
+        self._started = now
         self._last_tick = now
         self._last_heartbeat = now - HEARTBEAT_SECONDS
         self._last_join = now - JOIN_SECONDS
@@ -103,10 +103,10 @@
         self._changed: list[Callable[[], None]] = []
         self._died: list[Callable[[Member], None]] = []
         self._fenced: list[Callable[[Member], None]] = []
-        self._live: dict[str, Member] = {}
-        self._live_by_zone: dict[str | None, tuple[Member, ...]] = {}
+        self._live = MemberIndex({})
         self._is_contact = True
         self._remote_contacts: tuple[Member, ...] = ()
+        self._refreshed_state: tuple[object, ...] = ()
         self._refresh()
 
     # The view of the other parts
@@ -116,11 +116,11 @@
 
         Members that announced their shutdown are left out.
         """
-        return self._live_by_zone.get(availability_zone, ())
+        return self._live.members(availability_zone)
 
     def member(self, instance: str) -> Member | None:
         """Return the live member with this name, also while it shuts down."""
-        found = self._live.get(instance)
+        found = self._live.by_instance.get(instance)
         if found is not None:
             return found
         peer = self._peer(instance)
@@ -267,11 +267,7 @@
 
     def _check_across(self, now: float) -> None:
         """Forget silent contacts, and zones that no contact is heard of."""
-        for peer in list(self._across.peers_by_instance.values()):
-            if self._across.standing(peer, now) is Standing.GONE:
-                del self._across.peers_by_instance[peer.member.instance]
-        for _ in self._across.replaced_and_gone(now):
-            pass  # a zone's own members recover what its dead have held
+        self._across.forget_silent(now)
         peers = self._across.peers_by_instance.values()
         zones = {peer.member.availability_zone for peer in peers}
         for zone in self._exchange.heard():
@@ -289,7 +285,9 @@
             self._send_heartbeats()
         if now - self._last_join >= JOIN_SECONDS:
             self._last_join = now
-            self._join()
+            for candidate in self._candidates():
+                self.counters[MembershipEvent.JOIN_RETRY] += 1
+                self._greet(candidate.instance, reply=True)
         if now - self._last_fleet >= FLEET_SECONDS:
             self._last_fleet = now
             if self._is_contact:
@@ -305,11 +303,6 @@
         for member in self._remote_contacts:
             self._sender.send(member.instance, across)
 
-    def _join(self) -> None:
-        for candidate in self._candidates():
-            self.counters[MembershipEvent.JOIN_RETRY] += 1
-            self._greet(candidate.instance, reply=True)
-
     def _greet(self, instance: str, *, reply: bool = False) -> None:
         self._sender.send(instance, Presence(self.own, self._leaving, reply))
 
@@ -323,7 +316,7 @@
         return self._inside if inside else self._across
 
     def _other_zones(self) -> list[str]:
-        listed = self._listing.availability_zones()
+        listed = self._listing.availability_zones
         heard_of = self._exchange.zones.names()
         zones = {*listed, *self.availability_zones, *heard_of}
         return sorted(zones - {self.own.availability_zone})
@@ -347,7 +340,7 @@
         listed = self._listing.members(zone, now)
         by_instance = {each.instance: each for each in (*known, *listed)}
         members = [member for _, member in sorted(by_instance.items())]
-        found = list(contacts(zone, members, self._contacts_per_zone))
+        found = list(contacts(zone, members))
         if members:
             turn = members[int(now) % len(members)]
             found += [turn] if turn not in found else []
@@ -406,8 +399,9 @@
 
     @_handle.register
     def _handle_probe(self, message: ProbeRequest, instance: str) -> None:
-        peer = self._peer(message.instance)
-        if peer is None or peer.member.incarnation != message.incarnation:
+        found = (message.instance, message.incarnation)
+        peer = self._inside.incarnation(*found) or self._across.incarnation(*found)
+        if peer is None:
             return
         age = int((self._clock.seconds() - peer.heard) * 1000)
         answer = ProbeAnswer(message.instance, message.incarnation, age)
@@ -415,8 +409,8 @@
 
     @_handle.register
     def _handle_probe_answer(self, message: ProbeAnswer, instance: str) -> None:
-        peer = self._inside.peer(message.instance)
-        if peer is None or peer.member.incarnation != message.incarnation:
+        peer = self._inside.incarnation(message.instance, message.incarnation)
+        if peer is None:
             return
         heard = self._clock.seconds() - message.age_milliseconds / 1000
         if heard > peer.heard:
@@ -438,12 +432,12 @@
         changed = peer.suspected or peer.leaving != leaving
         peer.suspected = False
         peer.leaving = leaving
-        shown = self._live.get(peer.member.instance)
-        if changed or (shown != peer.member and not leaving):
-            self._refresh()
+        shown = self._live.by_instance.get(peer.member.instance)
+        if changed or shown not in (None, peer.member):
+            self._refresh()  # newcomers wait for the tick, as they come in numbers
 
     def _meet_own_zone(self, message: MembershipMessage) -> None:
-        """Greet the members of the own zone that another member names."""
+        """Note the members of the own zone that another names, to greet them."""
         if not isinstance(message, ZoneUpdate):
             return
         if message.availability_zone != self.own.availability_zone:
@@ -452,44 +446,54 @@
             known = self._inside.peer(member.instance) is not None
             if not known and member.instance != self.own.instance:
                 self._listing.name(member, self._clock.seconds())
-                self._greet(member.instance, reply=True)
 
     # The live members
 
     def _refresh(self) -> None:
         """Work the live members out and tell the subscribers of a change."""
-        live = dict(self._exchange.zones.reachable())
-        for name, peer in self._across.peers_by_instance.items():
-            if peer.leaving:
-                live.pop(name, None)
-        for name, peer in self._inside.peers_by_instance.items():
-            if not (peer.suspected or peer.leaving):
-                live[name] = peer.member
-        live[self.own.instance] = self.own
-        changed = live != self._live
+        earlier, self._refreshed_state = self._refreshed_state, self._state()
+        if self._refreshed_state == earlier:
+            return
+        live = self._find_live()
+        changed = live != self._live.by_instance
         if changed:
-            self._set_live(live)
+            self._live = MemberIndex(live)
         self._choose_contacts()
-        if changed:
-            for each in list(self._changed):
-                each()
+        for subscriber in list(self._changed) if changed else ():
+            subscriber()
+
+    def _state(self) -> tuple[object, ...]:
+        """Return what the live members and the contacts follow from."""
+        return (
+            self.own,
+            self._is_starting(),
+            self._exchange.zones.version,
+            self._listing.version,
+            self._inside.state(),
+            self._across.state(),
+        )
+
+    def _find_live(self) -> dict[str, Member]:
+        live = dict(self._exchange.zones.reachable())
+        for name in self._across.leaving():
+            live.pop(name, None)
+        return live | self._inside.live() | {self.own.instance: self.own}
 
-    def _set_live(self, live: dict[str, Member]) -> None:
-        members = [member for _, member in sorted(live.items())]
-        by_zone: dict[str | None, list[Member]] = {None: members}
-        for member in members:
-            by_zone.setdefault(member.availability_zone, []).append(member)
-        self._live = live
-        self._live_by_zone = {zone: tuple(each) for zone, each in by_zone.items()}
+    def _is_starting(self) -> bool:
+        """Tell whether the zone's listed instances may not have been heard yet."""
+        return self._clock.seconds() - self._started < SILENCE_SECONDS
 
     def _choose_contacts(self) -> None:
         """Find out whether this is a contact, and who the others' contacts are."""
         zone = self.own.availability_zone
-        inside = contacts(zone, self.live(zone), self._contacts_per_zone)
-        self._is_contact = self.own in inside
+        members = list(self.live(zone))
+        if self._is_starting():
+            members += self._listing.members(zone, self._clock.seconds())
+        inside = contacts(zone, members)
+        self._is_contact = self.own.instance in {each.instance for each in inside}
         known = self._exchange.zones.known
         self._remote_contacts = tuple(
             member
             for other in (self._other_zones() if self._is_contact else ())
-            for member in contacts(other, known(other), self._contacts_per_zone)
+            for member in contacts(other, known(other))
         )
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
@@ -49,10 +49,12 @@
     """What is known of the other zones.
 
     A zone counts as reachable while the own instance or one live member of the own
-    zone hears it. The zone itself decides which of its members live.
+    zone hears it. The zone itself decides which of its members live. ``version``
+    grows with every change.
     """
 
     def __init__(self) -> None:
+        self.version = 0
         self._zones_by_name: dict[str, RemoteZone] = {}
 
     def apply(self, update: ZoneUpdate) -> ZoneUpdate | None:
@@ -74,6 +76,7 @@
         if fingerprint(after.values()) != update.fingerprint:
             return None
         zone.members_by_instance = after
+        self.version += 1
         change = replace(
             update,
             base=zone.fingerprint,
@@ -94,6 +97,7 @@
         zone = self._zone(availability_zone)
         news = instance not in zone.heard_by
         zone.heard_by.add(instance)
+        self.version += news
         return news
 
     def lose(self, availability_zone: str, instance: str) -> bool:
@@ -101,12 +105,13 @@
         zone = self._zone(availability_zone)
         news = instance in zone.heard_by
         zone.heard_by.discard(instance)
+        self.version += news
         return news
 
     def forget_witness(self, instance: str) -> None:
         """Drop what a member of the own zone that is gone had heard."""
-        for zone in self._zones_by_name.values():
-            zone.heard_by.discard(instance)
+        for name in self._zones_by_name:
+            self.lose(name, instance)
 
     def heard_by(self, instance: str) -> tuple[str, ...]:
         """Return the zones that ``instance`` hears, sorted."""
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -189,9 +189,10 @@
     publish_and_wait(fleet, b"three")
 
 
-def test_lost_push_is_repeated_within_the_bound():
+@pytest.mark.parametrize("offset", [0.0, 1.2, 2.4, 3.6])
+def test_lost_push_is_repeated_within_the_bound(offset):
     fleet = Fleet((5, 4, 4))
-    fleet.advance(SETTLE_SECONDS)
+    fleet.advance(SETTLE_SECONDS + offset)
     publish_and_wait(fleet, b"one")
     fleet.network.loss = 1.0
     revision = fleet.publish(b"two")
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -188,9 +188,11 @@
 
 def test_instance_without_a_list_learns_everyone_from_one_seed(fleet):
     fleet.node("z0-i0").kill()
-    node = fleet.start("z0-i0", incarnation=2)
     for each in fleet.nodes:
         each.members.listed([])
+    fleet.advance(DEATH_SECONDS)
+    node = fleet.start("z0-i0", incarnation=2)
+    node.members.listed([])
     node.members.connected(fleet.node("z1-i1").members.own)
     fleet.advance(SETTLE_SECONDS)
     assert everyone(fleet)
