--- a/bench/claims_bench.py
+++ b/bench/claims_bench.py
@@ -32,6 +32,7 @@
 )
 from pomeloglade_coordination.members import FixedMembership, Member
 from pomeloglade_coordination.peer import PeerMessage
+from pomeloglade_coordination.rendezvous import ranked
 from pomeloglade_coordination.request_ids import RequestIds
 
 SEED = 4
@@ -45,7 +46,8 @@
 OUTCOME = b"x" * 200
 PEER_DELAY = 0.0005
 PLATFORM_DELAY = 0.003
-BASELINE_KEYS_SECONDS = 1.0
+KILL_SECONDS = 1.0
+SHARED_VALUE_SECONDS = 1.0
 
 MAX_WRITES_PER_SECOND = 200
 MAX_ADDED_P99_SECONDS = 0.020
@@ -160,6 +162,7 @@
 
     def __init__(self, clock: Clock) -> None:
         self.messages = 0
+        self.dead = ""
         self.claims_by_instance: dict[str, Claims] = {}
         self._clock = clock
 
@@ -168,7 +171,9 @@
         return PeerLink(self, instance)
 
     def deliver(self, source: str, instance: str, message: PeerMessage) -> None:
-        """Hand ``message`` over later."""
+        """Hand ``message`` over later, unless one end is dead."""
+        if self.dead in (source, instance):
+            return
         self.messages += 1
         receiver = self.claims_by_instance[instance]
         self._clock.callLater(PEER_DELAY, receiver.receive, source, message)
@@ -310,7 +315,7 @@
 
 
 def chosen(
-    shards: int, milliseconds: int, *, routed: bool = True
+    shards: int, milliseconds: int, *, routed: bool = True, killed: bool = False
 ) -> Callable[[Clock, KeyValueStore, Tally], list[Way]]:
     """Return a builder of the real claims with ``shards`` shards."""
 
@@ -331,11 +336,20 @@
             )
             network.claims_by_instance[own.instance] = claims
             ways.append(ChosenWay(clock, claims, RequestIds(own), tally))
+        if killed:
+            clock.callLater(KILL_SECONDS, kill_writer, network, ways)
         return ways
 
     return build
 
 
+def kill_writer(network: PeerNetwork, ways: list[Way]) -> None:
+    """Kill the first shard's writer; the members still list it."""
+    names = [member.instance for member in fleet()]
+    network.dead = ranked("claims/0", names)[0]
+    del ways[names.index(network.dead)]
+
+
 def baseline(
     make: Callable[[Clock, KeyValueStore], Any],
 ) -> Callable[[Clock, KeyValueStore, Tally], list[Way]]:
@@ -368,6 +382,7 @@
     for rate in RATES:
         lines += [
             Setting("chosen: 1 shard, 6 ms", rate, chosen(1, 6), bound=True),
+            Setting("chosen, writer killed", rate, chosen(1, 6, killed=True)),
             Setting("2 shards, 12 ms", rate, chosen(2, 12)),
             Setting("4 shards, 24 ms", rate, chosen(4, 24)),
             Setting("1 shard, each writes", rate, chosen(1, 6, routed=False)),
@@ -380,7 +395,7 @@
                 "baseline: one shared value",
                 rate,
                 baseline(lambda clock, store: SharedValue(clock=clock, store=store)),
-                seconds=BASELINE_KEYS_SECONDS,
+                seconds=SHARED_VALUE_SECONDS,
             ),
             Setting(
                 "upper bound: no claims",
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
@@ -18,7 +18,7 @@
 from .errors import KeyValueOutcomeUnknownError, KeyValueUnavailableError
 from .members import MembershipView
 from .peer import PeerMessage, PeerSender
-from .ranking import ranked
+from .rendezvous import ranked
 
 WRITERS = 2
 PEER_TIMEOUT = timedelta(milliseconds=100)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/recovery.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/recovery.py
@@ -14,7 +14,7 @@
 from .errors import CoordinationError
 from .members import Member, MembershipView
 from .peer import PeerMessage, PeerSender
-from .ranking import owner
+from .rendezvous import owner
 from .request_ids import RequestId, RequestIds
 
 __all__ = ["HeldReport", "HeldRequest", "Recovery", "RequestId", "RequestIds"]
