--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -12,7 +12,7 @@
 import random
 from collections import Counter, deque
 from collections.abc import Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any
 
@@ -116,6 +116,7 @@
         self._slots = SLOTS
         self._pending: deque[_Pending] = deque()
         self._kept_by_digest: dict[bytes, _Kept] = {}
+        self._outcomes: deque[tuple[float, bytes]] = deque()
         self._digests_by_slot: dict[int, list[bytes]] = {}
         self._revisions_by_slot: dict[int, int] = {}
         self._next = 0
@@ -322,6 +323,8 @@
             since = old.since if carried else now
             self._kept_by_digest.pop(record.digest, None)
             self._kept_by_digest[record.digest] = _Kept(record, slot, since)
+            if record.outcome is not None:
+                self._outcomes.append((since, record.digest))
         self._digests_by_slot[slot] = [each.digest for each in segment.records]
         self._revisions_by_slot[slot] = revision
         self._next = segment.sequence + 1
@@ -354,6 +357,17 @@
         )
         for key_digest, _kept in tuple(expired):
             del self._kept_by_digest[key_digest]
+        self._purge_outcomes()
+
+    def _purge_outcomes(self) -> None:
+        """Free the answers that are kept no longer than their records."""
+        oldest = self._kept_time() - self._outcome_keep
+        while self._outcomes and self._outcomes[0][0] < oldest:
+            _since, key_digest = self._outcomes.popleft()
+            kept = self._kept_by_digest.get(key_digest)
+            if kept is not None and kept.since < oldest:
+                record = kept.record.with_state(kept.record.state)
+                self._kept_by_digest[key_digest] = replace(kept, record=record)
 
     def _recorded(self, key_digest: bytes) -> ClaimRecord | None:
         kept = self._kept_by_digest.get(key_digest)
--- a/tests/test_claims.py
+++ b/tests/test_claims.py
@@ -8,7 +8,7 @@
 from faulty_fleet import FaultyStore, Links, ProcessClock, StoreFault, World
 from pomeloglade_coordination.claim_messages import Verdict, Verdicts
 from pomeloglade_coordination.claim_records import MAX_OUTCOME_BYTES, ClaimState
-from pomeloglade_coordination.claims import Claimed, Claims, Finished
+from pomeloglade_coordination.claims import OUTCOME_KEEP, Claimed, Claims, Finished
 from pomeloglade_coordination.key_value import MAX_VALUE_BYTES, MemoryKeyValueStore
 from pomeloglade_coordination.members import FixedMembership, Member
 from pomeloglade_coordination.refusals import Reason
@@ -84,6 +84,15 @@
     assert (refusal.reason, refusal.not_run) == (Reason.OUTCOME_UNKNOWN, False)
 
 
+def test_answer_is_dropped_before_its_claim(start, ask, world):
+    fleet = [start(number) for number in range(3)]
+    claimed = ask(fleet[0], "booking", "i0.1.1")
+    fleet[0].finish(claimed.claim, b"done")
+    world.run(OUTCOME_KEEP.total_seconds() + 2)
+    refusal = ask(fleet[1], "booking", "i1.1.1")
+    assert (refusal.reason, refusal.not_run) == (Reason.OUTCOME_UNKNOWN, False)
+
+
 def test_accounts_do_not_share_keys(start, ask, world):
     claims = [start(number) for number in range(3)][0]
     assert isinstance(ask(claims, "booking", "i0.1.1"), Claimed)
