Wait out former holders again when the lease was taken again

Cause: an order waiting for the weight store's rate kept the quiet time of its first lease. When the lease was lost and taken again meanwhile, it reached an engine that ignores fencing at once, within the other holder's longest pause. Seen red: sent at 78 s in test_lease_taken_again_is_waited_out_again. The last check before sending now asks for the quiet time too. All counters of claims can be read by name.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claims.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claims.py
@@ -188,6 +188,15 @@
         calls = (LogCounter.WRITES, LogCounter.READS)
         return sum(log.counters[each] for log in self._logs for each in calls)
 
+    def counts(self) -> dict[str, int]:
+        """Return all counters of claims by name, those of the shards summed."""
+        total: Counter[enum.Enum] = Counter(self.counters)
+        for log in self._logs:
+            total.update(log.counters)
+        if self._exchange is not None:
+            total.update(self._exchange.counters)
+        return {counter.value: count for counter, count in total.items()}
+
     def receive(self, instance: str, message: PeerMessage) -> None:
         """Take a message of another instance."""
         if self._exchange is not None:
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/orders.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/orders.py
@@ -266,10 +266,12 @@
 
     def _may_send(self, target: _Target) -> bool:
         """Check for the last time that this instance may order the target."""
-        current = self._targets.get((target.server, target.state.kind)) is target
-        if current and not self._lease.valid():
+        if self._targets.get((target.server, target.state.kind)) is not target:
+            return False
+        if not self._lease.valid():
             self.counters[OrderCounter.LEASE_LAPSED] += 1
-        return current and self._lease.valid()
+            return False
+        return target.checks_fencing or self._clock.seconds() >= self._quiet_until
 
     @inlineCallbacks
     def _in_force(self, target: _Target) -> Generator[Any, Any, bool]:
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -173,3 +173,23 @@
     assert results == [OrderResult.NOT_HOLDER]
     assert [value for _when, _server, value in engines.taken] == ["new"]
     assert spent == [10]
+
+
+def test_lease_taken_again_is_waited_out_again(start, world, engines):
+    granted = Deferred()
+    first = start("first", acquire=lambda _tokens: granted)
+    first.order("ignoring", OLD, checks_fencing=False)
+    world.run(QUIET_SECONDS + 1)
+    first.process.frozen = True
+    second = start("second")
+    world.run(20)
+    assert second.lease.valid()
+    second.process.alive = False
+    first.process.thaw()
+    world.run(20)
+    assert first.lease.valid()
+    granted.callback(None)
+    world.run(5)
+    assert engines.taken == []
+    world.run(2 * QUIET_SECONDS)
+    assert [value for _when, _server, value in engines.taken] == ["old"]
