--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -12,11 +12,12 @@
 import random
 from collections import Counter, deque
 from collections.abc import Generator
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from datetime import timedelta
 from typing import Any
 
 from twisted.internet.defer import Deferred, TimeoutError, fail, inlineCallbacks
+from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
 from .claim_records import (
@@ -47,6 +48,7 @@
 MAX_RECORDS = 600_000
 ROW_BYTES = 96
 MAX_SINGLE_READS = 8
+LOAD_SLICE = 32
 PLATFORM = "key-value service"
 
 
@@ -116,6 +118,7 @@
         self._slots = SLOTS
         self._pending: deque[_Pending] = deque()
         self._kept_by_digest: dict[bytes, _Kept] = {}
+        self._outcomes: deque[tuple[float, bytes]] = deque()
         self._digests_by_slot: dict[int, list[bytes]] = {}
         self._revisions_by_slot: dict[int, int] = {}
         self._next = 0
@@ -287,14 +290,18 @@
 
     @inlineCallbacks
     def _load(self) -> Generator[Any, Any, None]:
+        """Read the whole ring, giving way to other work between slices."""
         self.counters[LogCounter.READS] += 1
         entries = yield self._bounded(self._store.list(self._prefix))
         self._kept_by_digest.clear()
+        self._outcomes.clear()
         self._digests_by_slot.clear()
         self._revisions_by_slot.clear()
-        found = [(decode_segment(entry.value), entry.revision) for entry in entries]
-        for segment, revision in sorted(found, key=lambda each: each[0].sequence):
-            self._learn(segment, revision)
+        oldest_first = sorted(entries, key=lambda entry: entry.revision)
+        for start in range(0, len(oldest_first), LOAD_SLICE):
+            for entry in oldest_first[start : start + LOAD_SLICE]:
+                self._learn(decode_segment(entry.value), entry.revision)
+            yield deferLater(self._clock, 0)
         self._loaded = True
 
     @inlineCallbacks
@@ -322,6 +329,8 @@
             since = old.since if carried else now
             self._kept_by_digest.pop(record.digest, None)
             self._kept_by_digest[record.digest] = _Kept(record, slot, since)
+            if record.outcome is not None:
+                self._outcomes.append((since, record.digest))
         self._digests_by_slot[slot] = [each.digest for each in segment.records]
         self._revisions_by_slot[slot] = revision
         self._next = segment.sequence + 1
@@ -354,6 +363,17 @@
         )
         for key_digest, _kept in tuple(expired):
             del self._kept_by_digest[key_digest]
+        self._purge_outcomes()
+
+    def _purge_outcomes(self) -> None:
+        """Free the answers that are kept no longer than their records."""
+        oldest = self._kept_time() - self._outcome_keep
+        while self._outcomes and self._outcomes[0][0] < oldest:
+            _since, key_digest = self._outcomes.popleft()
+            kept = self._kept_by_digest.get(key_digest)
+            if kept is not None and kept.since < oldest:
+                record = kept.record.with_state(kept.record.state)
+                self._kept_by_digest[key_digest] = replace(kept, record=record)
 
     def _recorded(self, key_digest: bytes) -> ClaimRecord | None:
         kept = self._kept_by_digest.get(key_digest)
