Give back slots and shares of callers that go while they wait

Cause: a request stopped while it waited for a replica stayed in the owner's queue; the slot granted to it later was never released. A grant of shares that arrived after the stop was dropped with its tokens.

Ruled out: giving the library's Deferreds a canceller of their own; the request knows when it ends, and undoing there covers every way out.

Conclusion: both kinds of calls now share one admission.

--- a/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
@@ -17,6 +17,7 @@
 )
 from ..state.call import ModelCall, Token, Usage
 from ..state.deployment import BackendServer
+from .admission import admit
 from .answer import AnswerSink
 from .failures import RETRY_AFTER, refusal_of
 from .fingerprints import fingerprint, prefix_hashes
@@ -44,6 +45,10 @@
     def request_id(self) -> str:
         return self.request.request_id
 
+    @property
+    def used(self) -> int:
+        return self.prompt_used + self.output_used
+
     def take(self, token: Token) -> None:
         """Count a token and pass it on."""
         self.output_used += 1
@@ -72,27 +77,17 @@
         admission = self._parts.suspects.admit(run.fingerprint)
         if isinstance(admission, Refusal):
             return admission
-        grant = await self._admit(run)
+        grant = await admit(
+            self._parts, request, call.route, call.cost, lambda: run.used
+        )
         if isinstance(grant, Refusal):
             return grant
-        if grant is not None:
-            request.lifecycle.undo(lambda: self._refund(run, grant))
         run.alone = admission is Admission.RUN_ALONE
         return await self._place_and_serve(run, grant)
 
-    async def _admit(self, run: _Run) -> Grant | Refusal | None:
-        if run.call.caller.account is None:
-            return None
-        return await self._parts.shares.acquire(
-            run.call.caller.name, run.call.cost, run.call.route.first_token
-        )
-
-    def _refund(self, run: _Run, grant: Grant) -> None:
-        used = run.prompt_used + run.output_used
-        self._parts.shares.refund(grant, max(0, run.call.cost - used))
-
     async def _place_and_serve(self, run: _Run, grant: Grant | None) -> Usage | Refusal:
         outcome: Usage | Refusal = Refusal(Reason.NO_BACKEND_SERVER, Step.QUEUE)
+        run.request.lifecycle.undo(lambda: self._parts.placement.cancel(run.request_id))
         for _ in range(MAX_PLACEMENTS):
             assignment = await self._parts.placement.assign(self._job(run))
             if isinstance(assignment, Refusal):
--- a/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
@@ -15,6 +15,7 @@
 from ..errors import BackendError, BackendUnreachableError
 from ..state.call import PlainAnswer, PlainCall
 from ..state.deployment import BackendServer
+from .admission import admit
 from .failures import RETRY_AFTER, refusal_of
 from .fingerprints import fingerprint
 from .open_requests import OpenRequest
@@ -38,27 +39,21 @@
         """Return the service's answer, a recorded one, or a refusal."""
         if not call.route.idempotent and not call.idempotency_key:
             return Refusal(Reason.IDEMPOTENCY_KEY_MISSING, Step.RECEIVE)
-        grant = await self._admit(request, call)
+        cost = call.route.plain_cost
+        grant = await admit(
+            self._parts,
+            request,
+            call.route,
+            cost,
+            lambda: cost if request.dispatched else 0,
+        )
         if isinstance(grant, Refusal):
             return grant
+        request.lifecycle.undo(lambda: self._parts.placement.cancel(request.request_id))
         if call.route.idempotent:
             return await self._repeatable(request, call, grant)
         return await self._once(request, call, grant)
 
-    async def _admit(
-        self, request: OpenRequest, call: PlainCall
-    ) -> Grant | Refusal | None:
-        if call.caller.account is None:
-            return None
-        shares = self._parts.shares
-        cost = call.route.plain_cost
-        grant = await shares.acquire(call.caller.name, cost, call.route.first_token)
-        if not isinstance(grant, Refusal):
-            request.lifecycle.undo(
-                lambda: shares.refund(grant, 0 if request.dispatched else cost)
-            )
-        return grant
-
     async def _repeatable(
         self, request: OpenRequest, call: PlainCall, grant: Grant | None
     ) -> PlainAnswer | Refusal:
--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -13,7 +13,7 @@
 )
 from pomeloglade.state.call import ModelCall, Usage
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
-from pomeloglade_coordination.refusals import Reason
+from pomeloglade_coordination.refusals import Reason, Step
 
 
 @pytest.fixture
@@ -81,7 +81,7 @@
     request, sink = ask(instance)
     clock.pump([0.01] * 5)
     engines.send(request.request_id, 1)
-    request.stop(Reason.CANCELLED, sink_step())
+    request.stop(Reason.CANCELLED, Step.RECEIVE)
     assert engines.all_held == set()
     engines.streams.clear()
     assert [ending.reason for ending in sink.endings] == [Reason.CANCELLED]
@@ -89,10 +89,34 @@
     assert len(instance.open_requests) == 0
 
 
-def sink_step():
-    from pomeloglade_coordination.refusals import Step
-
-    return Step.RECEIVE
+def test_caller_that_goes_while_queued_leaves_no_slot_taken(clock):
+    store = MemoryKeyValueStore(clock)
+    put(store, deployment(slots=1))
+    engines = FakeEngines()
+    instance = lone_instance(clock, store, engines)
+    clock.pump([0.5] * 40)
+    first, second, queued = (ask(instance, f"prompt {n}")[0] for n in range(3))
+    clock.pump([0.01] * 20)
+    queued.stop(Reason.CANCELLED, Step.RECEIVE)
+    for request in (first, second):
+        engines.finish(request.request_id, usage())
+    clock.pump([0.01] * 20)
+    flights = [instance.parts.placement.in_flight(name) for name in ("p1", "d1", "d2")]
+    assert flights == [0, 0, 0]
+
+
+def test_grant_that_comes_after_the_caller_went_is_refunded_whole(instance, clock):
+    shares = instance.parts.shares
+    late, refunds = Deferred(), []
+    grant = []
+    shares.acquire("club", 50, timedelta(seconds=1)).addCallback(grant.append)
+    shares.acquire = lambda account, tokens, timeout: late
+    shares.refund = lambda grant, unused: refunds.append(unused)
+    request, sink = ask(instance, output_tokens=46)
+    request.stop(Reason.CANCELLED, Step.RECEIVE)
+    late.callback(grant[0])
+    assert refunds == [50]
+    assert sink.endings[0].not_run
 
 
 def test_withdrawn_key_ends_its_open_stream(instance, engines, store, clock):
