Keep programming errors of a claim log visible

Cause: any exception in a commit counted as a platform failure, so a fault in the code itself would only have shown as claim_unavailable. Errors that are none of the platform's now reach the log as unhandled. Proposals for a shard that this instance does not have are left unanswered instead of raising. No test brings either about. Claims, lease, orders, recovery and plain request tests: 45 passed; 400 random examples of the stateful test green.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_exchange.py
@@ -115,6 +115,8 @@
     def _(self, message: Proposals, instance: str) -> None:
         waiting: dict[int, Deferred[Any]] = {}
         for proposal in message.proposals:
+            if proposal.shard >= len(self._logs):
+                continue
             done = self._logs[proposal.shard].propose(proposal.record())
             done.addCallback(_verdict, proposal)
             done.addErrback(_no_verdict, proposal)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -16,6 +16,7 @@
 from datetime import timedelta
 from typing import Any
 
+import msgspec
 from twisted.internet.defer import Deferred, TimeoutError, fail, inlineCallbacks
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
@@ -30,6 +31,7 @@
 )
 from .clock import Clock
 from .errors import (
+    KeyValueError,
     KeyValueOutcomeUnknownError,
     KeyValueUnavailableError,
     RevisionConflictError,
@@ -173,7 +175,8 @@
             self._outage_seconds += self._clock.seconds() - self._failed_since
             self._failed_since = None
 
-    def _failed(self, failure: Failure) -> None:
+    def _failed(self, failure: Failure) -> Failure | None:
+        """Refuse the claims that wait; pass on what is no failure of the platform."""
         self.counters[LogCounter.UNAVAILABLE] += 1
         if self._failed_since is None:
             self._failed_since = self._last_start
@@ -181,8 +184,10 @@
         self._backoff = min(LONGEST_BACKOFF_SECONDS, doubled)
         self._backoff *= self._random.uniform(0.5, 1.0)
         self._fail_claims(str(failure.value))
+        expected = failure.check(KeyValueError, TimeoutError, msgspec.DecodeError)
+        return None if expected else failure
 
-    def _ended(self, _result: object) -> None:
+    def _ended(self, result: Failure | None) -> Failure | None:
         self._committing = False
         self._pending = deque(p for p in self._pending if not p.waiting.called)
         states = {pending.record.state for pending in self._pending}
@@ -190,6 +195,7 @@
             self._schedule(0.0)
         elif states or self._failed_since is not None:
             self._schedule(PATIENT_DELAY.total_seconds())
+        return result
 
     def _fail_claims(self, message: str) -> None:
         for pending in tuple(self._pending):
