--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
@@ -30,10 +30,13 @@
 SLOTS_PER_KEPT_SLOT = 32
 """Slots of which one is kept, in overload, for accounts within their share."""
 
+KEPT_FROM_PATIENT = 2
+"""How many times more slots are kept from patient requests, which can wait."""
+
 REPEAT_SECONDS = 0.5
 """How often instances are asked again for what they hold."""
 
-URGENT_SECONDS = 0.1
+URGENT_SECONDS = 0.03
 """Time before its latest start at which a request is held back no more."""
 
 MAX_RETRY_AFTER_SECONDS = 30.0
@@ -387,6 +390,8 @@
         """
         role = "plain" if ask.plain else "decode"
         kept = self._servers.all_slots(role) // SLOTS_PER_KEPT_SLOT
+        if ask.patient:
+            kept *= KEPT_FROM_PATIENT
         if self._servers.free_slots(role) > kept or not self._shares.overloaded():
             return False
         if ask.patient:
