Keep the listed address of a partner that tells none, guard link callbacks

Cause: an instance that announces itself without an address took the listed one's place among the partners, so the links would have let its connection go. A fault in the callback for a new connection ended that connection. Both were seen red in a test first.

Nonsense after the proof (bytes that are no frame, frames that are no CBOR) is tested too: it is counted, and the connection is dialled anew. Nothing had to change for it.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/listing.py
@@ -1,7 +1,7 @@
 """The platform's lagging list of instances."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from .members import Member
 
@@ -66,6 +66,13 @@
         until = now + NAMED_SECONDS
         self._named_by_instance[member.instance] = _Named(member, until)
 
+    def addressed(self, member: Member) -> Member:
+        """Return the member with its listed address when it told none."""
+        listed = self._listed.get(member.instance)
+        if member.address or listed is None:
+            return member
+        return replace(member, address=listed.address)
+
     def members(self, availability_zone: str, now: float) -> list[Member]:
         """Return the instances of a zone that should run; incarnations may be 0."""
         named = self._named_by_instance
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/membership.py
@@ -159,7 +159,7 @@
         found = {each.instance: each for each in self._candidates()}
         found |= {each.instance: each for each in self._remote_contacts}
         found |= {each.instance: each for each in inside}
-        return tuple(member for _, member in sorted(found.items()))
+        return tuple(self._listing.addressed(each) for _, each in sorted(found.items()))
 
     def zone_peers(self) -> Iterable[str]:
         """Return the instances of the own zone that are not declared dead."""
--- a/packages/pomeloglade/src/pomeloglade/transport/peers.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/peers.py
@@ -139,7 +139,7 @@
 
     def connect(self, address: str) -> None:
         """Keep a connection to ``address``, given as ``host:port``."""
-        if address == self._own().address or self._closed:
+        if address in ("", self._own().address) or self._closed:
             return
         dial = self._dials_by_address.get(address)
         if dial is None:
@@ -293,7 +293,7 @@
         self._sessions_by_instance[member.instance] = session
         self.counters[LinkEvent.CONNECTED] += 1
         if self._on_connected is not None:
-            self._on_connected(member)
+            self._guard("connected", self._on_connected, member)
 
     def _supersedes(self, session: PeerSession, earlier: PeerSession) -> bool:
         new, old = session.member.incarnation, earlier.member.incarnation
@@ -309,14 +309,18 @@
         return bool(session.address) == own_is_smaller
 
     def session_received(self, session: PeerSession, message: PeerMessage) -> None:
-        """Hand a message over; an error of its handler stays here."""
+        """Hand a message over."""
+        step = f"handling of {type(message).__name__}"
+        self._guard(step, self._on_message, session.instance, message)
+
+    def _guard(self, step: str, handler: Callable[..., None], *args: Any) -> None:
+        """Call a handler, whose fault must not end the connection."""
         try:
-            self._on_message(session.instance, message)
-        except Exception as failed:  # a handler's fault must not end the connection
+            handler(*args)
+        except Exception as failed:  # counted, and shown as the last error
             self.counters[LinkEvent.HANDLER_FAILED] += 1
-            step = f"handling of {type(message).__name__}"
             self.last_error = CoordinationError(
-                f"{type(failed).__name__}: {failed}", step=step, peer=session.instance
+                f"{type(failed).__name__}: {failed}", step=step, peer=str(args[0])
             )
 
     def session_refused(self, session: PeerSession, refused: CoordinationError) -> None:
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -17,6 +17,7 @@
     DeclaredDead,
     FleetFingerprint,
     Heartbeat,
+    Presence,
 )
 from pomeloglade_coordination.zones import contacts
 
@@ -211,6 +212,16 @@
     assert everyone(fleet)
 
 
+def test_partner_that_tells_no_address_keeps_the_listed_one(fleet):
+    node = fleet.node("z0-i0")
+    fleet.node("z0-i1").kill()
+    silent = Member("z0-i1", "zone-0", 2)
+    node.deliver("z0-i1", Presence(silent))
+    fleet.advance(1)
+    partners = {each.instance: each.address for each in node.members.partners()}
+    assert partners["z0-i1"] == "a0-1"
+
+
 def test_nonsense_is_counted_and_changes_nothing(fleet):
     node = fleet.node("z0-i0")
     before = names(node)
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -11,7 +11,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.protocol import peer_codec
-from pomeloglade.protocol.peer_hello import Hello, Proof, is_proof, proof
+from pomeloglade.protocol.peer_hello import Hello, KeepAlive, Proof, is_proof, proof
 from pomeloglade.transport import peer_session
 from pomeloglade.transport.peers import LinkEvent, PeerLinks
 from pomeloglade_coordination import (  # noqa: F401 - registers the messages
@@ -222,6 +222,47 @@
         pass
 
 
+@pytest.mark.parametrize(
+    ("nonsense", "event"),
+    [
+        (lambda near, far: far.deliver(b"\xff" * 20), LinkEvent.REFUSED),
+        (lambda near, far: near.protocol._send_frame(b"\x01"), LinkEvent.NOT_DECODED),
+        (
+            lambda near, far: near.protocol.send(KeepAlive()) or far.deliver(b"\x81\0"),
+            LinkEvent.REFUSED,
+        ),
+    ],
+)
+def test_nonsense_on_a_proven_connection_is_counted_and_it_is_dialled_anew(
+    reactor, nonsense, event
+):
+    (one, _), (two, got_two) = links(reactor, "a"), links(reactor, "b")
+    one.connect(f"h:{two.listening_port}")
+    reactor.run(0.5)
+    nonsense(*reactor.pipes[0])
+    reactor.run(2)
+    one.send("b", Heartbeat(7))
+    reactor.run(0.2)
+    assert two.counters[event] == 1
+    assert got_two == [("a", Heartbeat(7))]
+
+
+def test_failing_handlers_are_counted_and_the_connection_stays(reactor):
+    (one, _), (two, _) = links(reactor, "a"), links(reactor, "b")
+
+    def fail(*_):
+        raise KeyError("a fault")
+
+    two._on_message = two._on_connected = fail
+    one.connect(f"h:{two.listening_port}")
+    reactor.run(0.5)
+    one.send("b", Heartbeat(7))
+    reactor.run(0.5)
+    assert two.counters[LinkEvent.HANDLER_FAILED] == 2
+    assert "KeyError" in str(two.last_error)
+    assert len(reactor.pipes) == 1
+
+
 def test_message_before_the_proof_is_refused(reactor):
     (one, got_one), (two, _) = links(reactor, "a"), links(reactor, "b")
     two.connect(f"h:{one.listening_port}")
