--- a/bench/budget_model.py
+++ b/bench/budget_model.py
@@ -3,7 +3,7 @@
 import random
 from collections import Counter
 from collections.abc import Callable, Mapping
-from dataclasses import astuple, dataclass, field
+from dataclasses import dataclass, field, fields
 from datetime import timedelta
 
 import cbor2
@@ -32,6 +32,16 @@
 """Header of a masked websocket frame of up to 125 bytes."""
 
 
+def _plain(value: object) -> object:
+    """Return a message as the plain values that a codec would carry."""
+    if isinstance(value, tuple):
+        return [_plain(each) for each in value]
+    if isinstance(value, PeerMessage):
+        names = [each.name for each in fields(value)]
+        return [type(value).__name__, *(_plain(getattr(value, n)) for n in names)]
+    return value
+
+
 def run_until(clock: Clock, instant: float) -> None:
     """Run every call of ``clock`` at its own time, up to ``instant``."""
     while clock.calls and clock.calls[0].getTime() <= instant:
@@ -316,7 +326,7 @@
     def carry(self, sender: str, receiver: str, message: PeerMessage) -> None:
         """Deliver a message after the link's delay, unless it is lost."""
         self.sent_messages[sender] += 1
-        size = len(cbor2.dumps([type(message).__name__, *astuple(message)]))
+        size = len(cbor2.dumps(_plain(message)))
         self.sent_bytes[sender] += size + FRAME_BYTES
         target = self.instances_by_name.get(receiver)
         if target is None or self._cut_between(sender, receiver):
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_borrowing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_borrowing.py
@@ -11,6 +11,7 @@
 class Loan:
     """Tokens borrowed from one owner: free, held by grants, or spent."""
 
+    account: str
     lender: str
     lender_incarnation: int
     number: int
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
@@ -32,7 +32,7 @@
 ROUND_SECONDS = 0.05
 """How long an instance waits for the owners that it has asked."""
 
-FRESH_SECONDS = 0.25
+FRESH_SECONDS = 1.0
 """How long what an owner said of its bucket is believed."""
 
 SILENCE_SECONDS = 1.0
@@ -41,6 +41,9 @@
 BACKOFF_SECONDS = 0.02
 """Longest wait before asking again for tokens that another instance gathers."""
 
+BALANCE = 0.02
+"""By how much of its burst another bucket must be fuller to be drawn from first."""
+
 MAX_ROUNDS = 6
 """Most rounds of requests to owners for one waiting request."""
 
@@ -101,6 +104,7 @@
     limit: Limit
     generation: int = 0
     lowered_revision: int = -1
+    granted: int = 0
     borrowed: Borrowed = field(default_factory=Borrowed)
     waiters: deque[_Waiter] = field(default_factory=deque)
     round: _Round | None = None
@@ -268,6 +272,10 @@
         for (lender, incarnation), loans in reports_by_lender.items():
             self._report(lender, incarnation, loans, now)
         self._forget(now)
+        for state in self._accounts_by_name.values():
+            granted, state.granted = state.granted, 0
+            if granted and state.round is None:
+                self._prefetch(state, granted, now)
 
     def hand_back(self) -> None:
         """Return all loans, for a graceful shutdown after the last request."""
@@ -316,6 +324,7 @@
             self._lender.bucket(state.name, now).take(own)
         event = ShareEvent.GRANTED_WITH_LOANS if drawn else ShareEvent.GRANTED_LOCALLY
         self._counts[event] += 1
+        state.granted += tokens
         return Grant(state.name, tokens, Escrow(state.generation, own, drawn))
 
     def _put_back(self, grant: Grant, now: float) -> None:
@@ -406,6 +415,29 @@
         message = LoanRequest(state.name, self._own.incarnation, number, tokens)
         self._sender.send(owner, message)
 
+    def _prefetch(self, state: _Account, granted: int, now: float) -> None:
+        """Borrow the next tick's demand where a bucket is fuller than the own.
+
+        A full bucket earns nothing, so demand is drawn from the fullest.
+        """
+        own = self._own_part(state.name)
+        burst = own.limit(state.limit).burst if own else 0
+        own_fraction = self._own_available(state, now) / burst if burst else 0.0
+        fullest = None
+        highest = own_fraction + BALANCE
+        for part in self._askable(state, now):
+            estimate = self._estimate(state, part, now)
+            fraction = estimate / max(1, part.limit(state.limit).burst)
+            if fraction > highest:
+                fullest, highest = part, fraction
+        wanted = granted - state.borrowed.available(now)
+        if fullest is None or wanted <= 0:
+            return
+        number = next(self._numbers)
+        self._asked_by_request[number] = _Asked(state.name, fullest.instance, now)
+        message = LoanRequest(state.name, self._own.incarnation, number, wanted)
+        self._sender.send(fullest.instance, message)
+
     def _round_timed_out(self, state: _Account) -> None:
         self._counts[ShareEvent.ROUND_TIMED_OUT] += 1
         until = self._clock.seconds() + SILENCE_SECONDS
@@ -485,12 +517,19 @@
             loan.reported = loan.spent
             if closed:
                 loan.expires = float("-inf")
+                self._expect_returned(loan, lender)
         renewed = [loan for loan, closed in loans if not closed]
         if renewed:
             self._sent_by_sequence[sequence] = (now, renewed)
         message = LoanReport(self._own.incarnation, incarnation, sequence, states)
         self._sender.send(lender, message)
 
+    def _expect_returned(self, loan: Loan, lender: str) -> None:
+        state = self._accounts_by_name[loan.account]
+        level = state.levels_by_owner.get(lender)
+        if level is not None:
+            level.available += loan.free + loan.held
+
     def _forget(self, now: float) -> None:
         oldest = now - LOAN_LEASE_SECONDS
         for number in [n for n, a in self._asked_by_request.items() if a.sent < oldest]:
@@ -537,6 +576,7 @@
         expires = asked.sent + LOAN_LEASE_SECONDS
         if message.tokens > 0 and expires > now:
             loan = Loan(
+                asked.account,
                 instance,
                 message.lender_incarnation,
                 message.loan,
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -3,12 +3,12 @@
 from datetime import timedelta
 
 import pytest
-from bench.budget_model import Fleet, run_until
+from bench.budget_model import DETECTION_SECONDS, Fleet, run_until
 
 from pomeloglade_coordination.bucket import Limit
 from pomeloglade_coordination.refusals import Reason
 from pomeloglade_coordination.share_owners import FixedOwners
-from pomeloglade_coordination.shares import Grant, Shares
+from pomeloglade_coordination.shares import Grant, ShareEvent, Shares
 
 TIMEOUT = timedelta(seconds=1)
 ZONES = {"za": ("a1", "a2"), "zb": ("b1", "b2"), "zc": ("c1", "c2")}
@@ -64,7 +64,7 @@
 
 def test_local_request_needs_no_message(driver):
     before = driver.fleet.sent_messages["a1"]
-    assert isinstance(driver.acquire("a1", "large", 5_000, seconds=0.1), Grant)
+    assert isinstance(driver.acquire("a1", "large", 5_000, seconds=0.0), Grant)
     assert driver.fleet.sent_messages["a1"] == before
 
 
@@ -88,3 +88,85 @@
     seconds = driver.fleet.clock.seconds() - WARM_SECONDS
     assert 3000 <= taken <= 3000 + 300 * seconds
     assert isinstance(driver.acquire("a1", "large", 5_000), Grant)
+
+
+def spend_everything(driver, instance, account="large"):
+    """Spend what one instance can get and return how much that was."""
+    spent = 0
+    for tokens in (16_000, 4_000, 1_000):
+        while isinstance(
+            grant := driver.acquire(instance, account, tokens, 0.1), Grant
+        ):
+            assert driver.shares(instance).confirm(grant)
+            spent += tokens
+    return spent
+
+
+def test_zone_restarted_without_state_does_not_get_the_burst_again(driver):
+    start = driver.fleet.clock.seconds()
+    spent = spend_everything(driver, "a1")
+    for name in ZONES["zb"]:
+        driver.fleet.kill(name)
+        driver.fleet.start(name)
+    driver.wait(DETECTION_SECONDS)
+    spent += spend_everything(driver, "b1")
+    seconds = driver.fleet.clock.seconds() - start
+    assert spent <= 60_000 + 6000 * seconds
+
+
+def test_new_run_earns_nothing_before_former_loans_have_run_out(driver):
+    driver.fleet.kill("a1")
+    driver.fleet.start("a1")
+    driver.fleet.cut("za")
+    driver.fleet.kill("a2")
+    driver.wait(3.9)
+    assert not isinstance(driver.acquire("a1", "large", 1, 0.1), Grant)
+    driver.wait(1.0)
+    assert isinstance(driver.acquire("a1", "large", 100, 0.1), Grant)
+
+
+def test_frozen_borrower_has_nothing_when_it_wakes_past_its_lease(driver):
+    shares = driver.shares("a1")
+    grant = driver.acquire("a1", "large", 60_000, seconds=0.01)
+    driver.fleet.freeze("a1")
+    driver.wait(5.0)
+    dispatched = []
+    process = driver.fleet.instances_by_name["a1"].process
+    process.run(lambda: dispatched.append(shares.confirm(grant)))
+    driver.fleet.wake("a1")
+    assert dispatched == [False]
+    assert shares.counters()[ShareEvent.LEASE_LAPSED] == 1
+
+
+def test_lower_limit_voids_grants_and_loans_of_the_higher(driver):
+    grant = driver.acquire("a1", "large", 60_000, seconds=0.01)
+    driver.fleet.configure({**LIMITS, "large": Limit(600, 6_000)})
+    start = driver.fleet.clock.seconds()
+    assert not driver.shares("a1").confirm(grant)
+    spent = 0
+    for instance in ("a1", "b2"):
+        spent += spend_everything(driver, instance)
+    assert spent <= 6_000 + 600 * (driver.fleet.clock.seconds() - start)
+
+
+def test_grant_is_refunded_once_and_nothing_arrives_after_the_refund(driver):
+    shares = driver.shares("a1")
+    grant = driver.acquire("a1", "large", 5_000, seconds=0.0)
+    assert shares.confirm(grant)
+    spend_everything(driver, "a1")
+    before = driver.fleet.sent_messages["a1"]
+    shares.refund(grant, 4_000)
+    shares.refund(grant, 4_000)
+    assert driver.fleet.sent_messages["a1"] == before
+    assert shares.counters()[ShareEvent.REFUNDED] == 1
+    assert isinstance(driver.acquire("a1", "large", 4_000, 0.0), Grant)
+
+
+def test_cut_zone_goes_on_with_its_floor(driver):
+    spend_everything(driver, "a1")
+    driver.fleet.cut("za")
+    driver.wait(10.0)
+    floor = 6000 // 3 * 10
+    grant = driver.acquire("a1", "large", int(floor * 0.9), seconds=0.2)
+    assert isinstance(grant, Grant)
+    assert not isinstance(driver.acquire("a2", "large", floor, 0.2), Grant)
