--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -201,7 +201,7 @@
         self.counters.add("shares", self.parts.shares.counters)
         self.counters.add("placement", self.parts.placement.counters)
         self.counters.add("suspects", self.parts.suspects.counters)
-        self.counters.add("claims", lambda: self.parts.claims.counters)
+        self.counters.add("claims", self.parts.claims.counts)
         self.counters.add("recovery", lambda: self.recovery.counters)
 
     def _tick(self) -> None:
