--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -7,15 +7,15 @@
 from datetime import timedelta
 from functools import singledispatchmethod
 from random import Random
-from typing import Literal
 
-import xxhash
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IDelayedCall
 
 from .clock import Clock
 from .members import Member, MembershipView
 from .peer import PeerMessage, PeerSender
+from .placement_groups import Groups
+from .placement_jobs import Assignment, FreedSlots, Job, to_ask
 from .placement_messages import (
     Holding,
     Holdings,
@@ -33,6 +33,8 @@
 from .refusals import Reason, Refusal, Step
 from .suspects import Admission, Suspects
 
+__all__ = ["Assignment", "Job", "Placement", "Replica"]
+
 GRANT_LEASE_SECONDS = 2.0
 """Age of an ask after which its grant is not used any more."""
 
@@ -44,54 +46,6 @@
 FREED_DELAY_SECONDS = 0.005
 """How long freed slots are collected into one message."""
 
-MAX_GROUP_REPLICAS = 64
-"""Replicas of a pool above which each availability zone has its own owner."""
-
-
-def owner(key: str, members: Iterable[str]) -> str | None:
-    """Return the member with the highest rendezvous score for ``key``."""
-    return max(members, key=lambda member: _score(key, member), default=None)
-
-
-def _score(key: str, member: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode()), member
-
-
-@dataclass(frozen=True, slots=True)
-class Job:
-    """One request as placement sees it.
-
-    ``deadline`` and ``give_up`` are instants of the instance's clock in seconds:
-    the first-token target, and how long a ``patient`` request waits past it.
-    ``prefix`` holds the hashes of the prompt's blocks. Copies of one request
-    share a ``fingerprint``. A job that runs ``alone`` gets replicas without any
-    other suspect.
-    """
-
-    request_id: str
-    account: str
-    weight: int
-    pool: str
-    kind: Literal["model", "plain"]
-    prompt_tokens: int
-    output_tokens: int
-    deadline: float
-    patient: bool = False
-    give_up: float = 0.0
-    prefix: tuple[int, ...] = ()
-    fingerprint: str = ""
-    alone: bool = False
-
-
-@dataclass(frozen=True, slots=True)
-class Assignment:
-    """The replicas reserved for a request; unused roles are empty."""
-
-    request_id: str
-    prefill: str
-    decode: str
-    server: str
-
 
 @dataclass(slots=True)
 class _Pending:
@@ -102,13 +56,6 @@
     asked_at_by_number: dict[int, float] = field(default_factory=dict)
 
 
-@dataclass(slots=True)
-class _Freed:
-    prefilled: list[str] = field(default_factory=list)
-    released: list[str] = field(default_factory=list)
-    completed: list[str] = field(default_factory=list)
-
-
 class Placement:
     """Assigns prefill and decode replicas to this instance's requests.
 
@@ -151,21 +98,18 @@
         self._sender = sender
         self._random = random
         self._suspects = suspects
-        self._replicas_by_name: dict[str, Replica] = {}
-        self._size_by_pool: Counter[str] = Counter()
-        self._groups: tuple[str, ...] = ()
-        self._owner_by_group: dict[str, str | None] = {}
+        self._groups = Groups(
+            clock=clock, members=members, zone_lease=SLOT_LEASE_SECONDS
+        )
         self._owners_by_group: dict[str, PlacementOwner] = {}
         self._pending_by_id: dict[str, _Pending] = {}
         self._holdings_by_id: dict[str, Holding] = {}
         self._group_by_id: dict[str, str] = {}
-        self._freed_by_group: dict[str, _Freed] = {}
+        self._freed_by_group: dict[str, FreedSlots] = {}
         self._claimant_by_group: dict[str, tuple[str, float]] = {}
         self._unreachable: set[str] = set()
         self._live_by_name: dict[str, Member] = {m.instance: m for m in members.live()}
-        self._live_zones = {m.availability_zone for m in members.live()}
         self._lost_at: float | None = None
-        self._zone_lost_at: dict[str, float] = {}
         self._numbers = itertools.count(1)
         self._last_tick = clock.seconds()
         self._counted_at = clock.seconds()
@@ -176,18 +120,15 @@
 
     def configure(self, replicas: Iterable[Replica]) -> None:
         """Replace the replicas of all pools."""
-        self._replicas_by_name = {replica.name: replica for replica in replicas}
-        self._size_by_pool = Counter(r.pool for r in self._replicas_by_name.values())
-        self._unreachable &= set(self._replicas_by_name)
-        groups = {self._group_of(each) for each in self._replicas_by_name.values()}
-        self._groups = tuple(sorted(groups))
+        self._groups.configure(replicas)
+        self._unreachable = set(filter(self._groups.known, self._unreachable))
         self._settle_ownership()
         for group, placing in self._owners_by_group.items():
-            placing.configure(self._replicas_of(group))
+            placing.configure(self._groups.replicas_of(group))
 
     def replica_failed(self, name: str) -> None:
         """Place no more work of this instance on a replica out of reach."""
-        if name in self._replicas_by_name:
+        if self._groups.known(name):
             self._unreachable.add(name)
 
     def replica_recovered(self, name: str) -> None:
@@ -198,51 +139,15 @@
         self, replica: str, held: int, waiting: int, reported_at: float
     ) -> None:
         """Take a replica's load report as a hint, however old it is."""
-        known = self._replicas_by_name.get(replica)
-        placing = self._owners_by_group.get(self._group_of(known)) if known else None
+        group = self._groups.group_of(replica)
+        placing = self._owners_by_group.get(group) if group else None
         if placing is not None:
             placing.observe_load(replica, held, reported_at)
 
-    def _group_of(self, replica: Replica) -> str:
-        if self._size_by_pool[replica.pool] <= MAX_GROUP_REPLICAS:
-            return replica.pool
-        return f"{replica.pool}@{replica.availability_zone}"
-
-    def _group_for(self, job: Job) -> str | None:
-        zone = self._members.own.availability_zone
-        candidates = (job.pool, f"{job.pool}@{zone}")
-        for group in candidates:
-            if group in self._groups:
-                return group
-        others = [g for g in self._groups if g.startswith(f"{job.pool}@")]
-        return owner(job.request_id, others)
-
-    def _replicas_of(self, group: str) -> list[Replica]:
-        replicas = self._replicas_by_name.values()
-        return [each for each in replicas if self._group_of(each) == group]
-
     def _owner_of(self, group: str) -> str | None:
-        if group not in self._owner_by_group:
-            zones = {each.availability_zone for each in self._replicas_of(group)}
-            live = self._live_by_name.values()
-            near = [m.instance for m in live if m.availability_zone in zones]
-            self._owner_by_group[group] = owner(group, near or self._live_by_name)
-        return self._owner_by_group[group]
-
-    def _zone_usable(self, availability_zone: str) -> bool:
-        """Leave a zone without live instances alone for a lease.
-
-        Its own instances may still be granting its slots behind a cut.
-        """
-        if availability_zone in self._live_zones:
-            return True
-        lost_at = self._zone_lost_at.get(availability_zone)
-        if lost_at is None:
-            return True
-        return self._clock.seconds() - lost_at > SLOT_LEASE_SECONDS
+        return self._groups.owner_of(group)
 
     def _members_changed(self) -> None:
-        now = self._clock.seconds()
         live_by_name = {member.instance: member for member in self._members.live()}
         lost = [
             member
@@ -256,14 +161,9 @@
             if self._live_by_name.get(name) != member
         ]
         self._live_by_name = live_by_name
-        self._live_zones = {m.availability_zone for m in live_by_name.values()}
         if lost:
-            self._lost_at = now
-        for member in lost:
-            if not self._members.live(member.availability_zone):
-                self._zone_lost_at[member.availability_zone] = now
-        for member in joined:
-            self._zone_lost_at.pop(member.availability_zone, None)
+            self._lost_at = self._clock.seconds()
+        self._groups.members_changed(lost, joined)
         owned_before = set(self._owners_by_group)
         self._settle_ownership()
         for group in owned_before & set(self._owners_by_group):
@@ -274,15 +174,14 @@
         self._ask_again(force=True)
 
     def _settle_ownership(self) -> None:
-        self._owner_by_group.clear()
         own = self._members.own.instance
-        owned = {group for group in self._groups if self._owner_of(group) == own}
+        owned = {group for group in self._groups.names if self._owner_of(group) == own}
         for group in set(self._owners_by_group) - owned:
             self._owners_by_group.pop(group).stop()
         for group in sorted(owned - set(self._owners_by_group)):
             placing = self._new_owner(group)
             self._owners_by_group[group] = placing
-            placing.configure(self._replicas_of(group))
+            placing.configure(self._groups.replicas_of(group))
             placing.start(self._live_by_name, self._lost_seconds())
 
     def _new_owner(self, group: str) -> PlacementOwner:
@@ -292,7 +191,7 @@
             random=self._random,
             send=self._send,
             admit=self._admit,
-            zone_usable=self._zone_usable,
+            zone_usable=self._groups.zone_usable,
             zone_of=self._zone_of,
             numbers=self._numbers,
         )
@@ -318,7 +217,7 @@
         """Reserve replicas for a job, waiting in the owner's queue if need be."""
         self._notice_pause()
         answer: Deferred[Assignment | Refusal] = Deferred()
-        group = self._group_for(job)
+        group = self._groups.group_for(job.pool, job.request_id)
         if group is None:
             self._counters[Reason.NO_BACKEND_SERVER.value] += 1
             answer.callback(self._refusal(Reason.NO_BACKEND_SERVER, 1.0))
@@ -394,7 +293,7 @@
             return
         self._counted_at = now
         counts = Counter(self._group_by_id.values())
-        for group in self._groups:
+        for group in self._groups.names:
             self._flush(group)
             self._tell_owner(group, HoldingsCount(group, counts[group]))
 
@@ -444,30 +343,14 @@
         asked[number] = now
         for old in [n for n, at in asked.items() if now - at > GRANT_LEASE_SECONDS]:
             del asked[old]
-        job = pending.job
-        ask = PlacementAsk(
-            group=pending.group,
-            number=number,
-            request_id=request_id,
-            account=job.account,
-            weight=job.weight,
-            plain=job.kind == "plain",
-            prompt_tokens=job.prompt_tokens,
-            output_tokens=job.output_tokens,
-            time_left=job.deadline - now,
-            patient=job.patient,
-            give_up_left=job.give_up - now,
-            prefix=job.prefix,
-            fingerprint=job.fingerprint,
-            alone=job.alone,
-            unreachable=tuple(sorted(self._unreachable)),
-        )
+        unreachable = tuple(sorted(self._unreachable))
+        ask = to_ask(pending.job, pending.group, number, now, unreachable)
         self._tell_owner(pending.group, ask)
 
-    def _freed(self, group: str) -> _Freed:
+    def _freed(self, group: str) -> FreedSlots:
         freed = self._freed_by_group.get(group)
         if freed is None:
-            freed = self._freed_by_group[group] = _Freed()
+            freed = self._freed_by_group[group] = FreedSlots()
             self._clock.callLater(FREED_DELAY_SECONDS, self._flush, group)
         return freed
 
@@ -475,12 +358,7 @@
         freed = self._freed_by_group.pop(group, None)
         if freed is None:
             return
-        message = PlacementFreed(
-            group,
-            tuple(freed.prefilled),
-            tuple(freed.released),
-            tuple(freed.completed),
-        )
+        message = freed.message(group)
         self._tell_owner(group, message)
 
     def _refusal(self, reason: Reason, seconds: float | None) -> Refusal:
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_groups.py
@@ -0,0 +1,115 @@
+"""Groups of replicas, and the instance that places on each."""
+
+from collections import Counter
+from collections.abc import Iterable
+
+import xxhash
+
+from .clock import Clock
+from .members import Member, MembershipView
+from .placement_servers import Replica
+
+MAX_GROUP_REPLICAS = 64
+"""Replicas of a pool above which each availability zone has its own owner."""
+
+
+def owner(key: str, members: Iterable[str]) -> str | None:
+    """Return the member with the highest rendezvous score for ``key``."""
+    return max(members, key=lambda member: _score(key, member), default=None)
+
+
+def _score(key: str, member: str) -> tuple[int, str]:
+    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode()), member
+
+
+class Groups:
+    """Divides the replicas into groups and finds each group's placing owner.
+
+    A group is a pool, or a large pool in one availability zone. Its owner is
+    found by rendezvous hashing over the live instances of its zones.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Tells how long ago a zone lost its last instance.
+    members : MembershipView
+        The live instances.
+    zone_lease : float
+        Seconds for which a zone without live instances is left alone.
+    """
+
+    def __init__(
+        self, *, clock: Clock, members: MembershipView, zone_lease: float
+    ) -> None:
+        self._clock = clock
+        self._members = members
+        self._zone_lease = zone_lease
+        self._replicas_by_name: dict[str, Replica] = {}
+        self._size_by_pool: Counter[str] = Counter()
+        self._owner_by_group: dict[str, str | None] = {}
+        self._live: tuple[Member, ...] = members.live()
+        self._zone_lost_at: dict[str, float] = {}
+        self.names: tuple[str, ...] = ()
+
+    def configure(self, replicas: Iterable[Replica]) -> None:
+        """Replace the replicas of all pools."""
+        self._replicas_by_name = {replica.name: replica for replica in replicas}
+        self._size_by_pool = Counter(r.pool for r in self._replicas_by_name.values())
+        groups = {self._group_of(each) for each in self._replicas_by_name.values()}
+        self.names = tuple(sorted(groups))
+        self._owner_by_group.clear()
+
+    def members_changed(self, lost: list[Member], joined: list[Member]) -> None:
+        """Find the owners anew and note zones that lost all instances."""
+        self._live = self._members.live()
+        self._owner_by_group.clear()
+        zones = {member.availability_zone for member in self._live}
+        for member in lost:
+            if member.availability_zone not in zones:
+                self._zone_lost_at[member.availability_zone] = self._clock.seconds()
+        for member in joined:
+            self._zone_lost_at.pop(member.availability_zone, None)
+
+    def known(self, replica: str) -> bool:
+        """Tell whether a replica is configured."""
+        return replica in self._replicas_by_name
+
+    def group_of(self, replica: str) -> str | None:
+        """Return the group of a replica, ``None`` if it isn't configured."""
+        found = self._replicas_by_name.get(replica)
+        return self._group_of(found) if found else None
+
+    def group_for(self, pool: str, request_id: str) -> str | None:
+        """Return the group that serves a pool, in the own zone if there is one."""
+        zone = self._members.own.availability_zone
+        for group in (pool, f"{pool}@{zone}"):
+            if group in self.names:
+                return group
+        return owner(request_id, [g for g in self.names if g.startswith(f"{pool}@")])
+
+    def replicas_of(self, group: str) -> list[Replica]:
+        """Return the replicas of a group."""
+        replicas = self._replicas_by_name.values()
+        return [each for each in replicas if self._group_of(each) == group]
+
+    def owner_of(self, group: str) -> str | None:
+        """Return the instance that places on a group, ``None`` without any."""
+        if group not in self._owner_by_group:
+            zones = {each.availability_zone for each in self.replicas_of(group)}
+            near = [m.instance for m in self._live if m.availability_zone in zones]
+            members = near or [m.instance for m in self._live]
+            self._owner_by_group[group] = owner(group, members)
+        return self._owner_by_group[group]
+
+    def zone_usable(self, availability_zone: str) -> bool:
+        """Leave a zone without live instances alone for a lease.
+
+        Its own instances may still be granting its slots behind a cut.
+        """
+        lost_at = self._zone_lost_at.get(availability_zone)
+        return lost_at is None or self._clock.seconds() - lost_at > self._zone_lease
+
+    def _group_of(self, replica: Replica) -> str:
+        if self._size_by_pool[replica.pool] <= MAX_GROUP_REPLICAS:
+            return replica.pool
+        return f"{replica.pool}@{replica.availability_zone}"
