Keep the slots of an instance's former run for their lease

An instance that restarted at once was asked what it holds and, knowing nothing, had the slots of its former run freed while engines may still run them. Held requests are now marked as lost with their instant, and only their own lease, or the instance naming them again, changes that. The test was red before. Ruled out: telling runs apart by request ids, which the library does not parse.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_owner.py
@@ -117,7 +117,6 @@
         self._started_number = 0
         self._miscounted: set[str] = set()
         self._started_at = 0.0
-        self._lost_at_by_instance: dict[str, float] = {}
         self._serving = False
         self._serve_again = False
         self._timer = None
@@ -149,7 +148,6 @@
 
     def instance_joined(self, instance: str) -> None:
         """Ask an instance that came (back) what it holds, before more grants."""
-        self._lost_at_by_instance.pop(instance, None)
         self._number = next(self._numbers)
         self._asked_at_by_unheard[instance] = self._clock.seconds()
         self._ask_unheard()
@@ -176,9 +174,11 @@
 
     def instance_lost(self, instance: str) -> None:
         """Drop the asks of an instance, and keep its slots for their lease."""
-        now = self._clock.seconds()
-        self._lost_at_by_instance[instance] = now
-        self._clock.callLater(SLOT_LEASE_SECONDS, self._end_lease, instance, now)
+        gone = f"{instance} lost at {self._clock.seconds()}"
+        for held in self._held_by_id.values():
+            if held.instance == instance:
+                held.instance = gone
+        self._clock.callLater(SLOT_LEASE_SECONDS, self._end_lease, gone)
         for request_id, waiting in list(self._waiting_by_id.items()):
             if waiting.instance == instance:
                 self._forget_waiting(request_id)
@@ -186,12 +186,9 @@
             self._block_for_lost(0.0)
         self.serve()
 
-    def _end_lease(self, instance: str, lost_at: float) -> None:
-        if self._lost_at_by_instance.get(instance) != lost_at:
-            return
-        del self._lost_at_by_instance[instance]
+    def _end_lease(self, gone: str) -> None:
         for request_id, held in list(self._held_by_id.items()):
-            if held.instance == instance:
+            if held.instance == gone:
                 self.counters["lapsed"] += 1
                 self._free(request_id)
         self.serve()
@@ -214,8 +211,11 @@
                 self.counters["resynced"] += 1
                 self._free(request_id)
         for holding in message.holdings:
-            if holding.request_id not in self._held_by_id:
+            held = self._held_by_id.get(holding.request_id)
+            if held is None:
                 self._hold(instance, holding, prompt_tokens=0)
+            else:
+                held.instance = instance
         if self._asked_at_by_unheard.pop(instance, None) is not None:
             self._block_for_lost(message.lost_seconds)
         self.serve()
@@ -255,6 +255,7 @@
         held = self._held_by_id.get(ask.request_id)
         if held is not None:
             held.number = self._number
+            held.instance = instance
             self._grant(instance, ask.number, held.holding)
             return
         waiting = self._waiting_by_id.get(ask.request_id)
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -189,6 +189,24 @@
     assert len(queued) == 1
 
 
+def test_slots_of_a_restarted_instance_stay_taken_for_their_lease(fleet):
+    restarted, other = fleet.others()
+    _fill(fleet, [restarted] * 4)
+    fleet.placements[restarted]._holdings_by_id.clear()
+    members = [
+        replace(member, incarnation=2) if member.instance == restarted else member
+        for member in fleet.members
+    ]
+    for view in fleet.views.values():
+        view.set_members(tuple(members))
+    fleet.placements[restarted]._lost_at = None
+    queued = fleet.assign(other, "queued", patient=True, give_up=60.0)
+    fleet.advance(SLOT_LEASE_SECONDS - 0.5)
+    assert queued == []
+    fleet.advance(1.0)
+    assert len(queued) == 1
+
+
 def test_joining_owner_grants_nothing_before_it_has_heard_all(clock):
     joining = Fleet(clock).owner()
     fleet = Fleet(clock)
