Keep the 3 s bound of polls for large values, and survive faults of the store

And an error outside the store's interface ended the watch and the poll for good.

Polls are now at most 2.5 s apart, whole values at most 64 KB before they are sharded, and any fault of the store is counted and tried again.

Ruled out: polling by a watch that ends at once, which reads no value when nothing changed, but fails along with the watches.

--- a/bench/membership_bench.py
+++ b/bench/membership_bench.py
@@ -22,6 +22,7 @@
 
 SETTLE_SECONDS = 3.0
 MEASURED_SECONDS = 5.0
+SILENT_GAP_SECONDS = 0.7
 CONTROL_BYTES_PER_SECOND = 4096
 """What a daemon may spend on all control traffic, by the target."""
 
@@ -34,11 +35,12 @@
 
 @dataclass(frozen=True, slots=True)
 class Size:
-    """A fleet, and how long a change may take until it is in force."""
+    """A fleet, how long a change may take, and how often that is tried."""
 
     name: str
     zones: tuple[int, ...]
     in_force_seconds: float
+    silent_publishes: int
 
     @property
     def instances(self) -> int:
@@ -47,9 +49,9 @@
 
 
 SIZES = (
-    Size("6", (2, 2, 2), 3.0),
-    Size("35", (12, 12, 11), 3.0),
-    Size("390", (36, 36, 36, 36, 36, 35, 35, 35, 35, 35, 35), 7.0),
+    Size("6", (2, 2, 2), 3.0, 20),
+    Size("35", (12, 12, 11), 3.0, 10),
+    Size("390", (36, 36, 36, 36, 36, 35, 35, 35, 35, 35, 35), 7.0, 3),
 )
 
 
@@ -118,7 +120,11 @@
     plain = seconds_in_force(fleet, accounts(200, rate=5), size.in_force_seconds)
     for node in fleet.nodes:
         node.store.silent_watches = True
-    silent = seconds_in_force(fleet, accounts(200, rate=6), size.in_force_seconds)
+    silent = 0.0
+    for rate in range(6, 6 + size.silent_publishes):
+        fleet.advance(SILENT_GAP_SECONDS)
+        value = accounts(200, rate=rate)
+        silent = max(silent, seconds_in_force(fleet, value, size.in_force_seconds))
     violated = 0
     for name, seconds in (("change", plain), ("change, silent watches", silent)):
         violated += report(
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_shards.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_shards.py
@@ -20,7 +20,7 @@
 
 CONFIGURATION_KEY = "configuration"
 SHARD_PREFIX = "deployment-shard/"
-WHOLE_VALUE_BYTES = 256_000
+WHOLE_VALUE_BYTES = 64_000
 """Up to this size a value stands under its key as it is, without shards."""
 
 SHARD_BYTES = 32_000
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_source.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_source.py
@@ -17,7 +17,6 @@
 
 from .clock import Clock
 from .configuration_shards import CONFIGURATION_KEY, ShardedConfiguration
-from .errors import CoordinationError
 from .key_value import Entry, KeyValueStore
 
 WATCH_SECONDS = 30.0
@@ -27,7 +26,7 @@
 READ_TIMEOUT_SECONDS = 2.0
 ASSEMBLE_TIMEOUT_SECONDS = 10.0
 WATCHER_POLL_SECONDS = 1.25
-WATCHER_POLL_MOST_SECONDS = 5.0
+WATCHER_POLL_MOST_SECONDS = 2.5
 WATCHER_POLL_BYTES_PER_SECOND = 2_000
 """Polls of a large manifest are further apart, within the most seconds."""
 
@@ -158,7 +157,7 @@
             self._counters[ConfigurationEvent.WATCH_SILENT] += 1
         except CancelledError:
             pause = RETRY_SECONDS
-        except CoordinationError:
+        except Exception:  # no fault of the store may end the loop
             self._counters[ConfigurationEvent.WATCH_FAILED] += 1
             pause = RETRY_SECONDS * (1 + self._random.random())
         else:
@@ -187,7 +186,7 @@
             reading = self._store.get(CONFIGURATION_KEY)
             reading.addTimeout(READ_TIMEOUT_SECONDS, self._clock)
             entry = yield reading
-        except (CoordinationError, TimeoutError):
+        except Exception:  # no fault of the store may end the loop
             self._counters[ConfigurationEvent.POLL_FAILED] += 1
         else:
             self.answered = max(self.answered or sent, sent)
@@ -215,7 +214,7 @@
             reading = self._configuration.assemble(entry)
             reading.addTimeout(ASSEMBLE_TIMEOUT_SECONDS, self._clock)
             value = yield reading
-        except (CoordinationError, TimeoutError):
+        except Exception:  # no fault of the store may end the loop
             self._counters[ConfigurationEvent.VALUE_UNREADABLE] += 1
         else:
             self._follower.adopt(entry.revision, value)
--- a/tests/test_configuration.py
+++ b/tests/test_configuration.py
@@ -101,6 +101,30 @@
         node.store.silent_watches = False
 
 
+def test_polls_of_a_large_value_keep_the_bound_in_every_phase():
+    fleet = Fleet((1, 1))
+    fleet.advance(SETTLE_SECONDS)
+    publish_and_wait(fleet, deployment(500))
+    for node in fleet.nodes:
+        node.store.silent_watches = True
+    for changed in range(12):
+        fleet.advance(1.3)
+        publish_and_wait(fleet, deployment(500, changed))
+
+
+def test_fault_of_the_store_does_not_end_watch_and_poll(fleet, monkeypatch):
+    publish_and_wait(fleet, b"one")
+
+    def broken(*_, **__):
+        raise RuntimeError("not an error of the interface")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(ReachableStore, "get", broken)
+        patch.setattr(ReachableStore, "watch", broken)
+        fleet.advance(100)
+    publish_and_wait(fleet, b"two")
+
+
 def test_without_polls_silent_watches_would_hold_a_change_up(fleet, monkeypatch):
     publish_and_wait(fleet, b"one")
     monkeypatch.setattr(configuration_source, "WATCHER_POLL_SECONDS", 1e6)
