Dial an address that turns out to be the own one only once

Cause: the same list of peer addresses is given to every instance, and an instance that does not know its own address dialled itself every 5 s. A test with the own address among the peers was red first (more than one connection in 40 s) and shows one now. Only the dialling end closes such a connection, since an abort by the other could overtake the hello that names the instance.

Two instances with one name refuse each other in the same way; that stays an operators' error, counted as refused.

--- a/packages/pomeloglade/src/pomeloglade/transport/peer_session.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/peer_session.py
@@ -49,6 +49,10 @@
     """A peer that breaks the protocol; its connection is closed."""
 
 
+class OwnAddressError(PeerProtocolError):
+    """The address dialled is the instance's own."""
+
+
 @dataclass(frozen=True, slots=True)
 class SessionSettings:
     """What a session needs to know of its own instance.
@@ -324,7 +328,13 @@
         if len(hello.nonce) != NONCE_BYTES:
             raise self._error(f"a nonce of {len(hello.nonce)} bytes")
         if hello.instance == self._own_hello.instance:
-            raise self._error("the instance is connected to itself")
+            if not self.address:
+                return  # the dialling end closes, as it knows which address it was
+            raise OwnAddressError(
+                f"{hello.instance} is connected to itself",
+                step="peer link",
+                peer=self.instance,
+            )
         self._peer_hello = hello
         self.send(proof(self._settings.secret, self._own_hello, hello))
 
--- a/packages/pomeloglade/src/pomeloglade/transport/peers.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/peers.py
@@ -16,7 +16,7 @@
 from pomeloglade_coordination.peer import PeerMessage
 
 from ..protocol.peer_codec import DecodeError
-from .peer_session import PeerSession, SessionSettings
+from .peer_session import OwnAddressError, PeerSession, SessionSettings
 
 CHECK_SECONDS = 0.5
 CONNECT_TIMEOUT_SECONDS = 3.0
@@ -107,6 +107,7 @@
         self._address_by_instance: dict[str, str] = {}
         self._sessions_by_instance: dict[str, PeerSession] = {}
         self._sessions: set[PeerSession] = set()
+        self._own_addresses: set[str] = set()
         self._closed = False
         factory = _Accepting(self)
         self._port = reactor.listenTCP(listen_port, factory, interface=listen_host)
@@ -139,7 +140,8 @@
 
     def connect(self, address: str) -> None:
         """Keep a connection to ``address``, given as ``host:port``."""
-        if address in ("", self._own().address) or self._closed:
+        own = {"", self._own().address} | self._own_addresses
+        if address in own or self._closed:
             return
         dial = self._dials_by_address.get(address)
         if dial is None:
@@ -328,6 +330,10 @@
         decoded = isinstance(refused, DecodeError)
         self.counters[LinkEvent.NOT_DECODED if decoded else LinkEvent.REFUSED] += 1
         self.last_error = refused
+        dial = self._dials_by_address.get(session.address)
+        if isinstance(refused, OwnAddressError) and dial is not None:
+            self._own_addresses.add(session.address)
+            del self._dials_by_address[session.address]
 
     def session_dropped_batch(self, session: PeerSession) -> None:
         """Count a batch that a slow connection had no room for."""
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -247,6 +247,16 @@
     assert got_two == [("a", Heartbeat(7))]
 
 
+def test_own_address_among_the_peers_is_dialled_once(reactor):
+    one, _ = links(reactor, "a")
+    one.connect(f"h:{one.listening_port}")
+    reactor.run(20)
+    one.set_peers([f"h:{one.listening_port}"])
+    reactor.run(20)
+    assert len(reactor.pipes) == 1
+    assert one.connected() == ()
+
+
 def test_failing_handlers_are_counted_and_the_connection_stays(reactor):
     (one, _), (two, _) = links(reactor, "a"), links(reactor, "b")
 
