Split shares, and borrow ahead only when the own part runs low

Borrowing ahead begins below half of the own burst, and a waiting request asks at most three times (six before).

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_borrowing.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_borrowing.py
@@ -50,6 +50,19 @@
         return any(loan.expires <= now for loan, _ in self.loans)
 
 
+@dataclass(frozen=True, slots=True)
+class Grant:
+    """Tokens of an account that one request may spend.
+
+    Call ``Shares.confirm`` just before dispatch and ``Shares.refund`` with what
+    was not used; a grant that is never dispatched is refunded without confirming.
+    """
+
+    account: str
+    tokens: int
+    escrow: Escrow = field(compare=False, repr=False)
+
+
 @dataclass(slots=True)
 class Borrowed:
     """The loans that one instance holds of one account."""
--- /dev/null
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_events.py
@@ -0,0 +1,19 @@
+"""Events that shares count."""
+
+import enum
+
+
+class ShareEvent(enum.Enum):
+    """What the counters of shares count."""
+
+    GRANTED_LOCALLY = "granted_locally"
+    GRANTED_WITH_LOANS = "granted_with_loans"
+    REFUSED_OVER_RATE = "refused_over_rate"
+    REFUSED_OVER_BURST = "refused_over_burst"
+    REFUSED_WITHOUT_ASKING = "refused_without_asking"
+    LEASE_LAPSED = "lease_lapsed"
+    REFUNDED = "refunded"
+    ROUND = "round"
+    ROUND_TIMED_OUT = "round_timed_out"
+    ROUND_RETRIED = "round_retried"
+    OUTDATED_LOAN = "outdated_loan"
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
@@ -1,11 +1,9 @@
 """Shares of each account's rate and burst, lent between their owners."""
 
-import enum
 import itertools
 import random
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Mapping
-from dataclasses import dataclass, field
 from datetime import timedelta
 from functools import singledispatchmethod
 
@@ -16,8 +14,17 @@
 from .members import MembershipView
 from .peer import PeerMessage, PeerSender
 from .refusals import Reason, Refusal, Step
-from .share_borrowing import Borrowed, Escrow, EscrowState, Loan, renewal_due
+from .share_accounts import Account, Asked, Round, Waiter
+from .share_borrowing import (
+    Escrow,
+    EscrowState,
+    Grant,
+    Loan,
+    renewal_due,
+)
+from .share_events import ShareEvent
 from .share_lending import LOAN_LEASE_SECONDS, Lender
+from .share_levels import OwnerLevels
 from .share_messages import (
     LoanGrant,
     LoanRenewal,
@@ -25,6 +32,7 @@
     LoanRequest,
 )
 from .share_owners import FixedOwners, OwnedPart, Owners
+from .share_reports import LoanReports
 
 TICK_SECONDS = 0.25
 """How often the caller runs ``tick``."""
@@ -32,90 +40,17 @@
 ROUND_SECONDS = 0.05
 """How long an instance waits for the owners that it has asked."""
 
-FRESH_SECONDS = 1.0
-"""How long what an owner said of its bucket is believed."""
-
-SILENCE_SECONDS = 1.0
-"""How long an owner that has not answered is not asked again."""
-
 BACKOFF_SECONDS = 0.02
 """Longest wait before asking again for tokens that another instance gathers."""
 
-BALANCE = 0.02
+BALANCE = 0.1
 """By how much of its burst another bucket must be fuller to be drawn from first."""
 
-MAX_ROUNDS = 6
-"""Most rounds of requests to owners for one waiting request."""
-
-
-class ShareEvent(enum.Enum):
-    """What the counters of shares count."""
-
-    GRANTED_LOCALLY = "granted_locally"
-    GRANTED_WITH_LOANS = "granted_with_loans"
-    REFUSED_OVER_RATE = "refused_over_rate"
-    REFUSED_OVER_BURST = "refused_over_burst"
-    REFUSED_WITHOUT_ASKING = "refused_without_asking"
-    LEASE_LAPSED = "lease_lapsed"
-    REFUNDED = "refunded"
-    ROUND = "round"
-    ROUND_TIMED_OUT = "round_timed_out"
-    ROUND_RETRIED = "round_retried"
-    OUTDATED_LOAN = "outdated_loan"
-
-
-@dataclass(frozen=True, slots=True)
-class Grant:
-    """Tokens of an account that one request may spend.
-
-    Call ``Shares.confirm`` just before dispatch and ``Shares.refund`` with what
-    was not used; a grant that is never dispatched is refunded without confirming.
-    """
-
-    account: str
-    tokens: int
-    escrow: Escrow = field(compare=False, repr=False)
-
-
-@dataclass(slots=True)
-class _Waiter:
-    tokens: int
-    result: "Deferred[Grant | Refusal]"
-    deadline: float
-    rounds: int = 0
-
-
-@dataclass(slots=True)
-class _Level:
-    available: int
-    reserved: int
-    at: float
+PREFETCH_BELOW = 0.5
+"""Fraction of the own burst below which demand is borrowed ahead."""
 
-
-@dataclass(slots=True)
-class _Round:
-    asked_by_request: dict[int, str] = field(default_factory=dict)
-    timer: object = None
-
-
-@dataclass(slots=True)
-class _Account:
-    name: str
-    limit: Limit
-    generation: int = 0
-    lowered_revision: int = -1
-    granted: int = 0
-    borrowed: Borrowed = field(default_factory=Borrowed)
-    waiters: deque[_Waiter] = field(default_factory=deque)
-    round: _Round | None = None
-    levels_by_owner: dict[str, _Level] = field(default_factory=dict)
-
-
-@dataclass(frozen=True, slots=True)
-class _Asked:
-    account: str
-    owner: str
-    sent: float
+MAX_ROUNDS = 3
+"""Most rounds of requests to owners for one waiting request."""
 
 
 class Shares:
@@ -147,16 +82,15 @@
         owners: Owners | None = None,
     ) -> None:
         self._clock = clock
-        self._members = members
         self._own = members.own
         self._sender = sender
         self._owners = owners or FixedOwners.of(members)
         self._random = random.Random(self._own.instance)
+        self._levels = OwnerLevels(self._owners, members)
+        self._reports = LoanReports(clock, self._own, sender, self._levels)
         self._lender = Lender(clock.seconds())
-        self._accounts_by_name: dict[str, _Account] = {}
-        self._asked_by_request: dict[int, _Asked] = {}
-        self._sent_by_sequence: dict[int, tuple[float, list[Loan]]] = {}
-        self._silent_until_by_owner: dict[str, float] = {}
+        self._accounts_by_name: dict[str, Account] = {}
+        self._asked_by_request: dict[int, Asked] = {}
         self._numbers = itertools.count(1)
         self._revision = -1
         self._counts: Counter[ShareEvent] = Counter()
@@ -195,7 +129,7 @@
                 self._counts[ShareEvent.REFUSED_WITHOUT_ASKING] += 1
                 return succeed(self._over_rate(state, tokens))
         now = self._clock.seconds()
-        waiter = _Waiter(tokens, Deferred(), now + timeout.total_seconds())
+        waiter = Waiter(tokens, Deferred(), now + timeout.total_seconds())
         state.waiters.append(waiter)
         if state.round is None:
             self._start_round(state)
@@ -251,26 +185,24 @@
 
     def receive(self, instance: str, message: PeerMessage) -> None:
         """Handle a message of the instance ``instance``."""
-        self._silent_until_by_owner.pop(instance, None)
+        self._levels.alive(instance)
         self._handle(message, instance)
 
     def tick(self) -> None:
         """Return idle loans, report spent ones, and renew those held."""
         now = self._clock.seconds()
-        reports_by_lender: dict[tuple[str, int], list[tuple[Loan, bool]]] = {}
+        reported: list[tuple[Loan, bool]] = []
         for state in self._accounts_by_name.values():
             borrowed = state.borrowed
             borrowed.drawn_before, borrowed.drawn = borrowed.drawn, 0
-            closed = borrowed.close_idle(now) if borrowed.loans else []
-            for loan in closed:
-                key = (loan.lender, loan.lender_incarnation)
-                reports_by_lender.setdefault(key, []).append((loan, True))
-            for loan in borrowed.loans:
-                if loan.spent > loan.reported or renewal_due(loan, now):
-                    key = (loan.lender, loan.lender_incarnation)
-                    reports_by_lender.setdefault(key, []).append((loan, False))
-        for (lender, incarnation), loans in reports_by_lender.items():
-            self._report(lender, incarnation, loans, now)
+            closed = borrowed.close_idle(now)
+            reported += [(loan, True) for loan in closed]
+            reported += [
+                (loan, False)
+                for loan in borrowed.loans
+                if loan.spent > loan.reported or renewal_due(loan, now)
+            ]
+        self._reports.send(reported)
         self._forget(now)
         for state in self._accounts_by_name.values():
             granted, state.granted = state.granted, 0
@@ -281,7 +213,7 @@
         """Return all loans, for a graceful shutdown after the last request."""
         now = self._clock.seconds()
         for state in self._accounts_by_name.values():
-            self._close(state.borrowed.close_idle(now, everything=True), now)
+            self._reports.close(state.borrowed.close_idle(now, everything=True))
 
     def counters(self) -> Mapping[ShareEvent, int]:
         """Return how often each event has occurred."""
@@ -291,11 +223,11 @@
         now = self._clock.seconds()
         state = self._accounts_by_name.get(name)
         if state is None:
-            state = self._accounts_by_name[name] = _Account(name, limit)
+            state = self._accounts_by_name[name] = Account(name, limit)
         if limit.burst < state.limit.burst:
             state.generation += 1
             state.lowered_revision = self._revision
-            self._close(state.borrowed.close_idle(now, everything=True), now)
+            self._reports.close(state.borrowed.close_idle(now, everything=True))
         state.limit = limit
         part = self._own_part(name)
         if part is not None:
@@ -307,14 +239,14 @@
                 return part
         return None
 
-    def _own_available(self, state: _Account, now: float) -> int:
+    def _own_available(self, state: Account, now: float) -> int:
         bucket = self._lender.bucket(state.name, now)
         return bucket.available(now) if bucket is not None else 0
 
-    def _available(self, state: _Account, now: float) -> int:
+    def _available(self, state: Account, now: float) -> int:
         return self._own_available(state, now) + state.borrowed.available(now)
 
-    def _grant(self, state: _Account, tokens: int) -> Grant | None:
+    def _grant(self, state: Account, tokens: int) -> Grant | None:
         now = self._clock.seconds()
         if self._available(state, now) < tokens:
             return None
@@ -337,48 +269,25 @@
             loan.held -= tokens
             loan.free += tokens
 
-    def _over_rate(self, state: _Account, tokens: int) -> Refusal:
+    def _over_rate(self, state: Account, tokens: int) -> Refusal:
         self._counts[ShareEvent.REFUSED_OVER_RATE] += 1
         now = self._clock.seconds()
-        held = self._available(state, now)
-        for part in self._askable(state, now):
-            held += self._estimate(state, part, now)
+        held = self._reachable(state, now)
         missing = max(1, tokens - held)
         wait = delay(missing / state.limit.rate) if state.limit.rate else None
         return Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=wait)
 
-    def _askable(self, state: _Account, now: float) -> list[OwnedPart]:
-        return [
-            part
-            for part in self._owners.parts(state.name)
-            if part.instance != self._own.instance
-            and self._members.member(part.instance) is not None
-            and self._silent_until_by_owner.get(part.instance, 0.0) <= now
-        ]
-
-    def _estimate(self, state: _Account, part: OwnedPart, now: float) -> int:
-        limit = part.limit(state.limit)
-        level = state.levels_by_owner.get(part.instance)
-        if level is None or now - level.at > FRESH_SECONDS:
-            return limit.burst
-        earned = int(limit.rate * (now - level.at))
-        return min(limit.burst, level.available + earned)
+    def _reachable(self, state: Account, now: float) -> int:
+        others = self._levels.reachable(state.name, state.limit, now)
+        return self._available(state, now) + others
 
-    def _reserved(self, state: _Account, part: OwnedPart, now: float) -> int:
-        level = state.levels_by_owner.get(part.instance)
-        fresh = level is not None and now - level.at <= FRESH_SECONDS
-        return level.reserved if fresh else 0
-
-    def _certainly_short(self, state: _Account, tokens: int) -> bool:
+    def _certainly_short(self, state: Account, tokens: int) -> bool:
         """Return whether fresh answers leave no chance of gathering ``tokens``."""
         now = self._clock.seconds()
-        total = self._available(state, now)
-        for part in self._askable(state, now):
-            total += self._estimate(state, part, now)
-            total += self._reserved(state, part, now)
-        return total < tokens
+        reserved = self._levels.reserved(state.name, now)
+        return self._reachable(state, now) + reserved < tokens
 
-    def _start_round(self, state: _Account) -> None:
+    def _start_round(self, state: Account) -> None:
         """Ask the owners that should have what the waiting requests need.
 
         The first round asks as few as suffice by what is known of them; later
@@ -388,12 +297,15 @@
         needed = sum(waiter.tokens for waiter in state.waiters)
         missing = min(needed, state.limit.burst) - self._available(state, now)
         missing += state.borrowed.drawn_before
-        state.round = current = _Round()
+        state.round = current = Round()
         state.waiters[0].rounds += 1
         self._counts[ShareEvent.ROUND] += 1
         estimates = [
-            (self._estimate(state, part, now), part.instance)
-            for part in self._askable(state, now)
+            (
+                self._levels.estimate(state.name, state.limit, part, now),
+                part.instance,
+            )
+            for part in self._levels.askable(state.name, now)
         ]
         for estimate, owner in sorted(estimates, reverse=True):
             if missing <= 0 or estimate <= 0:
@@ -408,14 +320,14 @@
         wait = max(0.0, min(ROUND_SECONDS, left))
         current.timer = self._clock.callLater(wait, self._round_timed_out, state)
 
-    def _ask(self, state: _Account, owner: str, tokens: int, now: float) -> None:
+    def _ask(self, state: Account, owner: str, tokens: int, now: float) -> None:
         number = next(self._numbers)
         state.round.asked_by_request[number] = owner
-        self._asked_by_request[number] = _Asked(state.name, owner, now)
+        self._asked_by_request[number] = Asked(state.name, owner, now)
         message = LoanRequest(state.name, self._own.incarnation, number, tokens)
         self._sender.send(owner, message)
 
-    def _prefetch(self, state: _Account, granted: int, now: float) -> None:
+    def _prefetch(self, state: Account, granted: int, now: float) -> None:
         """Borrow the next tick's demand where a bucket is fuller than the own.
 
         A full bucket earns nothing, so demand is drawn from the fullest.
@@ -423,10 +335,12 @@
         own = self._own_part(state.name)
         burst = own.limit(state.limit).burst if own else 0
         own_fraction = self._own_available(state, now) / burst if burst else 0.0
+        if burst and own_fraction >= PREFETCH_BELOW:
+            return
         fullest = None
         highest = own_fraction + BALANCE
-        for part in self._askable(state, now):
-            estimate = self._estimate(state, part, now)
+        for part in self._levels.askable(state.name, now):
+            estimate = self._levels.estimate(state.name, state.limit, part, now)
             fraction = estimate / max(1, part.limit(state.limit).burst)
             if fraction > highest:
                 fullest, highest = part, fraction
@@ -434,25 +348,25 @@
         if fullest is None or wanted <= 0:
             return
         number = next(self._numbers)
-        self._asked_by_request[number] = _Asked(state.name, fullest.instance, now)
+        self._asked_by_request[number] = Asked(state.name, fullest.instance, now)
         message = LoanRequest(state.name, self._own.incarnation, number, wanted)
         self._sender.send(fullest.instance, message)
 
-    def _round_timed_out(self, state: _Account) -> None:
+    def _round_timed_out(self, state: Account) -> None:
         self._counts[ShareEvent.ROUND_TIMED_OUT] += 1
-        until = self._clock.seconds() + SILENCE_SECONDS
+        now = self._clock.seconds()
         for owner in state.round.asked_by_request.values():
-            self._silent_until_by_owner[owner] = until
+            self._levels.silent(owner, now)
         state.round.timer = None
         self._end_round(state)
 
-    def _end_round(self, state: _Account) -> None:
+    def _end_round(self, state: Account) -> None:
         """Serve the waiting requests in order, and refuse what cannot be."""
         if state.round.timer is not None:
             state.round.timer.cancel()
         state.round = None
         asked_all = bool(state.waiters) and state.waiters[0].rounds > 1
-        answered: list[tuple[_Waiter, Grant | Refusal]] = []
+        answered: list[tuple[Waiter, Grant | Refusal]] = []
         while state.waiters:
             waiter = state.waiters[0]
             result = self._granted(state, waiter)
@@ -466,76 +380,42 @@
         refused = any(isinstance(result, Refusal) for _, result in answered)
         if state.round is None and (asked_all or refused):
             now = self._clock.seconds()
-            self._close(state.borrowed.close_unheld(now), now)
+            self._reports.close(state.borrowed.close_unheld(now))
         for waiter, result in answered:
             waiter.result.callback(result)
 
-    def _granted(self, state: _Account, waiter: _Waiter) -> Grant | None:
+    def _granted(self, state: Account, waiter: Waiter) -> Grant | None:
         if waiter.tokens > state.limit.burst:
             return None
         return self._grant(state, waiter.tokens)
 
-    def _may_ask_again(self, state: _Account, waiter: _Waiter) -> bool:
+    def _may_ask_again(self, state: Account, waiter: Waiter) -> bool:
         if waiter.rounds >= MAX_ROUNDS or waiter.tokens > state.limit.burst:
             return False
         if self._clock.seconds() >= waiter.deadline:
             return False
         return not self._certainly_short(state, waiter.tokens)
 
-    def _ask_again(self, state: _Account, waiter: _Waiter) -> None:
+    def _ask_again(self, state: Account, waiter: Waiter) -> None:
         """Ask at once, or after a while if others hold what is missing."""
         now = self._clock.seconds()
-        reachable = self._available(state, now)
-        for part in self._askable(state, now):
-            reachable += self._estimate(state, part, now)
-        if reachable >= waiter.tokens:
+        if self._reachable(state, now) >= waiter.tokens:
             self._start_round(state)
             return
         self._counts[ShareEvent.ROUND_RETRIED] += 1
-        self._close(state.borrowed.close_unheld(now), now)
-        state.levels_by_owner.clear()
-        state.round = _Round()
+        self._reports.close(state.borrowed.close_unheld(now))
+        self._levels.forget(state.name)
+        state.round = Round()
         wait = min(
             BACKOFF_SECONDS * self._random.uniform(0.25, 1.0), waiter.deadline - now
         )
         self._clock.callLater(wait, self._start_round, state)
 
-    def _close(self, loans: list[Loan], now: float) -> None:
-        loans_by_lender: dict[tuple[str, int], list[tuple[Loan, bool]]] = {}
-        for loan in loans:
-            key = (loan.lender, loan.lender_incarnation)
-            loans_by_lender.setdefault(key, []).append((loan, True))
-        for (lender, incarnation), closed in loans_by_lender.items():
-            self._report(lender, incarnation, closed, now)
-
-    def _report(
-        self, lender: str, incarnation: int, loans: list[tuple[Loan, bool]], now: float
-    ) -> None:
-        sequence = next(self._numbers)
-        states = tuple(loan.state(closed=closed) for loan, closed in loans)
-        for loan, closed in loans:
-            loan.reported = loan.spent
-            if closed:
-                loan.expires = float("-inf")
-                self._expect_returned(loan, lender)
-        renewed = [loan for loan, closed in loans if not closed]
-        if renewed:
-            self._sent_by_sequence[sequence] = (now, renewed)
-        message = LoanReport(self._own.incarnation, incarnation, sequence, states)
-        self._sender.send(lender, message)
-
-    def _expect_returned(self, loan: Loan, lender: str) -> None:
-        state = self._accounts_by_name[loan.account]
-        level = state.levels_by_owner.get(lender)
-        if level is not None:
-            level.available += loan.free + loan.held
-
     def _forget(self, now: float) -> None:
         oldest = now - LOAN_LEASE_SECONDS
         for number in [n for n, a in self._asked_by_request.items() if a.sent < oldest]:
             del self._asked_by_request[number]
-        for number in [n for n, s in self._sent_by_sequence.items() if s[0] < oldest]:
-            del self._sent_by_sequence[number]
+        self._reports.forget(oldest)
 
     @singledispatchmethod
     def _handle(self, message: PeerMessage, instance: str) -> None:
@@ -570,8 +450,8 @@
             return
         state = self._accounts_by_name[asked.account]
         now = self._clock.seconds()
-        state.levels_by_owner[instance] = _Level(
-            message.available, message.reserved, now
+        self._levels.heard(
+            asked.account, instance, message.available, message.reserved, now
         )
         expires = asked.sent + LOAN_LEASE_SECONDS
         if message.tokens > 0 and expires > now:
@@ -604,16 +484,11 @@
     def _(self, message: LoanRenewal, instance: str) -> None:
         if message.incarnation != self._own.incarnation:
             return
-        sent, loans = self._sent_by_sequence.pop(message.sequence, (0.0, []))
-        for loan in loans:
-            if loan.lender == instance and loan.expires > self._clock.seconds():
-                loan.expires = max(loan.expires, sent + LOAN_LEASE_SECONDS)
+        self._reports.renewed(instance, message)
 
-    def _take_loan(
-        self, state: _Account, loan: Loan, revision: int, now: float
-    ) -> None:
+    def _take_loan(self, state: Account, loan: Loan, revision: int, now: float) -> None:
         if revision >= state.lowered_revision:
             state.borrowed.loans.append(loan)
             return
         self._counts[ShareEvent.OUTDATED_LOAN] += 1
-        self._close([loan], now)
+        self._reports.close([loan])
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -1,10 +1,12 @@
 """Tests of shares over a small fleet in virtual time."""
 
 from datetime import timedelta
+from pathlib import Path
 
 import pytest
 from bench.budget_model import DETECTION_SECONDS, Fleet, run_until
 
+import pomeloglade_coordination
 from pomeloglade_coordination.bucket import Limit
 from pomeloglade_coordination.refusals import Reason
 from pomeloglade_coordination.share_owners import FixedOwners
@@ -170,3 +172,20 @@
     grant = driver.acquire("a1", "large", int(floor * 0.9), seconds=0.2)
     assert isinstance(grant, Grant)
     assert not isinstance(driver.acquire("a2", "large", floor, 0.2), Grant)
+
+
+def test_example_of_the_readme_runs():
+    readme = Path(pomeloglade_coordination.__file__).parents[2] / "README.md"
+    example = readme.read_text().split("```python\n")[1].split("```")[0]
+    assert "pomeloglade." not in example
+    exec(compile(example, str(readme), "exec"), {})
+
+
+def test_hand_back_returns_loans_to_their_owners(driver):
+    grant = driver.acquire("a1", "large", 60_000, seconds=0.01)
+    shares = driver.shares("a1")
+    shares.refund(grant, 0)
+    shares.hand_back()
+    driver.wait(0.01)
+    driver.fleet.kill("a1")
+    assert isinstance(driver.acquire("b1", "large", 50_000), Grant)
