--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -189,3 +189,13 @@
     driver.wait(0.01)
     driver.fleet.kill("a1")
     assert isinstance(driver.acquire("b1", "large", 50_000), Grant)
+
+
+def test_loans_whose_report_is_lost_count_as_spent(driver):
+    start = driver.fleet.clock.seconds()
+    grant = driver.acquire("a1", "large", 60_000, seconds=0.01)
+    assert driver.shares("a1").confirm(grant)
+    driver.fleet.kill("a1")
+    driver.wait(4.5)
+    spent = 60_000 + spend_everything(driver, "b1")
+    assert spent <= 60_000 + 6000 * (driver.fleet.clock.seconds() - start)
