--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/shares.py
@@ -117,6 +117,8 @@
         are asked, for at most ``timeout``; it does not wait for the rate to earn
         the tokens, but refuses with the time that this takes as ``retry_after``.
         """
+        if tokens < 0:
+            raise ValueError(f"tokens must not be negative, got {tokens}")
         state = self._accounts_by_name.get(account)
         if state is None or tokens > state.limit.burst:
             self._counts[ShareEvent.REFUSED_OVER_BURST] += 1
@@ -166,6 +168,8 @@
         has room. Sent to the owner that lent them, they would arrive after the
         refund, when room may have come free that there was not before.
         """
+        if unused < 0:
+            raise ValueError(f"unused must not be negative, got {unused}")
         escrow = grant.escrow
         now = self._clock.seconds()
         if escrow.state is EscrowState.HELD:
@@ -175,7 +179,7 @@
             return
         escrow.state = EscrowState.CLOSED
         unused = min(unused, grant.tokens)
-        if unused <= 0:
+        if unused == 0:
             return
         self._counts[ShareEvent.REFUNDED] += 1
         bucket = self._lender.bucket(grant.account, now)
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -199,3 +199,8 @@
     driver.wait(4.5)
     spent = 60_000 + spend_everything(driver, "b1")
     assert spent <= 60_000 + 6000 * (driver.fleet.clock.seconds() - start)
+
+
+def test_negative_tokens_are_refused_loudly(driver):
+    with pytest.raises(ValueError, match="got -1"):
+        driver.shares("a1").acquire("large", -1, TIMEOUT)
