--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/coordination/model_orders.py
@@ -0,0 +1,1 @@
+"""Keeps engines at the model versions that the configuration names."""
--- /dev/null
+++ b/tests/test_model_orders.py
@@ -0,0 +1,1 @@
+"""Tests of model orders."""
