Order engines to the model versions of the configuration

Cause: the library's orders had no user in the router, so that operators had to load model versions by hand.

--- a/packages/pomeloglade-standins/src/pomeloglade_standins/engine.py
+++ b/packages/pomeloglade-standins/src/pomeloglade_standins/engine.py
@@ -56,6 +56,7 @@
         pieces: int = DEFAULT_PIECES,
         slots: int = DEFAULT_SLOTS,
         speed: EngineSpeed | None = None,
+        checks_fencing: bool = True,
     ) -> None:
         self._reactor = reactor
         self._pieces = pieces
@@ -64,8 +65,9 @@
         self._held_by_id: dict[str, Held] = {}
         self._prompts_by_handle: dict[str, tuple[str, str]] = {}
         self._handles = itertools.count(1)
+        self._checks_fencing = checks_fencing
         self._last_order = 0
-        self._orders: list[str] = []
+        self._states_by_kind: dict[str, str] = {}
         self.crash = self._stop_reactor
 
     @property
@@ -165,14 +167,23 @@
 
     @app.route("/v1/orders", methods=["POST"])
     def order(self, http: IRequest) -> bytes:
-        """Take an order unless its fencing number is older than the last one."""
+        """Take an order unless its fencing number is older than the last one.
+
+        Engines made without ``checks_fencing`` take it whatever its number.
+        """
         body = _body(http)
-        if body["fencing"] < self._last_order:
+        if self._checks_fencing and body["fencing"] < self._last_order:
             return _error(http, 412, "old fencing number")
-        self._last_order = body["fencing"]
-        self._orders.append(body["state"])
+        self._last_order = max(self._last_order, body["fencing"])
+        self._states_by_kind[body["kind"]] = body["state"]
         return _ok(http, {"state": body["state"]})
 
+    @app.route("/v1/orders/<kind>", methods=["GET"])
+    def read_state(self, http: IRequest, kind: str) -> bytes:
+        """Report the state in force of one kind; empty before the first order."""
+        state = self._states_by_kind.get(kind, "")
+        return _ok(http, {"state": state, "loading": ""})
+
     def site(self) -> Site:
         """Return the site to listen with."""
         return Site(self.app.resource())
--- a/packages/pomeloglade/src/pomeloglade/coordination/engine.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/engine.py
@@ -2,9 +2,11 @@
 
 import abc
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
+from pomeloglade_coordination.orders import Order, OrderKind
 from pomeloglade_coordination.recovery import HeldRequest
 
 from ..state.call import (
@@ -19,6 +21,17 @@
 from ..state.deployment import BackendServer
 
 
+@dataclass(frozen=True, slots=True)
+class EngineState:
+    """What an engine has in force of one order kind, and what it is loading.
+
+    ``loading`` is empty when no load is under way.
+    """
+
+    value: str
+    loading: str = ""
+
+
 class Engines(abc.ABC):
     """Calls to model engines; every method names the server it goes to.
 
@@ -70,6 +83,20 @@
     def load(self, server: BackendServer) -> "Deferred[EngineLoad]":
         """Return the engine's load report."""
 
+    @abc.abstractmethod
+    def order(self, server: BackendServer, order: Order) -> "Deferred[None]":
+        """Give an order; fires when the engine has accepted it.
+
+        Fails with ``OrderRefusedError`` when the engine has seen a higher
+        fencing number.
+        """
+
+    @abc.abstractmethod
+    def read_state(
+        self, server: BackendServer, kind: OrderKind
+    ) -> "Deferred[EngineState]":
+        """Return what the engine has in force of ``kind``."""
+
 
 class Services(abc.ABC):
     """Calls to plain services."""
--- a/packages/pomeloglade/src/pomeloglade/protocol/engine.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/engine.py
@@ -94,6 +94,23 @@
     slots: int
 
 
+@dataclass(frozen=True, slots=True)
+class OrderBody:
+    """Body of ``POST /v1/orders``; status 412 when ``fencing`` is too old."""
+
+    kind: str
+    state: str
+    fencing: int
+
+
+@dataclass(frozen=True, slots=True)
+class StateAnswer:
+    """Answer of ``GET /v1/orders/KIND``: the state in force and the one loading."""
+
+    state: str
+    loading: str = ""
+
+
 @dataclass(frozen=True, slots=True)
 class EngineErrorAnswer:
     """Body of every answer that is not 200."""
--- a/packages/pomeloglade/src/pomeloglade/state/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/state/deployment.py
@@ -75,10 +75,29 @@
 
 @dataclass(frozen=True, slots=True)
 class Model:
-    """A model name that callers may ask for, and the pool that runs it."""
+    """A model name that callers may ask for, and the pool that runs it.
+
+    ``version`` is what the pool's engines are ordered to load; they are left
+    alone when it is empty. ``load_tokens`` is what one load costs of the weight
+    store's rate.
+    """
 
     name: str
     pool: str
+    version: str = ""
+    load_tokens: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class WeightStore:
+    """How fast weights may be loaded.
+
+    ``rate`` is in tokens a second and ``burst`` in tokens, both over the whole
+    fleet.
+    """
+
+    rate: int
+    burst: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -103,6 +122,7 @@
     backend_servers_by_name: dict[str, BackendServer] = field(default_factory=dict)
     models_by_name: dict[str, Model] = field(default_factory=dict)
     instances_by_name: dict[str, FleetInstance] = field(default_factory=dict)
+    weight_store: WeightStore | None = None
 
     def pool(self, pool: str, role: BackendRole) -> tuple[BackendServer, ...]:
         """Return the backend servers of ``pool`` with ``role``, sorted by name."""
--- a/packages/pomeloglade/src/pomeloglade/state/folder.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder.py
@@ -16,7 +16,8 @@
     pool = "roster-api"
     first_token = "250ms"
 
-The other tables are ``backend_servers`` and ``models``; the fields are those of
+The other tables are ``backend_servers``, ``models`` and ``weight_store``, which
+has no name; the fields are those of
 the classes in ``state.deployment``. Durations are written as ``"47ms"``,
 ``"1.1s"``, ``"2m"``, ``"1h"`` or in ISO 8601.
 """
@@ -37,6 +38,7 @@
     FleetInstance,
     Model,
     Route,
+    WeightStore,
 )
 from .durations import parse_duration
 from .folder_checks import Problem, check_deployment
@@ -44,6 +46,7 @@
 
 SUFFIX = ".toml"
 ZONES_KEY = "availability_zones"
+WEIGHT_STORE_KEY = "weight_store"
 CLASSES_BY_TABLE: dict[str, type] = {
     "instances": FleetInstance,
     "accounts": ClientAccount,
@@ -51,6 +54,7 @@
     "backend_servers": BackendServer,
     "models": Model,
 }
+TOP_LEVEL_KEYS = (ZONES_KEY, *CLASSES_BY_TABLE, WEIGHT_STORE_KEY)
 FIELDS_OF_COMMANDS = {"withdrawn_digests"}
 """Fields that only commands may set."""
 
@@ -146,8 +150,8 @@
     def deployment(self) -> Deployment:
         """Return the deployment that the values make, faulty ones left out."""
         for path in self.located_by_path:
-            if path[0] not in {ZONES_KEY, *CLASSES_BY_TABLE}:
-                allowed = ", ".join([ZONES_KEY, *CLASSES_BY_TABLE])
+            if path[0] not in TOP_LEVEL_KEYS:
+                allowed = ", ".join(TOP_LEVEL_KEYS)
                 self._report(path[:1], f"unknown; allowed: {allowed}")
         records_by_table = {
             table: self._records(table, record_type)
@@ -160,12 +164,13 @@
             routes_by_name=records_by_table["routes"],
             backend_servers_by_name=records_by_table["backend_servers"],
             models_by_name=records_by_table["models"],
+            weight_store=self._weight_store(),
         )
 
     def faulty_tables(self) -> frozenset[str]:
         """Return the tables of which not every record could be understood."""
         if self.incomplete:
-            return frozenset({ZONES_KEY, *CLASSES_BY_TABLE})
+            return frozenset(TOP_LEVEL_KEYS)
         return frozenset(problem.key.split(".")[0] for problem in self.problems)
 
     def _read_file(self, file: Path) -> None:
@@ -208,6 +213,18 @@
             return ()
         return self._convert((ZONES_KEY,), located.value, tuple[str, ...]) or ()
 
+    def _weight_store(self) -> WeightStore | None:
+        values: dict[str, Any] = {}
+        paths = [path for path in self.located_by_path if path[0] == WEIGHT_STORE_KEY]
+        for path in paths:
+            located = self.located_by_path[path]
+            if len(path) == 2:
+                values[path[1]] = located.value
+            elif len(path) > 2 or located.value != {}:
+                self._report(path, "expected a table of plain values")
+                return None
+        return self._record((WEIGHT_STORE_KEY,), WeightStore, values) if paths else None
+
     def _records(self, table: str, record_type: type) -> dict[str, Any]:
         values_by_name = self._values_by_name(table)
         records = {
@@ -238,7 +255,7 @@
     def _record(self, path: KeyPath, record_type: type, values: dict[str, Any]) -> Any:
         problems_before = len(self.problems)
         types_by_field = _types_by_field(record_type)
-        converted: dict[str, Any] = {"name": path[1]}
+        converted: dict[str, Any] = {"name": path[1]} if len(path) > 1 else {}
         for field, value in values.items():
             if field not in types_by_field:
                 allowed = ", ".join(types_by_field)
--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -7,7 +7,7 @@
 from typing import Any, Protocol
 
 from .addresses import parse_address
-from .deployment import BackendServer, ClientAccount, Deployment, Route
+from .deployment import BackendServer, ClientAccount, Deployment, Model, Route
 from .durations import format_duration
 
 MAX_RATE = 10_000_000  # tokens a second
@@ -16,9 +16,13 @@
 MAX_SLOTS = 100_000
 MAX_PLAIN_COST = 1_000_000  # tokens
 MAX_TIMEOUT = timedelta(hours=1)
+WEIGHT_STORE_ACCOUNT = "@weight-store"
+"""Account of the weight store's rate; no client account can have this name."""
+
 RESERVED_PREFIXES = ("/admin", "/health", "/metrics")
 
 _NAME = re.compile(r"[a-z0-9][a-z0-9._-]{0,63}")
+_VERSION = re.compile(r"[!-~]{0,128}")
 _DIGEST = re.compile(r"[0-9a-f]{64}")
 _PREFIX = re.compile(r"(/[A-Za-z0-9._~-]+)+")
 
@@ -91,6 +95,10 @@
         yield from _check_route(route)
     for server in deployment.backend_servers_by_name.values():
         yield from _check_backend_server(server)
+    yield from _check_weight_store(deployment)
+    if "weight_store" not in faulty_tables:
+        for model in deployment.models_by_name.values():
+            yield from _check_model(model, deployment)
     if "availability_zones" not in faulty_tables:
         yield from _check_zones(deployment)
     if "backend_servers" not in faulty_tables:
@@ -188,6 +196,26 @@
         yield _Finding((*path, "address"), str(error))
 
 
+def _check_weight_store(deployment: Deployment) -> Iterator[_Finding]:
+    weight_store = deployment.weight_store
+    if weight_store is not None:
+        path = ("weight_store",)
+        yield from _check_range(path, "rate", weight_store.rate, 1, MAX_RATE)
+        yield from _check_range(path, "burst", weight_store.burst, 1, MAX_BURST)
+
+
+def _check_model(model: Model, deployment: Deployment) -> Iterator[_Finding]:
+    path = ("models", model.name)
+    if not _VERSION.fullmatch(model.version):
+        reason = "allowed: at most 128 ASCII characters without spaces"
+        yield _Finding((*path, "version"), f"{model.version!r}: {reason}")
+    yield from _check_range(path, "load_tokens", model.load_tokens, 0, MAX_BURST)
+    weight_store = deployment.weight_store
+    if weight_store is not None and model.load_tokens > weight_store.burst:
+        reason = f"is more than weight_store.burst ({weight_store.burst})"
+        yield _Finding((*path, "load_tokens"), f"{model.load_tokens} {reason}")
+
+
 def _check_pools(deployment: Deployment) -> Iterator[_Finding]:
     for route in deployment.routes_by_name.values():
         path = ("routes", route.name, "pool")
--- a/packages/pomeloglade/src/pomeloglade/transport/engines.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/engines.py
@@ -11,9 +11,15 @@
 from twisted.python.failure import Failure
 from twisted.web.iweb import IResponse
 
+from pomeloglade_coordination.orders import (
+    ENGINE_TIMEOUT,
+    Order,
+    OrderKind,
+    OrderRefusedError,
+)
 from pomeloglade_coordination.recovery import HeldRequest, RequestId
 
-from ..coordination.engine import Engines
+from ..coordination.engine import Engines, EngineState
 from ..errors import (
     BackendError,
     BackendFullError,
@@ -28,6 +34,8 @@
 
 T = TypeVar("T")
 FULL_STATUS = 409
+OLD_FENCING_STATUS = 412
+ORDER_STEP = "order"
 OK_STATUS = 200
 SHORT_CALL = timedelta(seconds=2)
 TRANSFER_TIMEOUT = timedelta(seconds=2)
@@ -243,6 +251,25 @@
         answer = await self._get(server, "/v1/load", engine.LoadAnswer, "load")
         return EngineLoad(answer.held, answer.waiting, answer.slots)
 
+    def order(self, server: BackendServer, order: Order) -> "Deferred[None]":
+        """Give an order; ``OrderRefusedError`` when its number is too old."""
+        state = order.state
+        body = engine.OrderBody(state.kind.value, state.value, order.fencing_number)
+        return Deferred.fromCoroutine(
+            self._post(server, "/v1/orders", body, None, ORDER_STEP, ENGINE_TIMEOUT)
+        )
+
+    def read_state(
+        self, server: BackendServer, kind: OrderKind
+    ) -> "Deferred[EngineState]":
+        """Return what the engine has in force of ``kind``."""
+        return Deferred.fromCoroutine(self._read_state(server, kind))
+
+    async def _read_state(self, server: BackendServer, kind: OrderKind) -> EngineState:
+        path = f"/v1/orders/{kind.value}"
+        answer = await self._get(server, path, engine.StateAnswer, "read state")
+        return EngineState(answer.state, answer.loading)
+
 
 class _StreamReader(Protocol):
     """Feeds a response body to a decode stream and watches for silence."""
@@ -290,6 +317,9 @@
 def _check_status(response: IResponse, step: str, peer: str) -> None:
     if response.code == OK_STATUS:
         return
+    if response.code == OLD_FENCING_STATUS and step == ORDER_STEP:
+        text = f"backend server {peer!r} has seen a higher fencing number"
+        raise OrderRefusedError(text, step=step, peer=peer)
     kind = BackendFullError if response.code == FULL_STATUS else BackendRefusedError
     raise kind(
         f"backend server {peer!r} answered {step} with status {response.code}",
--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -4,7 +4,7 @@
 
 from twisted.internet.defer import Deferred, fail, succeed
 
-from pomeloglade.coordination.engine import Engines, Services
+from pomeloglade.coordination.engine import Engines, EngineState, Services
 from pomeloglade.coordination.entry_instance import EntryInstance
 from pomeloglade.errors import BackendFullError
 from pomeloglade.protocol.deployment import CONFIGURATION_KEY, Published, decode, encode
@@ -19,6 +19,7 @@
 )
 from pomeloglade.state.keys import digest_key
 from pomeloglade_coordination.members import Member
+from pomeloglade_coordination.orders import OrderRefusedError
 from pomeloglade_coordination.recovery import HeldRequest, RequestId
 
 KEY = "club-key"
@@ -65,6 +66,9 @@
     prefills: dict = field(default_factory=dict)
     hold_prefill: bool = False
     full: set = field(default_factory=set)
+    states: dict = field(default_factory=dict)
+    orders: list = field(default_factory=list)
+    fencing_by_server: dict = field(default_factory=dict)
 
     def _call(self, step, server, request_id):
         self.calls.append((step, server.name, request_id))
@@ -134,6 +138,23 @@
         error = self._call("load", server, "")
         return fail(error) if error else succeed(EngineLoad(0, 0, server.slots))
 
+    def order(self, server, order):
+        error = self._call("order", server, "")
+        if error:
+            return fail(error)
+        highest = self.fencing_by_server.get(server.name, 0)
+        if server.checks_fencing and order.fencing_number < highest:
+            return fail(OrderRefusedError("old", step="order", peer=server.name))
+        self.fencing_by_server[server.name] = max(highest, order.fencing_number)
+        self.states[server.name, order.state.kind] = EngineState(order.state.value)
+        self.orders.append((server.name, order))
+        return succeed(None)
+
+    def read_state(self, server, kind):
+        error = self._call("read_state", server, "")
+        state = self.states.get((server.name, kind), EngineState(""))
+        return fail(error) if error else succeed(state)
+
     @property
     def all_held(self):
         return set().union(*self.held_by_server.values())
