--- a/tests/test_model_orders.py
+++ b/tests/test_model_orders.py
@@ -1,1 +1,388 @@
-"""Tests of model orders."""
+"""Tests of model orders: two zones, frozen holders, the weight store's rate."""
+
+import random
+from dataclasses import replace
+from datetime import timedelta
+
+import pytest
+from bench.budget_model import Event, tokens_over
+from treq.testing import StubTreq
+from twisted.internet.task import Clock
+
+from fakes import FakeEngines
+from faulty_fleet import FaultyStore, Links, ProcessClock, StoreFault, World
+from pomeloglade.coordination.engine import EngineState
+from pomeloglade.coordination.in_force import InForce
+from pomeloglade.coordination.model_orders import (
+    ModelOrderCounter,
+    ModelOrders,
+    weight_store_limits,
+)
+from pomeloglade.errors import BackendLostError
+from pomeloglade.state.deployment import BackendServer, Deployment, Model, WeightStore
+from pomeloglade.state.folder import BadFolderError, read_folder
+from pomeloglade.state.folder_checks import WEIGHT_STORE_ACCOUNT, is_name
+from pomeloglade.transport.engines import HttpEngines
+from pomeloglade_coordination.bucket import Limit
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_coordination.lease import LEASE_TIME_TO_LIVE, LeaseCounter
+from pomeloglade_coordination.members import FixedMembership, Member
+from pomeloglade_coordination.orders import (
+    LONGEST_PAUSE,
+    DesiredState,
+    Order,
+    OrderCounter,
+    OrderKind,
+    OrderRefusedError,
+)
+from pomeloglade_coordination.share_owners import FixedOwners
+from pomeloglade_coordination.shares import TICK_SECONDS, Grant, Shares
+from pomeloglade_standins.engine import EngineStandIn
+
+ZONES = {"za": ("a1", "a2"), "zb": ("b1", "b2")}
+LOAD = 1000
+STORE = WeightStore(rate=100, burst=2000)
+TIMEOUT = timedelta(seconds=1)
+QUIET_SECONDS = (LEASE_TIME_TO_LIVE + LONGEST_PAUSE).total_seconds()
+
+
+def engine(name, zone="za", **fields):
+    return BackendServer(
+        name, zone, f"{name}:1", "llm", "decode", checks_fencing=True, **fields
+    )
+
+
+def deployment(*engines, version="v1", models=(), load=LOAD):
+    model = Model("m", "llm", version, load)
+    return Deployment(
+        availability_zones=tuple(ZONES),
+        backend_servers_by_name={each.name: each for each in engines},
+        models_by_name={each.name: each for each in (model, *models)},
+        weight_store=STORE,
+    )
+
+
+class TimedEngines(FakeEngines):
+    """Engines that note when they take orders."""
+
+    def __init__(self, world):
+        super().__init__()
+        self.world = world
+        self.times = []
+
+    def order(self, server, order):
+        taken = len(self.orders)
+        done = super().order(server, order)
+        if len(self.orders) > taken:
+            self.times.append(self.world.seconds())
+        return done
+
+    @property
+    def taken(self):
+        return [(server, order.state.value) for server, order in self.orders]
+
+
+class Instance:
+    """The parts of one entry instance that model orders need."""
+
+    def __init__(self, fleet, name, zone):
+        self.process = ProcessClock(fleet.world)
+        members = [Member(n, z, 1) for z, names in ZONES.items() for n in names]
+        own = Member(name, zone, 1)
+        self.shares = Shares(
+            clock=self.process,
+            members=FixedMembership(own, tuple(m for m in members if m != own)),
+            sender=fleet.links.join(name, self.process, self._receive),
+            owners=FixedOwners(ZONES),
+        )
+        self.store = FaultyStore(fleet.world, self.process, fleet.shared)
+        self.in_force = InForce()
+        self.orders = ModelOrders(
+            own=own,
+            clock=self.process,
+            store=self.store,
+            in_force=self.in_force,
+            engines=fleet.engines,
+            shares=self.shares,
+            random=random.Random(name),
+        )
+        self.orders.start()
+        self._tick()
+
+    def adopt(self, revision, found):
+        self.in_force.adopt(revision, found)
+        self.shares.configure(weight_store_limits(found), revision)
+
+    def count(self, counter):
+        return self.orders.counters()[counter]
+
+    def _receive(self, source, message):
+        self.shares.receive(source, message)
+
+    def _tick(self):
+        self.shares.tick()
+        self.process.callLater(TICK_SECONDS, self._tick)
+
+
+class Fleet:
+    """Two zones of two instances; the first of each holds its lease."""
+
+    def __init__(self):
+        self.world = World()
+        self.shared = MemoryKeyValueStore(self.world)
+        self.links = Links(self.world)
+        self.engines = TimedEngines(self.world)
+        self.revision = 0
+        self.instances = {
+            name: Instance(self, name, zone)
+            for zone, names in ZONES.items()
+            for name in names
+        }
+
+    def adopt(self, found, only=None):
+        self.revision += 1
+        for name, instance in self.instances.items():
+            if only is None or name in only:
+                instance.adopt(self.revision, found)
+                self.world.run(0.05)
+
+    def fill(self):
+        """Wait until the weight store's burst is whole."""
+        self.adopt(deployment())
+        self.world.run(2 * STORE.burst / STORE.rate)
+
+    def drain(self):
+        """Spend what the weight store's burst holds from the other zone."""
+        shares = self.instances["b1"].shares
+        results = []
+        while not results or isinstance(results[-1], Grant):
+            acquiring = shares.acquire(WEIGHT_STORE_ACCOUNT, 100, TIMEOUT)
+            acquiring.addCallback(results.append)
+            self.world.run(0.2)
+            if isinstance(results[-1], Grant):
+                assert shares.confirm(results[-1])
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    fleet.fill()
+    return fleet
+
+
+def test_only_the_holder_orders_the_engines_of_its_own_zone(fleet):
+    leaving = engine("left", state="leaving")
+    plain = replace(engine("api"), role="plain")
+    fleet.adopt(deployment(engine("d1"), engine("d2", "zb"), leaving, plain))
+    fleet.world.run(30)
+    assert sorted(fleet.engines.taken) == [("d1", "v1"), ("d2", "v1")]
+    sent = {n: i.count(OrderCounter.SENT) for n, i in fleet.instances.items()}
+    assert sent == {"a1": 1, "a2": 0, "b1": 1, "b2": 0}
+    a1 = fleet.instances["a1"]
+    assert a1.count(ModelOrderCounter.ENGINES_WANTED) == 1
+    assert a1.count(ModelOrderCounter.ENGINES_AT_VERSION) == 1
+
+
+def test_several_models_in_one_pool_are_counted_and_not_ordered(fleet):
+    other = Model("other", "llm")
+    fleet.adopt(deployment(engine("d1"), models=(other,)))
+    fleet.world.run(30)
+    assert fleet.engines.taken == []
+    counter = ModelOrderCounter.POOLS_WITH_SEVERAL_MODELS
+    assert fleet.instances["a1"].count(counter) == 1
+
+
+@pytest.mark.parametrize("checks", [True, False])
+def test_frozen_holder_with_an_order_queued_sends_nothing_on_waking(fleet, checks):
+    server = replace(engine("d1"), checks_fencing=checks)
+    fleet.adopt(deployment(server))
+    fleet.world.run(QUIET_SECONDS + 1)
+    fleet.adopt(deployment(server, version="v2"), only={"a1", "a2"})
+    fleet.world.run(QUIET_SECONDS + 30)
+    fleet.drain()
+    fleet.adopt(deployment(server, version="v3"), only={"a1"})
+    holder = fleet.instances["a1"]
+    assert holder.count(ModelOrderCounter.LOADS_REFUSED) == 1
+    holder.process.frozen = True
+    frozen_at = fleet.world.seconds()
+    fleet.adopt(deployment(server, version="v4"), only={"a2"})
+    fleet.world.run(3 * QUIET_SECONDS)
+    holder.process.thaw()
+    fleet.world.run(30)
+    values = [value for _server, value in fleet.engines.taken]
+    assert values == ["v1", "v2", "v4"]
+    if not checks:
+        assert fleet.engines.times[-1] >= frozen_at + QUIET_SECONDS
+
+
+def test_lease_lost_and_taken_again_during_a_wait_is_waited_out_anew(fleet):
+    server = replace(engine("d1"), checks_fencing=False)
+    fleet.adopt(deployment(server))
+    fleet.world.run(QUIET_SECONDS + 1)
+    fleet.drain()
+    fleet.adopt(deployment(server, version="v2", load=STORE.burst))
+    holder = fleet.instances["a1"]
+    holder.store.fault = StoreFault.DOWN
+    fleet.world.run(8)
+    assert fleet.instances["a2"].orders.orders.lease.valid()
+    last_valid = fleet.world.seconds()
+    fleet.instances["a2"].orders.stop()
+    holder.store.fault = StoreFault.NONE
+    fleet.world.run(4 * QUIET_SECONDS)
+    assert fleet.engines.taken == [("d1", "v1"), ("d1", "v2")]
+    assert fleet.engines.times[-1] >= last_valid + QUIET_SECONDS
+
+
+def test_order_of_a_paused_holder_is_fenced_off_by_an_engine_that_checks(fleet):
+    fleet.adopt(deployment(engine("d1")))
+    fleet.world.run(1)
+    _name, late = fleet.engines.orders[-1]
+    fleet.instances["a1"].process.alive = False
+    fleet.adopt(deployment(engine("d1"), version="v2"), only={"a2"})
+    fleet.world.run(60)
+    refused = []
+    fleet.engines.order(engine("d1"), late).addErrback(refused.append)
+    assert refused
+    assert fleet.engines.states["d1", OrderKind.VERSION] == EngineState("v2")
+
+
+@pytest.mark.parametrize("seed", range(3))
+def test_two_zones_together_never_pass_the_weight_stores_rate(fleet, seed):
+    randomness = random.Random(seed)
+    engines = [engine(f"{zone}{i}", zone) for zone in ZONES for i in range(4)]
+    start = fleet.world.seconds()
+    for version in range(4):
+        fleet.adopt(deployment(*engines, version=f"v{version}"))
+        fleet.world.run(randomness.uniform(5, 60))
+    fleet.world.run(120)
+    events = [Event(at, LOAD) for at in fleet.engines.times]
+    assert tokens_over(events, Limit(STORE.rate, STORE.burst)) == 0
+    # Bounded below too: the rate is used, and every engine ends at the last one.
+    assert len(events) * LOAD >= (fleet.world.seconds() - start) * STORE.rate / 3
+    states = {state.value for state in fleet.engines.states.values()}
+    assert states == {"v3"}
+
+
+def test_configuration_change_while_a_load_waits_withdraws_that_load(fleet):
+    engines = [engine(f"d{i}") for i in range(4)]
+    fleet.adopt(deployment(*engines))
+    fleet.world.run(2)
+    assert len(fleet.engines.taken) == 2
+    fleet.adopt(deployment(*engines, version="v2"))
+    fleet.world.run(60)
+    holder = fleet.instances["a1"]
+    assert holder.count(ModelOrderCounter.LOADS_WITHDRAWN) > 0
+    assert [value for _s, value in fleet.engines.taken] == ["v1"] * 2 + ["v2"] * 4
+    assert holder.count(ModelOrderCounter.LOADS_GRANTED) == 6
+
+
+def test_small_load_does_not_wait_for_a_large_one_that_was_withdrawn(fleet):
+    fleet.drain()
+    fleet.adopt(deployment(engine("d1"), load=STORE.burst))
+    fleet.world.run(1)
+    fleet.adopt(deployment(engine("d1"), version="v2", load=STORE.rate))
+    fleet.world.run(4)
+    assert fleet.engines.taken == [("d1", "v2")]
+
+
+def test_engine_that_is_loading_is_not_ordered_again(fleet):
+    state = EngineState("v0", loading="v1")
+    fleet.engines.states["d1", OrderKind.VERSION] = state
+    fleet.adopt(deployment(engine("d1")))
+    fleet.world.run(60)
+    holder = fleet.instances["a1"]
+    assert fleet.engines.taken == []
+    assert holder.count(ModelOrderCounter.ENGINES_AT_VERSION) == 0
+    fleet.engines.states["d1", OrderKind.VERSION] = EngineState("v0")
+    fleet.world.run(30)
+    assert fleet.engines.taken == [("d1", "v1")]
+
+
+def test_engine_that_fails_the_order_and_comes_back_empty_is_ordered_again(fleet):
+    lost = BackendLostError("lost", step="order", peer="d1")
+    fleet.engines.errors_by_step["order", "d1"] = lost
+    fleet.adopt(deployment(engine("d1"), engine("d2")))
+    fleet.world.run(30)
+    assert sorted(fleet.engines.taken) == [("d1", "v1"), ("d2", "v1")]
+    assert fleet.instances["a1"].count(OrderCounter.ENGINE_FAILED) == 1
+    del fleet.engines.states["d1", OrderKind.VERSION]
+    fleet.world.run(30)
+    assert fleet.engines.taken[2:] == [("d1", "v1")]
+
+
+def test_platform_outage_stops_orders_until_it_is_back(fleet):
+    fleet.adopt(deployment(engine("d1")))
+    fleet.world.run(2)
+    for instance in fleet.instances.values():
+        instance.store.fault = StoreFault.DOWN
+    fleet.world.run(10)
+    fleet.adopt(deployment(engine("d1"), version="v2"))
+    fleet.world.run(60)
+    assert fleet.engines.taken == [("d1", "v1")]
+    assert fleet.instances["a1"].count(LeaseCounter.LOST) == 1
+    for instance in fleet.instances.values():
+        instance.store.fault = StoreFault.NONE
+    fleet.world.run(30)
+    assert fleet.engines.taken == [("d1", "v1"), ("d1", "v2")]
+
+
+def test_no_client_account_can_have_the_weight_stores_name(tmp_path):
+    assert not is_name(WEIGHT_STORE_ACCOUNT)
+    text = (
+        'availability_zones = ["za"]\n[weight_store]\nrate = 5\nburst = 10\n'
+        f'[accounts."{WEIGHT_STORE_ACCOUNT}"]\nrate = 1\nburst = 1\n'
+        '[models.m]\npool = "llm"\nversion = "v 1"\nload_tokens = 11\n'
+    )
+    (tmp_path / "a.toml").write_text(text)
+    with pytest.raises(BadFolderError) as caught:
+        read_folder(tmp_path)
+    keys = {problem.key for problem in caught.value.problems}
+    assert {"models.m.version", "models.m.load_tokens"} < keys
+    assert f"accounts.{WEIGHT_STORE_ACCOUNT}" in keys
+
+
+def test_stopped_instance_hands_the_zone_over(fleet):
+    fleet.adopt(deployment(engine("d1")))
+    fleet.world.run(2)
+    stopped = fleet.instances["a1"]
+    lapsed = stopped.count(OrderCounter.LEASE_LAPSED)
+    stopped.orders.stop()
+    fleet.adopt(deployment(engine("d1"), version="v2"))
+    fleet.world.run(20)
+    assert fleet.engines.taken == [("d1", "v1"), ("d1", "v2")]
+    assert fleet.instances["a2"].count(OrderCounter.SENT) == 1
+    assert stopped.count(OrderCounter.LEASE_LAPSED) == lapsed
+
+
+class StubHttp:
+    """Carries exchanges to an engine stand-in without sockets."""
+
+    def __init__(self, stub):
+        self._stub = stub
+
+    def send(self, exchange):
+        return self._stub.request(
+            exchange.method, exchange.url, data=exchange.body, unbuffered=True
+        )
+
+
+@pytest.mark.filterwarnings("ignore:Using readBody with a transport")
+def test_orders_travel_over_the_engines_protocol():
+    order = Order("d1", DesiredState(OrderKind.VERSION, "v1"), 7)
+    stale = replace(order, fencing_number=6)
+    for checks in (True, False):
+        clock = Clock()
+        stub = StubTreq(EngineStandIn(clock, checks_fencing=checks).app.resource())
+        engines = HttpEngines(StubHttp(stub), clock)
+        results = []
+        server = replace(engine("d1"), address="127.0.0.1:1")
+        for call in (
+            engines.order(server, order),
+            engines.order(server, stale),
+            engines.read_state(server, OrderKind.VERSION),
+            engines.read_state(server, OrderKind.ROLE),
+        ):
+            call.addBoth(results.append)
+            stub.flush()
+        assert bool(results[1] and results[1].check(OrderRefusedError)) is checks
+        assert results[2:] == [EngineState("v1"), EngineState("")]
