Merge the model orders and join them to the instance

Cause: the router sent no orders to engines yet. Partners learned from peers in an outage were not dialled either, as addresses were taken up only when the platform's list arrived, and an instance did not tell its own address.

Ruled out: nothing.

--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -38,6 +38,7 @@
 from .health import Health
 from .in_force import InForce
 from .instance_list import InstanceList
+from .model_orders import ModelOrders, weight_store_limits
 from .open_requests import OpenRequests
 from .owner_table import OwnerTable
 from .parts import Parts
@@ -96,6 +97,7 @@
         self.spread.start()
         self.parts.health.start()
         self.recovery.start()
+        self.model_orders.start()
         self._ticker.start(TICK_SECONDS, now=False)
 
     def begin_drain(self) -> None:
@@ -107,6 +109,7 @@
         self.parts.shares.hand_back()
         self.parts.health.stop()
         self.recovery.stop()
+        self.model_orders.stop()
         self.spread.stop()
         self.instance_list.stop()
         self._ticker.stop()
@@ -185,6 +188,15 @@
             sender=sender,
         )
         self.members.subscribe_death(self.recovery.died)
+        self.model_orders = ModelOrders(
+            own=self.members.own,
+            clock=self.clock,
+            store=store,
+            in_force=self.in_force,
+            engines=engines,
+            shares=self.parts.shares,
+            random=self._randomness,
+        )
         self._ticker = LoopingCall(self._tick)
         self._ticker.clock = self.clock
 
@@ -202,6 +214,8 @@
         self.counters.add("placement", self.parts.placement.counters)
         self.counters.add("suspects", self.parts.suspects.counters)
         self.counters.add("claims", self.parts.claims.counts)
+        self.counters.add("model_orders", self.model_orders.counters)
+        self.counters.add("retries", self.parts.retries.counters)
         self.counters.add("recovery", lambda: self.recovery.counters)
 
     def _tick(self) -> None:
@@ -232,10 +246,11 @@
 
 
 def _limits(deployment: Deployment) -> dict[str, Limit]:
-    return {
+    limits = {
         account.name: Limit(account.rate, account.burst)
         for account in deployment.accounts_by_name.values()
     }
+    return limits | weight_store_limits(deployment)
 
 
 def _replicas(deployment: Deployment) -> list[Replica]:
--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -34,11 +34,6 @@
 
     def __init__(self, settings: Settings) -> None:
         self._settings = settings
-        own = Member(
-            settings.instance,
-            settings.availability_zone,
-            int(time.time() * MILLISECONDS_PER_SECOND),
-        )
         self._http = HttpClient(reactor)
         self._links = PeerLinks(
             reactor=reactor,
@@ -51,6 +46,12 @@
             secret=settings.peer_secret,
             on_connected=lambda member: self._instance.members.connected(member),
         )
+        own = Member(
+            settings.instance,
+            settings.availability_zone,
+            int(time.time() * MILLISECONDS_PER_SECOND),
+            f"{settings.peer_host}:{self._links.listening_port}",
+        )
         self._instance = EntryInstance(
             own=own,
             clock=reactor,
@@ -73,6 +74,7 @@
             self._instance.counters,
         )
         self._listed_leaving: Deferred[None] = Deferred()
+        self._addresses_by_instance: dict[str, str] = {}
 
     async def start(self) -> None:
         """Listen, connect to the peers and start the parts."""
@@ -88,6 +90,7 @@
         for address in self._settings.peer_addresses:
             self._links.connect(address)
         instance.instance_list.subscribe(self._listed)
+        instance.members.subscribe(self._connect_partners)
         instance.start()
         reactor.addSystemEventTrigger("before", "shutdown", self._drain)
         eliot.log_message(
@@ -98,14 +101,20 @@
 
     def _listed(self, instances: tuple[InstanceRecord, ...]) -> None:
         own = self._settings.instance
+        self._addresses_by_instance = {
+            each.instance: each.peer_address for each in instances
+        }
+        self._connect_partners()
+        live = any(each.instance == own and each.state == "live" for each in instances)
+        if self._status.draining and not live and not self._listed_leaving.called:
+            self._listed_leaving.callback(None)
+
+    def _connect_partners(self) -> None:
         partners = self._instance.members.partners()
         self._links.set_peers(
             [*self._settings.peer_addresses, *(each.address for each in partners)],
-            {each.instance: each.peer_address for each in instances},
+            self._addresses_by_instance,
         )
-        live = any(each.instance == own and each.state == "live" for each in instances)
-        if self._status.draining and not live and not self._listed_leaving.called:
-            self._listed_leaving.callback(None)
 
     def _drain(self) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._shut_down())
