--- /dev/null
+++ b/scripts/load.py
@@ -0,0 +1,1 @@
+"""Sends a bounded load to real instances on loopback and reports what it saw."""
