Add the load tool: latency, streams, memory, idle, requests

Cause: the promises on added latency, throughput and memory had no run behind them. The tool starts a small fleet on loopback and sends it a load bounded in count and time; no bound on wall-clock time is part of the tests.

Ruled out: publishing 25,000 accounts through the operators' encoding, which refuses values over the platform's largest; the tool publishes shards itself. Callers in one process with an event loop were ruled out since the callers would then cost as much as the instance; they are threads over kept connections, in two processes for the streams.

All callers send one same prompt, which placement keeps together while untried.

--- a/scripts/load.py
+++ b/scripts/load.py
@@ -1,1 +1,231 @@
 """Sends a bounded load to real instances on loopback and reports what it saw."""
+
+import json
+import sys
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Annotated, Any
+
+import typer
+from hdrh.histogram import HdrHistogram
+
+from scripts.fleet import call
+from scripts.load_callers import ClosedLoop, OpenLoop, histogram, record
+from scripts.load_fleet import LoadFleet
+from scripts.load_processes import (
+    machine_load,
+    processor_seconds,
+    resident_kilobytes,
+)
+
+EXPECTED_ADDED_MS = {50: 3.0, 99: 10.0}
+EXPECTED_STREAMS_PER_SECOND = 500
+PERCENTILES = (50, 95, 99)
+ACCOUNT_STEPS = (1_000, 5_000, 25_000)
+SETTLE_SECONDS = 3.0
+IDLE_BASE_SECONDS = 5.0
+WARM_UP_CALLS = 50
+MAX_SECONDS = 60
+MAX_CALLS = 30_000
+MAX_RATE = 1_000
+MAX_INSTANCES = 6
+MAX_CONNECTIONS = 192
+
+app = typer.Typer(add_completion=False, rich_markup_mode=None)
+Seconds = Annotated[int, typer.Option(min=1, max=MAX_SECONDS, help="Length in s.")]
+Calls = Annotated[int, typer.Option(min=1, max=MAX_CALLS, help="At most so many.")]
+Instances = Annotated[int, typer.Option(min=1, max=MAX_INSTANCES)]
+Connections = Annotated[int, typer.Option(min=1, max=MAX_CONNECTIONS)]
+
+
+@app.command()
+def latency(
+    rate: Annotated[int, typer.Option(min=1, max=MAX_RATE, help="Calls a s.")] = 200,
+    seconds: Seconds = 20,
+    threads: Connections = 32,
+) -> None:
+    """Measure what one instance adds to the time of a plain call, open loop."""
+    with LoadFleet(1).begin() as fleet:
+        ports = (fleet.instance_ports()[0], fleet.ports["s1"])
+        OpenLoop(*ports, rate, WARM_UP_CALLS).run(threads)
+        show("machine before", str(machine_load()))
+        times = OpenLoop(*ports, rate, rate * seconds).run(threads)
+        show("machine after", str(machine_load()))
+    show("outcomes", dict(times.outcomes))
+    for name in ("through", "direct", "added", "lateness"):
+        show(f"{name} ms", percentiles(getattr(times, name)))
+    added = percentiles(times.added)
+    for percentile, expected in EXPECTED_ADDED_MS.items():
+        found = added[f"p{percentile}"]
+        judge(f"added p{percentile} <= {expected} ms", found <= expected)
+
+
+@app.command()
+def streams(
+    seconds: Seconds = 20,
+    calls: Calls = 20_000,
+    connections: Connections = 96,
+    instances: Instances = 6,
+    engines: Annotated[int, typer.Option(min=1, max=4, help="Of each role.")] = 2,
+) -> None:
+    """Measure streamed model requests a second over the fleet, closed loop."""
+    with LoadFleet(instances, engines, engines).begin() as fleet:
+        ports = tuple(fleet.instance_ports())
+        ClosedLoop(ports, instances, 5, WARM_UP_CALLS, streamed=True).run()
+        show("machine before", str(machine_load()))
+        watched = {process.name: process.popen.pid for process in fleet.processes}
+        before = {name: processor_seconds(pid) for name, pid in watched.items()}
+        loop = ClosedLoop(ports, connections, seconds, calls, streamed=True)
+        result = loop.run(processes=2)
+        used = {
+            name: round((processor_seconds(pid) - before[name]) / result.elapsed, 2)
+            for name, pid in watched.items()
+        }
+        show("machine after", str(machine_load()))
+    show("outcomes", dict(result.outcomes))
+    show("cores used by process", used)
+    show("times ms", percentiles(histogram_of(result.times)))
+    found = result.whole_per_second
+    show("whole streams a second", round(found, 1))
+    expected = EXPECTED_STREAMS_PER_SECOND
+    judge(f"streams >= {expected} a second", found >= expected)
+
+
+@app.command()
+def memory(instances: Instances = 2) -> None:
+    """Measure resident memory after start and with more client accounts."""
+    with LoadFleet(instances).begin() as fleet:
+        time.sleep(SETTLE_SECONDS)
+        show("machine before", str(machine_load()))
+        start = resident(fleet)
+        show("after start MB", start)
+        for accounts in ACCOUNT_STEPS:
+            began = time.monotonic()
+            size = fleet.publish(accounts)
+            elapsed = round(time.monotonic() - began, 2)
+            time.sleep(SETTLE_SECONDS)
+            now = resident(fleet)
+            show(f"{accounts} accounts MB", now)
+            show("  published bytes, seconds until in force", (size, elapsed))
+            slope = {n: (now[n] - start[n]) * 1000 / accounts for n in now}
+            show("  MB per 1,000", {n: round(v, 2) for n, v in slope.items()})
+        show("machine after", str(machine_load()))
+
+
+@app.command()
+def idle(seconds: Seconds = 20, instances: Instances = 6) -> None:
+    """Measure what instances use without callers."""
+    with LoadFleet(instances).begin() as fleet:
+        time.sleep(SETTLE_SECONDS)
+        show("machine before", str(machine_load()))
+        parts = {n: part_counters(i.port) for n, i in fleet.instances_by_name.items()}
+        calls = fleet.platform_calls()
+        before = {n: processor_seconds(pid) for n, pid in fleet.pids().items()}
+        time.sleep(seconds)
+        used = {
+            n: round((processor_seconds(pid) - before[n]) / seconds, 4)
+            for n, pid in fleet.pids().items()
+        }
+        calls_after = fleet.platform_calls()
+        show("machine after", str(machine_load()))
+        show("cores used", used)
+        each = seconds * instances
+        rates = {n: round((calls_after[n] - calls[n]) / each, 3) for n in calls}
+        show("platform calls a second per instance", rates)
+        for name, instance in fleet.instances_by_name.items():
+            now = part_counters(instance.port)
+            grown = {n: now[n] - parts[name].get(n, 0) for n in now}
+            moved = {n: round(v / seconds, 2) for n, v in grown.items() if v}
+            show(f"counters of parts a second, {name}", moved)
+
+
+@app.command()
+def requests(
+    seconds: Seconds = 10,
+    calls: Calls = 5_000,
+    connections: Connections = 4,
+    profile: Annotated[
+        Path | None, typer.Option(help="Folder for profiles; costs rise with it.")
+    ] = None,
+    streamed: Annotated[bool, typer.Option(help="Streamed ones too.")] = True,
+    plain: Annotated[bool, typer.Option(help="Plain ones too.")] = True,
+) -> None:
+    """Measure the instance's processor time per plain and per streamed request."""
+    if profile is not None:
+        profile.mkdir(parents=True, exist_ok=True)
+    with LoadFleet(1, 1, 1, profile).begin() as fleet:
+        ports = tuple(fleet.instance_ports())
+        pid = fleet.pids()["i0"]
+        show("machine before", str(machine_load()))
+        time.sleep(SETTLE_SECONDS)
+        base = processor_used(pid, lambda: time.sleep(IDLE_BASE_SECONDS))
+        idle_cores = base / IDLE_BASE_SECONDS
+        show("cores used without callers", round(idle_cores, 4))
+        kinds = [kind for kind, asked in ((False, plain), (True, streamed)) if asked]
+        for kind in kinds:
+            ClosedLoop(ports, connections, 5, WARM_UP_CALLS, kind).run()
+            loop = ClosedLoop(ports, connections, seconds, calls, kind)
+            began = processor_seconds(pid)
+            result = loop.run()
+            used = processor_seconds(pid) - began - idle_cores * result.elapsed
+            name = "streamed" if kind else "plain"
+            show(f"{name} outcomes", dict(result.outcomes))
+            show(f"{name} times ms", percentiles(histogram_of(result.times)))
+            show(f"{name} whole a second", round(result.whole_per_second, 1))
+            milliseconds = used * 1000 / sum(result.outcomes.values())
+            show(f"{name} processor ms a request", round(milliseconds, 3))
+        show("machine after", str(machine_load()))
+        if profile is not None:
+            fleet.finish()
+
+
+def processor_used(pid: int, work: Callable[[], None]) -> float:
+    """Return the processor seconds of a process while ``work`` runs."""
+    before = processor_seconds(pid)
+    work()
+    return processor_seconds(pid) - before
+
+
+def resident(fleet: LoadFleet) -> dict[str, float]:
+    """Return the resident memory of each instance in MB."""
+    return {
+        name: round(resident_kilobytes(pid) / 1024, 1)
+        for name, pid in fleet.pids().items()
+    }
+
+
+def part_counters(port: int) -> dict[str, float]:
+    """Return the counters that an instance shows for its parts and requests."""
+    lines = call(port, "/metrics").body.decode().splitlines()
+    shown = [line.rpartition(" ") for line in lines if line and line[0] != "#"]
+    return {name: float(value) for name, _, value in shown if "_total" in name}
+
+
+def histogram_of(times: list[float]) -> HdrHistogram:
+    """Return a histogram of these times in seconds."""
+    found = histogram()
+    for seconds in times:
+        record(found, seconds)
+    return found
+
+
+def percentiles(found: HdrHistogram) -> dict[str, float]:
+    """Return the percentiles of a histogram in milliseconds."""
+    return {f"p{p}": found.get_value_at_percentile(p) / 1000 for p in PERCENTILES}
+
+
+def judge(expectation: str, met: bool) -> None:
+    """Print whether an expected figure was met; this never ends the program."""
+    show(expectation, "passed" if met else "failed")
+
+
+def show(name: str, value: Any) -> None:
+    """Print one figure."""
+    text = value if isinstance(value, str) else json.dumps(value)
+    sys.stdout.write(f"{name}: {text}\n")
+    sys.stdout.flush()
+
+
+if __name__ == "__main__":
+    app()
