Give each streamed call of the load tool a prompt of its own

Cause: all callers sent one prompt, and placement keeps copies of an untried request on the replicas of the first, so the tool measured that rule instead of the fleet. The tool also could not tell a busy machine from a slow fleet; it now prints the part of all cores' time in use and the callers' own share.

--- a/scripts/load.py
+++ b/scripts/load.py
@@ -14,7 +14,9 @@
 from scripts.load_callers import ClosedLoop, OpenLoop, histogram, record
 from scripts.load_fleet import LoadFleet
 from scripts.load_processes import (
+    MachineTime,
     machine_load,
+    machine_time,
     processor_seconds,
     resident_kilobytes,
 )
@@ -49,9 +51,9 @@
     with LoadFleet(1).begin() as fleet:
         ports = (fleet.instance_ports()[0], fleet.ports["s1"])
         OpenLoop(*ports, rate, WARM_UP_CALLS).run(threads)
-        show("machine before", str(machine_load()))
+        began_at = machine_before()
         times = OpenLoop(*ports, rate, rate * seconds).run(threads)
-        show("machine after", str(machine_load()))
+        machine_after(began_at)
     show("outcomes", dict(times.outcomes))
     for name in ("through", "direct", "added", "lateness"):
         show(f"{name} ms", percentiles(getattr(times, name)))
@@ -73,7 +75,7 @@
     with LoadFleet(instances, engines, engines).begin() as fleet:
         ports = tuple(fleet.instance_ports())
         ClosedLoop(ports, instances, 5, WARM_UP_CALLS, streamed=True).run()
-        show("machine before", str(machine_load()))
+        began_at = machine_before()
         watched = {process.name: process.popen.pid for process in fleet.processes}
         before = {name: processor_seconds(pid) for name, pid in watched.items()}
         loop = ClosedLoop(ports, connections, seconds, calls, streamed=True)
@@ -82,8 +84,9 @@
             name: round((processor_seconds(pid) - before[name]) / result.elapsed, 2)
             for name, pid in watched.items()
         }
-        show("machine after", str(machine_load()))
+        machine_after(began_at)
     show("outcomes", dict(result.outcomes))
+    show("cores used by the callers", round(result.caller_cores, 2))
     show("cores used by process", used)
     show("times ms", percentiles(histogram_of(result.times)))
     found = result.whole_per_second
@@ -97,7 +100,7 @@
     """Measure resident memory after start and with more client accounts."""
     with LoadFleet(instances).begin() as fleet:
         time.sleep(SETTLE_SECONDS)
-        show("machine before", str(machine_load()))
+        began_at = machine_before()
         start = resident(fleet)
         show("after start MB", start)
         for accounts in ACCOUNT_STEPS:
@@ -110,7 +113,7 @@
             show("  published bytes, seconds until in force", (size, elapsed))
             slope = {n: (now[n] - start[n]) * 1000 / accounts for n in now}
             show("  MB per 1,000", {n: round(v, 2) for n, v in slope.items()})
-        show("machine after", str(machine_load()))
+        machine_after(began_at)
 
 
 @app.command()
@@ -118,7 +121,7 @@
     """Measure what instances use without callers."""
     with LoadFleet(instances).begin() as fleet:
         time.sleep(SETTLE_SECONDS)
-        show("machine before", str(machine_load()))
+        began_at = machine_before()
         parts = {n: part_counters(i.port) for n, i in fleet.instances_by_name.items()}
         calls = fleet.platform_calls()
         before = {n: processor_seconds(pid) for n, pid in fleet.pids().items()}
@@ -128,7 +131,7 @@
             for n, pid in fleet.pids().items()
         }
         calls_after = fleet.platform_calls()
-        show("machine after", str(machine_load()))
+        machine_after(began_at)
         show("cores used", used)
         each = seconds * instances
         rates = {n: round((calls_after[n] - calls[n]) / each, 3) for n in calls}
@@ -157,7 +160,7 @@
     with LoadFleet(1, 1, 1, profile).begin() as fleet:
         ports = tuple(fleet.instance_ports())
         pid = fleet.pids()["i0"]
-        show("machine before", str(machine_load()))
+        began_at = machine_before()
         time.sleep(SETTLE_SECONDS)
         base = processor_used(pid, lambda: time.sleep(IDLE_BASE_SECONDS))
         idle_cores = base / IDLE_BASE_SECONDS
@@ -175,11 +178,23 @@
             show(f"{name} whole a second", round(result.whole_per_second, 1))
             milliseconds = used * 1000 / sum(result.outcomes.values())
             show(f"{name} processor ms a request", round(milliseconds, 3))
-        show("machine after", str(machine_load()))
+        machine_after(began_at)
         if profile is not None:
             fleet.finish()
 
 
+def machine_before() -> MachineTime:
+    """Print how busy the machine is before a run."""
+    show("machine before", str(machine_load()))
+    return machine_time()
+
+
+def machine_after(began: MachineTime) -> None:
+    """Print how busy the machine is after a run, and was during it."""
+    show("machine after", str(machine_load()))
+    show("cores' time used by all", round(machine_time().busy_since(began), 2))
+
+
 def processor_used(pid: int, work: Callable[[], None]) -> float:
     """Return the processor seconds of a process while ``work`` runs."""
     before = processor_seconds(pid)
--- a/scripts/load_callers.py
+++ b/scripts/load_callers.py
@@ -4,6 +4,7 @@
 import json
 import threading
 import time
+import uuid
 from collections import Counter
 from collections.abc import Callable
 from concurrent.futures import ProcessPoolExecutor, ThreadPoolExecutor
@@ -37,8 +38,12 @@
         return "whole" if status == 200 else _failure(status, body)
 
     def stream(self) -> str:
-        """Make a streamed call; return ``"whole"`` or what went wrong."""
-        status, body = self._call("POST", STREAM_PATH, stream_body())
+        """Make a streamed call; return ``"whole"`` or what went wrong.
+
+        No two calls have the same prompt.
+        """
+        name = uuid.uuid4().hex
+        status, body = self._call("POST", STREAM_PATH, stream_body(name))
         whole = status == 200 and body.rstrip().endswith(END)
         return "whole" if whole else _failure(status, body)
 
@@ -163,7 +168,7 @@
 
     def run_here(self) -> "ClosedLoopResult":
         """Make the calls from threads of this process."""
-        began = time.monotonic()
+        began, processor_began = time.monotonic(), time.process_time()
         lock = threading.Lock()
         outcomes: Counter[str] = Counter()
         times: list[float] = []
@@ -181,14 +186,20 @@
 
         with ThreadPoolExecutor(self.connections) as pool:
             list(pool.map(work, range(self.connections)))
-        return ClosedLoopResult(time.monotonic() - began, outcomes, times)
+        elapsed = time.monotonic() - began
+        cores = (time.process_time() - processor_began) / elapsed
+        return ClosedLoopResult(elapsed, cores, outcomes, times)
 
 
 @dataclass(frozen=True, slots=True)
 class ClosedLoopResult:
-    """How the calls of a closed loop ended and how long each took, in seconds."""
+    """How the calls of a closed loop ended and how long each took, in seconds.
+
+    ``caller_cores`` is the processor time of the callers over the elapsed time.
+    """
 
     elapsed: float
+    caller_cores: float
     outcomes: Counter[str]
     times: list[float]
 
@@ -204,4 +215,6 @@
     for each in results:
         outcomes += each.outcomes
     times = [seconds for each in results for seconds in each.times]
-    return ClosedLoopResult(max(each.elapsed for each in results), outcomes, times)
+    elapsed = max(each.elapsed for each in results)
+    cores = sum(each.caller_cores for each in results)
+    return ClosedLoopResult(elapsed, cores, outcomes, times)
--- a/scripts/load_fleet.py
+++ b/scripts/load_fleet.py
@@ -228,8 +228,9 @@
     return accounts
 
 
-def stream_body() -> bytes:
-    """Return a short streamed model call of eight output tokens."""
-    prompt = "One two three four five six seven eight. The rest is left out."
+def stream_body(name: str) -> bytes:
+    """Return a short streamed model call of eight output tokens about a name."""
+    words = "two three four five six seven eight. The rest is left out."
+    prompt = f"Report-{name} {words}"
     body = {"model": "m", "prompt": prompt, "max_tokens": 8, "stream": True}
     return json.dumps(body).encode()
