Place plain calls without the owner while it is silent

Cause: a pool's placing owner that died stopped its pool. The others waited 2.5 s until it was no longer live, and its successor let every slot rest for a lease. A lookup's caller was refused for seven seconds in a fleet of two.

Ruled out: not letting slots rest for engines; their memory may really be held. Shorter heartbeats; they cost control traffic on every instance. Choosing without the owner whenever it takes long; where it answers others, the call is queued.

Also: an engine is polled by the instance that places on it, so that its load report ends the rest of its slots early.

Model calls still wait for the successor.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement.py
@@ -267,6 +267,10 @@
         group = self._group_by_id.pop(request_id)
         self._tell_owner(group, PlacementRefused(group, request_id, replica))
 
+    def places(self, replica: str) -> bool:
+        """Return whether this instance is the placing owner of a replica."""
+        return self._groups.group_of(replica) in self._owners_by_group
+
     def in_flight(self, replica: str) -> int:
         """Return how many of this instance's requests hold the replica."""
         return sum(
--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -38,6 +38,7 @@
 from .health import Health
 from .in_force import InForce
 from .instance_list import InstanceList
+from .local_choice import LocalChoice
 from .model_orders import ModelOrders, weight_store_limits
 from .open_requests import OpenRequests
 from .owner_table import OwnerTable
@@ -147,6 +148,7 @@
             random=self._randomness,
             suspects=suspects,
         )
+        health = Health(clock, self.in_force, engines, placement, self.metrics)
         self.parts = Parts(
             clock=clock,
             in_force=self.in_force,
@@ -166,8 +168,14 @@
             ),
             engines=engines,
             services=services,
-            health=Health(
-                clock, members, self.in_force, engines, placement, self.metrics
+            health=health,
+            local_choice=LocalChoice(
+                clock,
+                self.in_force,
+                placement,
+                health,
+                self.metrics,
+                self._randomness,
             ),
             metrics=self.metrics,
         )
--- a/packages/pomeloglade/src/pomeloglade/coordination/health.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/health.py
@@ -4,9 +4,7 @@
 from twisted.internet.task import LoopingCall
 
 from pomeloglade_coordination.clock import Clock
-from pomeloglade_coordination.members import MembershipView
 from pomeloglade_coordination.placement import Placement
-from pomeloglade_coordination.rendezvous import owner
 
 from ..errors import BackendError
 from ..state.deployment import BackendServer
@@ -22,15 +20,13 @@
 class Health:
     """Keeps this instance's placement away from servers that do not answer.
 
-    Each engine is polled by one live instance of its zone, found by rendezvous
-    hashing, and by every instance that takes it for failed, until it answers.
+    Each engine is polled by the instance that places requests on it, and by every
+    instance that takes it for failed, until it answers.
 
     Parameters
     ----------
     clock : IReactorTime
         Times the polls.
-    members : MembershipView
-        The instances that the polls are divided over.
     in_force : InForce
         Names the backend servers.
     engines : Engines
@@ -44,14 +40,12 @@
     def __init__(
         self,
         clock: Clock,
-        members: MembershipView,
         in_force: InForce,
         engines: Engines,
         placement: Placement,
         metrics: Metrics,
     ) -> None:
         self._clock = clock
-        self._members = members
         self._in_force = in_force
         self._engines = engines
         self._placement = placement
@@ -80,6 +74,10 @@
         if server.role == "plain":
             self._clock.callLater(SERVICE_RETRY_SECONDS, self._recovered, name)
 
+    def is_failed(self, name: str) -> bool:
+        """Return whether this instance takes a backend server for failed."""
+        return name in self._failed
+
     async def crashed(self, name: str) -> bool:
         """Ask a server that broke a connection; return whether it is down."""
         server = self._in_force.deployment.backend_servers_by_name.get(name)
@@ -108,9 +106,7 @@
             return False
         if server.name in self._failed:
             return True
-        near = self._members.live(server.availability_zone) or self._members.live()
-        poller = owner(server.name, [member.instance for member in near])
-        return poller == self._members.own.instance
+        return self._placement.places(server.name)
 
     async def _ask(self, server: BackendServer) -> None:
         asked = self._clock.seconds()
--- a/packages/pomeloglade/src/pomeloglade/coordination/parts.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/parts.py
@@ -13,6 +13,7 @@
 from .engine import Engines, Services
 from .health import Health
 from .in_force import InForce
+from .local_choice import LocalChoice
 
 
 @dataclass(frozen=True, slots=True)
@@ -29,4 +30,5 @@
     engines: Engines
     services: Services
     health: Health
+    local_choice: LocalChoice
     metrics: Metrics
--- a/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
@@ -145,7 +145,7 @@
             prefix=(),
             fingerprint=fingerprint(call),
         )
-        assignment = await self._parts.placement.assign(job)
+        assignment = await self._parts.local_choice.assign(request, job)
         if isinstance(assignment, Refusal):
             return assignment
         servers = self._parts.in_force.deployment.backend_servers_by_name
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -128,3 +128,26 @@
     clock.pump([0.1] * 20)
     assert book(other, clock)[0].replayed
     assert others.waiting == []
+
+
+def test_lookup_is_answered_while_the_placing_owner_is_silent(
+    instance, services, clock
+):
+    instance.parts.placement.assign = lambda job: Deferred()
+    answers = book(instance, clock, route="lookups")
+    clock.pump([0.05] * 6)
+    services.answer()
+    assert answers[0].status == 201
+    assert len(instance.open_requests) == 0
+
+
+def test_lookup_waits_in_the_queue_of_an_owner_that_answers_others(
+    instance, services, clock
+):
+    for _ in range(4):
+        book(instance, clock, route="lookups")
+    answers = book(instance, clock, route="lookups")
+    services.answer()
+    clock.pump([0.05] * 6)
+    assert len(services.waiting) == 4
+    assert answers == []
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -30,6 +30,12 @@
     fleet.until(lambda: fleet.look_up("i2").status == 200)
 
 
+def test_lookups_go_on_while_a_placing_owner_is_dead(fleet):
+    fleet.instances_by_name["i1"].process.signal(signal.SIGKILL)
+    answers = [fleet.look_up("i2") for _ in range(50)]
+    assert {answer.status for answer in answers} == {200}
+
+
 def test_frozen_instance_never_passes_a_part_off_as_the_whole(fleet, pool):
     stream = pool.submit(fleet.summarise, "i1")
     fleet.until(fleet.held)
