--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(BIN)/python -m bench
 
 fuzz: setup
-	$(BIN)/python -m scripts.fuzz
+	$(BIN)/python -m scripts.fuzz $(SEED)
 
 clean:
 	rm -rf $(VENV) .pytest_cache .ruff_cache .hypothesis
