Keep the bytes of headers, and hash by rendezvous in one place

Cause: header values are read as latin-1 and were sent on as UTF-8, both ways; a value with a byte over 127 arrived changed. Three modules ranked members with hashing of their own, since the shared one was broken when they were written.

Ruled out: another ranking; the scores are the same, so no owner moves.

Conclusion: what a caller and a service say to each other passes unchanged.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_groups.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/placement_groups.py
@@ -3,25 +3,15 @@
 from collections import Counter
 from collections.abc import Iterable
 
-import xxhash
-
 from .clock import Clock
 from .members import Member, MembershipView
 from .placement_servers import Replica
+from .rendezvous import owner
 
 MAX_GROUP_REPLICAS = 64
 """Replicas of a pool above which each availability zone has its own owner."""
 
 
-def owner(key: str, members: Iterable[str]) -> str | None:
-    """Return the member with the highest rendezvous score for ``key``."""
-    return max(members, key=lambda member: _score(key, member), default=None)
-
-
-def _score(key: str, member: str) -> tuple[int, str]:
-    return xxhash.xxh3_64_intdigest(f"{key}\x00{member}".encode()), member
-
-
 class Groups:
     """Divides the replicas into groups and finds each group's placing owner.
 
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_owners.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/share_owners.py
@@ -4,10 +4,9 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-import xxhash
-
 from .bucket import Limit
 from .members import MembershipView
+from .rendezvous import ranked
 
 OWNERS_PER_ZONE = 2
 """Owners of one account in each availability zone."""
@@ -30,14 +29,6 @@
         return floor.part(self.owner_index, self.owner_count)
 
 
-def _ranked(account: str, instances: tuple[str, ...]) -> list[str]:
-    def weight(instance: str) -> tuple[int, str]:
-        key = f"{account}\x00{instance}".encode()
-        return xxhash.xxh3_64_intdigest(key), instance
-
-    return sorted(instances, key=weight, reverse=True)
-
-
 class Owners(Protocol):
     """Assigns parts of accounts to instances.
 
@@ -92,7 +83,7 @@
         return self._parts_by_account[account]
 
     def _zone_parts(self, account: str, zone: str, index: int) -> list[OwnedPart]:
-        owners = _ranked(account, self._instances_by_zone[zone])[:OWNERS_PER_ZONE]
+        owners = ranked(account, self._instances_by_zone[zone])[:OWNERS_PER_ZONE]
         return [
             OwnedPart(name, zone, index, len(self._zones), position, len(owners))
             for position, name in enumerate(owners)
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/zones.py
@@ -8,6 +8,7 @@
 
 from .members import Member
 from .membership_messages import ZoneUpdate
+from .rendezvous import score
 
 CONTACTS_PER_ZONE = 2
 """How many instances of a zone talk to other zones and watch the platform."""
@@ -26,8 +27,7 @@
 
 @functools.lru_cache(maxsize=4096)
 def _rank(availability_zone: str, instance: str) -> tuple[int, str]:
-    key = f"contact {availability_zone}\x00{instance}"
-    return -xxhash.xxh3_64_intdigest(key.encode()), instance
+    return -score(f"contact {availability_zone}", instance), instance
 
 
 def fingerprint(members: Iterable[Member]) -> int:
--- a/packages/pomeloglade/src/pomeloglade/transport/http_client.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_client.py
@@ -85,7 +85,7 @@
         agent = self._fresh if fresh else self._pooled
         headers = Headers()
         for name, value in exchange.headers:
-            headers.addRawHeader(name, value)
+            headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
         response: Deferred[IResponse] = agent.request(
             exchange.method.encode("ascii"),
             _encoded(exchange.url),
--- a/packages/pomeloglade/src/pomeloglade/transport/site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/site.py
@@ -170,7 +170,9 @@
             return write_refusal(http, answer, request.request_id)
         http.setResponseCode(answer.status)
         for header in answer.headers:
-            http.responseHeaders.addRawHeader(header.name, header.value)
+            http.responseHeaders.addRawHeader(
+                header.name.encode("latin-1"), header.value.encode("latin-1")
+            )
         if answer.replayed:
             http.setHeader(REPLAYED_HEADER, "true")
         return whole_body(http, answer.body)
