Give each attempt at a request an id of its own

Cause: a retry used the id of the attempt before it. The cancel of that attempt goes over another connection and may arrive after the new reservation at the same engine, which it then ended; a freed slot could cross a new grant in the same way. Found by reading.

Ruled out: waiting for the cancel's answer before a retry. An engine that is lost answers after a timeout, if at all, and the cancel may still be on its way.

Figures: the new test is red with one id for all attempts, green with the change.

--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -179,8 +179,8 @@
             ),
             metrics=self.metrics,
         )
-        self.open_requests = OpenRequests(self.in_force, self.metrics.changed)
-        self.tasks = RequestTasks(self.parts, self.members, self.open_requests)
+        self.open_requests = OpenRequests(members, self.in_force, self.metrics.changed)
+        self.tasks = RequestTasks(self.parts, self.open_requests)
 
     def _build_upkeep(
         self, store: KeyValueStore, engines: Engines, sender: PeerSender
--- a/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
@@ -42,8 +42,8 @@
     answered: bool = False
 
     @property
-    def request_id(self) -> str:
-        return self.request.request_id
+    def attempt_id(self) -> str:
+        return self.request.attempt_id
 
     @property
     def used(self) -> int:
@@ -87,8 +87,9 @@
 
     async def _place_and_serve(self, run: _Run, grant: Grant | None) -> Usage | Refusal:
         outcome: Usage | Refusal = Refusal(Reason.NO_BACKEND_SERVER, Step.QUEUE)
-        run.request.lifecycle.undo(lambda: self._parts.placement.cancel(run.request_id))
+        run.request.lifecycle.undo(lambda: self._parts.placement.cancel(run.attempt_id))
         for _ in range(MAX_PLACEMENTS):
+            run.request.begin_attempt()
             assignment = await self._parts.placement.assign(self._job(run))
             if isinstance(assignment, Refusal):
                 return self._truly(run, assignment)
@@ -107,12 +108,12 @@
     def _leave(self, run: _Run, assignment: Assignment) -> None:
         for server in (assignment.prefill, assignment.decode):
             self._parts.suspects.ended(run.fingerprint, server)
-        self._parts.placement.release(run.request_id, completed=run.answered)
+        self._parts.placement.release(run.attempt_id, completed=run.answered)
 
     def _job(self, run: _Run) -> Job:
         call = run.call
         return Job(
-            request_id=run.request_id,
+            request_id=run.attempt_id,
             account=call.caller.name,
             weight=call.caller.weight,
             pool=call.route.pool,
@@ -138,10 +139,11 @@
         prefill = self._server(assignment.prefill, Step.PREFILL)
         decode = self._server(assignment.decode, Step.RESERVE)
         if grant is not None and not self._parts.shares.confirm(grant):
-            return Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=RETRY_AFTER)
-        with _Held(self._parts, run.request_id) as held:
+            lapsed = Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=RETRY_AFTER)
+            return self._truly(run, lapsed)
+        with _Held(self._parts, run.attempt_id) as held:
             held.add(decode)
-            await self._parts.engines.reserve(decode, run.request_id, run.call.cost)
+            await self._parts.engines.reserve(decode, run.attempt_id, run.call.cost)
             held.add(prefill)
             await self._prefill_and_transfer(run, prefill, decode)
             usage = await self._decode(run, decode)
@@ -164,14 +166,14 @@
         run.request.dispatched = True
         run.prompt_used = run.call.prompt_tokens
         self._parts.suspects.started(run.fingerprint, prefill.name)
-        prefilled = await self._parts.engines.prefill(prefill, run.request_id, run.call)
-        await self._parts.engines.transfer(prefill, decode, run.request_id, prefilled)
-        self._parts.placement.prefilled(run.request_id)
+        prefilled = await self._parts.engines.prefill(prefill, run.attempt_id, run.call)
+        await self._parts.engines.transfer(prefill, decode, run.attempt_id, prefilled)
+        self._parts.placement.prefilled(run.attempt_id)
 
     async def _decode(self, run: _Run, decode: BackendServer) -> Usage:
         self._parts.suspects.started(run.fingerprint, decode.name)
         usage = await self._parts.engines.decode(
-            decode, run.request_id, run.call, run.take
+            decode, run.attempt_id, run.call, run.take
         )
         run.answered = True
         self._parts.suspects.completed(run.fingerprint)
@@ -181,7 +183,7 @@
     async def _may_retry(self, run: _Run, error: BackendError) -> bool:
         peer = error.peer
         if isinstance(error, BackendFullError):
-            self._parts.placement.refused_by_engine(run.request_id, peer)
+            self._parts.placement.refused_by_engine(run.attempt_id, peer)
             return True
         if isinstance(error, BackendUnreachableError):
             self._parts.health.failed(peer)
--- a/packages/pomeloglade/src/pomeloglade/coordination/open_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/open_requests.py
@@ -1,11 +1,14 @@
 """The requests that this instance is answering."""
 
+import itertools
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from twisted.internet.defer import CancelledError, Deferred, succeed
 
+from pomeloglade_coordination.members import MembershipView
 from pomeloglade_coordination.refusals import Reason, Refusal, Step
+from pomeloglade_coordination.request_ids import RequestId
 
 from ..state.call import Caller
 from ..state.lifecycle import Lifecycle, new_lifecycle
@@ -19,17 +22,29 @@
     ``dispatched`` is set just before the first call that makes a backend server
     work for the request; from then on no refusal may say "not run". ``ending``
     is the refusal that an outside event, such as a withdrawn key, asks for;
-    once it is set, no step may start.
+    once it is set, no step may start. ``issue_id`` returns ids for attempts after
+    the first.
     """
 
     request_id: str
     caller: Caller
     arrived: float
+    issue_id: Callable[[], str]
+    attempt_id: str = ""
     lifecycle: Lifecycle = field(default_factory=new_lifecycle)
     dispatched: bool = False
     ending: Refusal | None = None
     work: "Deferred[None] | None" = None
 
+    def begin_attempt(self) -> str:
+        """Return the id by which owners and engines know the next attempt.
+
+        Each attempt has its own, so that a late cancel of one can't end another.
+        The first has the request's.
+        """
+        self.attempt_id = self.issue_id() if self.attempt_id else self.request_id
+        return self.attempt_id
+
     def stop(self, reason: Reason, step: Step) -> None:
         """Stop the work; its task then answers with this refusal."""
         if self.ending is not None:
@@ -49,16 +64,26 @@
 
     Parameters
     ----------
+    members : MembershipView
+        Names the own incarnation, which is part of every id.
     in_force : InForce
         Requests whose key it no longer knows are ended.
     changed : callable
         Called with +1 or -1 as requests open and close.
     """
 
-    def __init__(self, in_force: InForce, changed: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        members: MembershipView,
+        in_force: InForce,
+        changed: Callable[[int], None],
+    ) -> None:
+        self._members = members
         self._in_force = in_force
         self._changed = changed
         self._by_id: dict[str, OpenRequest] = {}
+        self._attempts: set[str] = set()
+        self._sequence = itertools.count(1)
         self._idle_waiters: list[Deferred[None]] = []
         in_force.subscribe(self._end_withdrawn)
 
@@ -66,11 +91,12 @@
         return len(self._by_id)
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._by_id
+        return request_id in self._by_id or request_id in self._attempts
 
-    def open(self, request_id: str, caller: Caller, now: float) -> OpenRequest:
-        """Register a request until its lifecycle ends."""
-        request = OpenRequest(request_id, caller, now)
+    def open(self, caller: Caller, now: float) -> OpenRequest:
+        """Register a request under an id of its own until its lifecycle ends."""
+        request_id = self._new_id()
+        request = OpenRequest(request_id, caller, now, lambda: self._attempt(request))
         self._by_id[request_id] = request
         self._changed(1)
         request.lifecycle.undo(lambda: self._close(request_id))
@@ -84,6 +110,17 @@
         self._idle_waiters.append(waiting)
         return waiting
 
+    def _new_id(self) -> str:
+        own = self._members.own
+        sequence = next(self._sequence)
+        return str(RequestId(own.instance, own.incarnation, sequence))
+
+    def _attempt(self, request: OpenRequest) -> str:
+        attempt = self._new_id()
+        self._attempts.add(attempt)
+        request.lifecycle.undo(lambda: self._attempts.discard(attempt))
+        return attempt
+
     def _close(self, request_id: str) -> None:
         del self._by_id[request_id]
         self._changed(-1)
--- a/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
@@ -49,7 +49,7 @@
         )
         if isinstance(grant, Refusal):
             return grant
-        request.lifecycle.undo(lambda: self._parts.placement.cancel(request.request_id))
+        request.lifecycle.undo(lambda: self._parts.placement.cancel(request.attempt_id))
         if call.route.idempotent:
             return await self._repeatable(request, call, grant)
         return await self._once(request, call, grant)
@@ -59,6 +59,7 @@
     ) -> PlainAnswer | Refusal:
         outcome: PlainAnswer | Refusal = Refusal(Reason.NO_BACKEND_SERVER, Step.QUEUE)
         for _ in range(MAX_PLACEMENTS):
+            request.begin_attempt()
             server = await self._place(request, call)
             if isinstance(server, Refusal):
                 return server
@@ -72,12 +73,13 @@
                     return outcome
                 self._parts.metrics.retried(outcome.reason)
             finally:
-                self._parts.placement.release(request.request_id)
+                self._parts.placement.release(request.attempt_id)
         return outcome
 
     async def _once(
         self, request: OpenRequest, call: PlainCall, grant: Grant | None
     ) -> PlainAnswer | Refusal:
+        request.begin_attempt()
         server = await self._place(request, call)
         if isinstance(server, Refusal):
             return server
@@ -97,7 +99,7 @@
                 return Refusal(Reason.CLAIM_UNAVAILABLE, Step.CLAIM)
             return await self._run_claimed(request, call, grant, server, claimed)
         finally:
-            self._parts.placement.release(request.request_id)
+            self._parts.placement.release(request.attempt_id)
 
     async def _run_claimed(
         self,
@@ -132,7 +134,7 @@
     ) -> BackendServer | Refusal:
         now = request.arrived
         job = Job(
-            request_id=request.request_id,
+            request_id=request.attempt_id,
             account=call.caller.name,
             weight=call.caller.weight,
             pool=call.route.pool,
@@ -151,7 +153,7 @@
         servers = self._parts.in_force.deployment.backend_servers_by_name
         if assignment.server in servers:
             return servers[assignment.server]
-        self._parts.placement.release(request.request_id)
+        self._parts.placement.release(request.attempt_id)
         return Refusal(
             Reason.NO_BACKEND_SERVER,
             Step.QUEUE,
--- a/packages/pomeloglade/src/pomeloglade/coordination/request_tasks.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/request_tasks.py
@@ -7,9 +7,7 @@
 import eliot
 from twisted.internet.defer import Deferred
 
-from pomeloglade_coordination.members import MembershipView
 from pomeloglade_coordination.refusals import Reason, Refusal, Step
-from pomeloglade_coordination.request_ids import RequestId
 
 from ..state.call import Caller, ModelCall, PlainAnswer, PlainCall
 from .answer import AnswerSink
@@ -28,29 +26,19 @@
     ----------
     parts : Parts
         The parts that the tasks share.
-    members : MembershipView
-        Names the own incarnation, which is part of every request id.
     open_requests : OpenRequests
         Where each request is registered while it is answered.
     """
 
-    def __init__(
-        self, parts: Parts, members: MembershipView, open_requests: OpenRequests
-    ) -> None:
-        self._members = members
+    def __init__(self, parts: Parts, open_requests: OpenRequests) -> None:
         self._parts = parts
         self._open = open_requests
         self._models = ModelRequests(parts)
         self._plain = PlainRequests(parts)
-        self._sequence = 0
 
     def open(self, caller: Caller) -> OpenRequest:
         """Register a new request of ``caller`` under an id of its own."""
-        own = self._members.own
-        self._sequence += 1
-        request_id = RequestId(own.instance, own.incarnation, self._sequence)
-        now = self._parts.clock.seconds()
-        return self._open.open(str(request_id), caller, now)
+        return self._open.open(caller, self._parts.clock.seconds())
 
     async def answer_model(
         self, request: OpenRequest, call: ModelCall, sink: AnswerSink
--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -160,7 +160,23 @@
     instance.parts.retries.allow = lambda: True
     request, _ = ask(instance)
     clock.pump([0.01] * 20)
-    assert request.request_id in engines.streams
+    assert request.attempt_id in engines.streams
+
+
+def test_late_cancel_of_one_attempt_never_ends_the_next(instance, engines, clock):
+    instance.parts.retries.allow = lambda: True
+    lost = BackendLostError("lost", step="transfer", peer="d1")
+    engines.errors_by_step = {("transfer", "d1"): lost, ("transfer", "d2"): lost}
+    request, sink = ask(instance)
+    clock.pump([0.01] * 20)
+    cancelled = {name for step, _, name in engines.calls if step == "cancel"}
+    assert cancelled
+    assert request.attempt_id in engines.streams
+    assert request.attempt_id not in cancelled
+    assert request.attempt_id in instance.open_requests
+    engines.finish(request.attempt_id, usage())
+    assert sink.endings == [Usage(5, 2)]
+    assert request.attempt_id not in instance.open_requests
 
 
 def test_nonsense_is_told_and_not_retried(instance, engines, clock):
