Test that leaving backend servers get no new work

Cause: the promise had a test of the owner's queue only, and none of the whole path or of the calls placed while the owner is silent.

Ruled out: nothing; no fault was found.

Conclusion: proved in virtual time, 3 s after the publish, for all three kinds.

--- a/tests/fakes.py
+++ b/tests/fakes.py
@@ -1,6 +1,6 @@
 """Fakes at the router's interfaces, driven by a virtual clock."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from twisted.internet.defer import Deferred, fail, succeed
 
@@ -57,6 +57,13 @@
     )
 
 
+def leaving(found, *names):
+    """Return the deployment with these backend servers leaving."""
+    servers = found.backend_servers_by_name
+    changed = {name: replace(servers[name], state="leaving") for name in names}
+    return replace(found, backend_servers_by_name=servers | changed)
+
+
 def put(store, found, publish_id="p"):
     return store.put(CONFIGURATION_KEY, encode(Published(publish_id, found)))
 
--- a/tests/test_model_requests.py
+++ b/tests/test_model_requests.py
@@ -3,7 +3,16 @@
 from datetime import timedelta
 
 import pytest
-from tests.fakes import KEY, FakeEngines, Sink, deployment, lone_instance, put, usage
+from tests.fakes import (
+    KEY,
+    FakeEngines,
+    Sink,
+    deployment,
+    leaving,
+    lone_instance,
+    put,
+    usage,
+)
 from twisted.internet.defer import Deferred
 
 from pomeloglade.errors import (
@@ -224,3 +233,25 @@
     assert {each.reason for each in refused} == {Reason.OVER_RATE}
     assert all(each.not_run for each in refused)
     assert all(each.retry_after > timedelta(0) for each in refused)
+
+
+def test_leaving_engines_get_no_work_three_seconds_later(
+    instance, engines, store, clock
+):
+    old, _ = ask(instance)
+    clock.pump([0.01] * 5)
+    put(store, leaving(deployment(), "d1"), "q")
+    clock.pump([0.1] * 30)
+    engines.calls.clear()
+    requests = [ask(instance, f"prompt {n}")[0] for n in range(3)]
+    clock.pump([0.01] * 20)
+    used = {name for step, name, _ in engines.calls if step == "reserve"}
+    assert used == {"d2"}
+    assert {r.attempt_id for r in (old, *requests)} <= engines.streams.keys()
+    put(store, leaving(deployment(), "d1", "p1"), "r")
+    clock.pump([0.1] * 30)
+    refused, sink = ask(instance)
+    clock.pump([0.1] * 20)
+    assert refused.attempt_id not in engines.streams
+    assert sink.endings[0].reason is Reason.NO_BACKEND_SERVER
+    assert sink.endings[0].not_run
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -1,7 +1,7 @@
 """Tests of calls to plain services, with a fake service."""
 
 import pytest
-from tests.fakes import KEY, FakeServices, deployment, lone_instance, put
+from tests.fakes import KEY, FakeServices, deployment, leaving, lone_instance, put
 from twisted.internet.defer import Deferred
 
 from pomeloglade.errors import BackendLostError, BackendUnreachableError
@@ -151,3 +151,16 @@
     clock.pump([0.05] * 6)
     assert len(services.waiting) == 4
     assert answers == []
+
+
+@pytest.mark.parametrize("owner_answers", [True, False])
+def test_leaving_service_gets_no_call_three_seconds_later(
+    instance, services, store, clock, owner_answers
+):
+    put(store, leaving(deployment(), "s1"), "q")
+    clock.pump([0.1] * 30)
+    if not owner_answers:
+        instance.parts.placement.assign = lambda job: Deferred()
+    book(instance, clock, route="lookups")
+    clock.pump([0.1] * 20)
+    assert services.waiting == []
