Let the process tests wait for each instance's own part of the budget

The survivor had served its lookups from loans of the killed one, as its own part earns nothing for the first 4.1 s of its run.

Ruled out: a fault of shares; a part that starts empty is what keeps restarts within the burst. Also ruled out: taking the refusal as an answer in that test.

Conclusion: the fixture's event is now a grant from the instance's own part.

--- a/tests/processes.py
+++ b/tests/processes.py
@@ -19,6 +19,7 @@
 
 KEY = "club-key"
 ZONE = "zone-a"
+GRANTED_LOCALLY = 'pomeloglade_part_total{part="shares",event="granted_locally"'
 PATIENCE = timedelta(seconds=40)
 LONG_PROMPT = "\n".join(f"Paragraph {n} of the long report" for n in range(300))
 MAX_TRIES = 150
@@ -84,8 +85,10 @@
         return BackendServer(name, ZONE, f"{HOST}:{self.ports[name]}", pool, role)
 
     def budget_is_there(self):
+        """Tell whether each instance serves from its own part of the budget."""
         answers = [self.look_up(name) for name in self.instances_by_name]
-        return all(answer.status == 200 for answer in answers)
+        own = [self.metric(name, GRANTED_LOCALLY) for name in self.instances_by_name]
+        return all(answer.status == 200 for answer in answers) and all(own)
 
     def port(self, instance):
         return self.instances_by_name[instance].port
