Check the table of instances in a configuration folder

Cause: a folder with client accounts and no instances was accepted, and every account's callers were then refused, since rates are divided over the instances named.

Conclusion: check and publish name each zone without an instance.

--- a/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
+++ b/packages/pomeloglade/src/pomeloglade/state/folder_checks.py
@@ -101,6 +101,7 @@
             yield from _check_model(model, deployment)
     if "availability_zones" not in faulty_tables:
         yield from _check_zones(deployment)
+        yield from _check_instances(deployment)
     if "backend_servers" not in faulty_tables:
         yield from _check_pools(deployment)
 
@@ -123,6 +124,21 @@
             yield _Finding(path, reason)
 
 
+def _check_instances(deployment: Deployment) -> Iterator[_Finding]:
+    """Yield faults of the table over which rates and bursts are divided."""
+    zones = deployment.availability_zones
+    used = {each.availability_zone for each in deployment.instances_by_name.values()}
+    for instance in deployment.instances_by_name.values():
+        if instance.availability_zone not in zones:
+            path = ("instances", instance.name, "availability_zone")
+            reason = f"{instance.availability_zone!r} is unknown; known: "
+            yield _Finding(path, reason + ", ".join(zones))
+    for zone in zones:
+        if deployment.accounts_by_name and zone not in used:
+            reason = f"zone {zone!r} has none, so no account could spend its part there"
+            yield _Finding(("instances",), reason)
+
+
 def _check_digests(deployment: Deployment) -> Iterator[_Finding]:
     paths_by_digest: dict[str, KeyPath] = {}
     for account in deployment.accounts_by_name.values():
--- a/tests/test_folder.py
+++ b/tests/test_folder.py
@@ -11,6 +11,8 @@
 
 GOOD = """
 availability_zones = ["a", "b"]
+instances.i1.availability_zone = "a"
+instances.i2.availability_zone = "b"
 [accounts.league]
 rate = 100
 burst = 1000
@@ -159,3 +161,8 @@
     assert not all(route.idempotent for route in deployment.routes_by_name.values())
     for server in deployment.backend_servers_by_name.values():
         assert server.availability_zone in deployment.availability_zones
+
+
+def test_zone_without_an_instance_is_an_error(write):
+    without = GOOD.replace('instances.i2.availability_zone = "b"\n', "")
+    assert "instances: zone 'b' has none" in problems(write(a=without))
--- a/tests/test_porcelain.py
+++ b/tests/test_porcelain.py
@@ -37,6 +37,8 @@
 
 FOLDER = """
 availability_zones = ["a", "b"]
+instances.i1.availability_zone = "a"
+instances.i2.availability_zone = "b"
 [accounts.league]
 rate = {rate}
 burst = 1000
--- a/tests/test_publishing_stateful.py
+++ b/tests/test_publishing_stateful.py
@@ -25,6 +25,7 @@
 
 FOLDER = """
 availability_zones = ["a"]
+instances.i1.availability_zone = "a"
 [accounts.league]
 rate = {rate}
 burst = 1000
