--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -1,6 +1,5 @@
 """The daemon of one entry instance: sockets, start and graceful shutdown."""
 
-import gc
 import sys
 import time
 
@@ -159,19 +158,12 @@
     """Run the daemon until it is told to stop."""
     eliot.to_file(sys.stdout)
     daemon = Daemon(settings)
-    _spare_collections()
     reactor.callWhenRunning(
         lambda: Deferred.fromCoroutine(daemon.start()).addErrback(_give_up)
     )
     reactor.run()
 
 
-def _spare_collections() -> None:
-    """Keep the modules and parts of the start out of later garbage collections."""
-    gc.collect()
-    gc.freeze()
-
-
 def _give_up(failure: object) -> None:
     eliot.log_message("pomeloglade:not_started", reason=str(failure))
     reactor.stop()
