Take only an owner's answers for a sign of its life

Cause: a plain call placed without its silent owner cancels its ask, and that own cancel was counted as an answer of the owner. Calls that overlapped then waited for it until their target was missed. Found by reading, then by a test.

Ruled out: forgetting the pool's last answer on each choice; a living owner's would be forgotten too.

--- a/packages/pomeloglade/src/pomeloglade/coordination/local_choice.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/local_choice.py
@@ -7,7 +7,7 @@
 
 from pomeloglade_coordination.clock import Clock
 from pomeloglade_coordination.placement import Assignment, Job, Placement
-from pomeloglade_coordination.refusals import Refusal
+from pomeloglade_coordination.refusals import Reason, Refusal
 
 from ..state.deployment import BackendServer
 from ..state.metrics import Metrics
@@ -18,6 +18,9 @@
 SILENCE_SECONDS = 0.1
 """How long an owner may leave an ask unanswered before it counts as silent."""
 
+OWN_REASONS = frozenset({Reason.CANCELLED, Reason.TARGET_MISSED})
+"""Refusals that an instance also gives itself, without a word of the owner."""
+
 
 class LocalChoice:
     """Places plain calls by the placing owner, and by own means without it.
@@ -70,7 +73,8 @@
         asked = self._clock.seconds()
 
         def answered(answer: Assignment | Refusal) -> None:
-            self._answered_at_by_pool[job.pool] = self._clock.seconds()
+            if _is_of_owner(answer):
+                self._answered_at_by_pool[job.pool] = self._clock.seconds()
             if not placed.called:
                 placed.callback(answer)
 
@@ -115,3 +119,8 @@
         return self._random.choice(
             [s for s in usable if self._calls_by_server[s.name] == fewest]
         )
+
+
+def _is_of_owner(answer: Assignment | Refusal) -> bool:
+    """Return whether an answer shows that the owner lives."""
+    return isinstance(answer, Assignment) or answer.reason not in OWN_REASONS
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -141,6 +141,16 @@
     assert len(instance.open_requests) == 0
 
 
+def test_lookups_that_overlap_are_all_answered_while_the_owner_is_silent(
+    instance, services, clock
+):
+    instance.parts.placement._tell_owner = lambda group, message: None
+    for _ in range(3):
+        book(instance, clock, route="lookups")
+    clock.pump([0.05] * 4)
+    assert len(services.waiting) == 3
+
+
 def test_lookup_waits_in_the_queue_of_an_owner_that_answers_others(
     instance, services, clock
 ):
