Never say "not run" when a retry of a plain call is refused

Cause: after an attempt whose answer was lost, the refusal of the next placement, or of a lapsed grant, was passed on as it came, with not_run true, although the first attempt may have run. Found by reading the path of retries, then by a test.

Ruled out: the same in model calls; they had the check, which both now share.

Figures: the new test was red (not_run true after a lost answer), and passes now.

Conclusion: one method decides what a refusal may say about a request.

--- a/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/model_requests.py
@@ -1,6 +1,6 @@
 """Answers model calls: budget, placement, prefill, transfer, decode."""
 
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
@@ -92,7 +92,7 @@
             run.request.begin_attempt()
             assignment = await self._parts.placement.assign(self._job(run))
             if isinstance(assignment, Refusal):
-                return self._truly(run, assignment)
+                return run.request.truly(assignment)
             try:
                 return await self._serve(run, grant, assignment)
             except BackendError as error:
@@ -128,11 +128,6 @@
             alone=run.alone,
         )
 
-    def _truly(self, run: _Run, refusal: Refusal) -> Refusal:
-        if not run.request.dispatched:
-            return refusal
-        return replace(refusal, not_run=False)
-
     async def _serve(
         self, run: _Run, grant: Grant | None, assignment: Assignment
     ) -> Usage | Refusal:
@@ -140,7 +135,7 @@
         decode = self._server(assignment.decode, Step.RESERVE)
         if grant is not None and not self._parts.shares.confirm(grant):
             lapsed = Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=RETRY_AFTER)
-            return self._truly(run, lapsed)
+            return run.request.truly(lapsed)
         with _Held(self._parts, run.attempt_id) as held:
             held.add(decode)
             await self._parts.engines.reserve(decode, run.attempt_id, run.call.cost)
--- a/packages/pomeloglade/src/pomeloglade/coordination/open_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/open_requests.py
@@ -2,7 +2,7 @@
 
 import itertools
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from twisted.internet.defer import CancelledError, Deferred, succeed
 
@@ -53,6 +53,10 @@
         if self.work is not None:
             self.work.cancel()
 
+    def truly(self, refusal: Refusal) -> Refusal:
+        """Return a refusal that says "not run" only if nothing was dispatched."""
+        return replace(refusal, not_run=False) if self.dispatched else refusal
+
     def check_running(self) -> None:
         """Raise ``CancelledError`` if the work has been stopped."""
         if self.ending is not None:
--- a/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
@@ -62,7 +62,7 @@
             request.begin_attempt()
             server = await self._place(request, call)
             if isinstance(server, Refusal):
-                return server
+                return request.truly(server)
             try:
                 return await self._dispatch(request, call, grant, server)
             except BackendError as error:
@@ -169,7 +169,8 @@
         server: BackendServer,
     ) -> PlainAnswer | Refusal:
         if grant is not None and not self._parts.shares.confirm(grant):
-            return Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=RETRY_AFTER)
+            lapsed = Refusal(Reason.OVER_RATE, Step.ADMIT, retry_after=RETRY_AFTER)
+            return request.truly(lapsed)
         request.dispatched = True
         answer = await self._parts.services.call(
             server, call, fresh=not call.route.idempotent
--- a/tests/test_plain_requests.py
+++ b/tests/test_plain_requests.py
@@ -174,3 +174,12 @@
     book(instance, clock, route="lookups")
     clock.pump([0.1] * 20)
     assert services.waiting == []
+
+
+def test_refusal_of_a_retry_never_says_not_run(instance, services, clock):
+    instance.parts.retries.allow = lambda: True
+    answers = book(instance, clock, route="lookups")
+    services.fail(BackendLostError("lost", step="call", peer="s1"))
+    clock.pump([0.1] * 20)
+    assert isinstance(answers[0], Refusal)
+    assert not answers[0].not_run
