--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -143,6 +143,9 @@
             found.append(f"{size.name}: {row.held} requests held to their deadline")
         if row.patient_served < 0.9:
             found.append(f"{size.name}: {row.patient_served:.1%} of patient served")
+    single = rows[LOADS[-1], CHOSEN].worst_served
+    if single < WORST_SERVED:
+        found.append(f"{size.name}: worst account at {single:.2%} in a single run")
     worst = pooled_worst_served(size)
     print(f"{size.name:10} worst account at 110%, {SEEDS} seeds pooled: {worst:.1%}")
     if worst < WORST_SERVED:
