Remove dead names and hash a plain call's body once

Cause: read again as a whole. A constant for digests, one for a status, a message and a method of the HTTP client had no user left, and a booking's body was hashed twice, a lookup's once an attempt.

Ruled out: joining the look-alike message classes and command-line options; they are alike in shape only.

Conclusion: behaviour is unchanged.

--- a/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/plain_requests.py
@@ -50,17 +50,18 @@
         if isinstance(grant, Refusal):
             return grant
         request.lifecycle.undo(lambda: self._parts.placement.cancel(request.attempt_id))
+        digest = fingerprint(call)
         if call.route.idempotent:
-            return await self._repeatable(request, call, grant)
-        return await self._once(request, call, grant)
+            return await self._repeatable(request, call, digest, grant)
+        return await self._once(request, call, digest, grant)
 
     async def _repeatable(
-        self, request: OpenRequest, call: PlainCall, grant: Grant | None
+        self, request: OpenRequest, call: PlainCall, digest: str, grant: Grant | None
     ) -> PlainAnswer | Refusal:
         outcome: PlainAnswer | Refusal = Refusal(Reason.NO_BACKEND_SERVER, Step.QUEUE)
         for _ in range(MAX_PLACEMENTS):
             request.begin_attempt()
-            server = await self._place(request, call)
+            server = await self._place(request, call, digest)
             if isinstance(server, Refusal):
                 return request.truly(server)
             try:
@@ -77,17 +78,17 @@
         return outcome
 
     async def _once(
-        self, request: OpenRequest, call: PlainCall, grant: Grant | None
+        self, request: OpenRequest, call: PlainCall, digest: str, grant: Grant | None
     ) -> PlainAnswer | Refusal:
         request.begin_attempt()
-        server = await self._place(request, call)
+        server = await self._place(request, call, digest)
         if isinstance(server, Refusal):
             return server
         try:
             claimed = await self._parts.claims.claim(
                 call.caller.name,
                 call.idempotency_key,
-                fingerprint(call),
+                digest,
                 request.request_id,
             )
             if isinstance(claimed, Refusal):
@@ -130,7 +131,7 @@
         return answer
 
     async def _place(
-        self, request: OpenRequest, call: PlainCall
+        self, request: OpenRequest, call: PlainCall, digest: str
     ) -> BackendServer | Refusal:
         now = request.arrived
         job = Job(
@@ -145,7 +146,7 @@
             patient=call.route.patient,
             give_up=now + call.route.timeout.total_seconds(),
             prefix=(),
-            fingerprint=fingerprint(call),
+            fingerprint=digest,
         )
         assignment = await self._parts.local_choice.assign(request, job)
         if isinstance(assignment, Refusal):
--- a/packages/pomeloglade/src/pomeloglade/keys.py
+++ b/packages/pomeloglade/src/pomeloglade/keys.py
@@ -4,7 +4,6 @@
 
 KEY_PREFIX = "pg_"
 KEY_ENTROPY_BYTES = 32
-DIGEST_PATTERN = r"[0-9a-f]{64}"
 
 
 def create_key() -> str:
--- a/packages/pomeloglade/src/pomeloglade/protocol/engine.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/engine.py
@@ -111,13 +111,6 @@
     loading: str = ""
 
 
-@dataclass(frozen=True, slots=True)
-class EngineErrorAnswer:
-    """Body of every answer that is not 200."""
-
-    error: str
-
-
 def encode(message: object) -> bytes:
     """Return a message as JSON."""
     return msgspec.json.encode(message)
--- a/packages/pomeloglade/src/pomeloglade/transport/http_client.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_client.py
@@ -72,7 +72,6 @@
         pool.maxPersistentPerHost = MAX_CONNECTIONS_PER_HOST
         pool.cachedConnectionTimeout = IDLE_CONNECTION_SECONDS
         pool.retryAutomatically = False
-        self._pool = pool
         self._pooled = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS, pool=pool)
         self._fresh = Agent(reactor, connectTimeout=CONNECT_TIMEOUT_SECONDS)
 
@@ -95,10 +94,6 @@
         response.addTimeout(exchange.timeout.total_seconds(), self._reactor)
         return response.addErrback(typed_error, exchange)
 
-    def close(self) -> "Deferred[None]":
-        """Close all idle connections."""
-        return self._pool.closeCachedConnections()
-
 
 @implementer(IBodyProducer)
 class _Body:
--- a/packages/pomeloglade/src/pomeloglade/transport/limited_request.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/limited_request.py
@@ -5,7 +5,6 @@
 from twisted.web.resource import IResource
 from twisted.web.server import Request, Site
 
-TOO_LARGE_STATUS = 413
 TOO_LARGE_ANSWER = (
     b"HTTP/1.1 413 Content Too Large\r\n"
     b"Content-Type: application/json\r\n"
