Offer untaken KV caches again and leave rejecting engines alone

The only prefill engine had crashed for four seconds; a decode engine was ordered to take its place and rejected every call until its registration changed. Each rejected call read its prompt again, with the first KV cache left to lapse, and spent the budget of repeated sendings, so later calls were refused.

An untaken cache is offered to the next engine; an engine that rejects gets no calls for 0.3 s, doubling; a lack of prefill engines must last 10 s before a decode engine is changed; an order is told to the other instances at once.

Ruled out: too little KV memory. All rejections came from the ordered engine.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -54,11 +54,13 @@
 class EnginePool:
     """The engines of a model service.
 
-    ``kv_capacity`` is in tokens for each engine.
+    ``kv_capacity`` is in tokens for each engine. A prefilled prompt's KV cache
+    is kept for ``handle_seconds``.
     """
 
     slots: int
     kv_capacity: int
+    handle_seconds: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -26,6 +26,7 @@
 """Duration assumed until the first calls have ended."""
 
 DURATION_WEIGHT = 0.1
+PUMP_SECONDS = 0.05
 
 
 @dataclass(order=True)
@@ -73,6 +74,7 @@
         self._availability_zone = availability_zone
         self._waiters: list[Waiter] = []
         self._order = 0
+        self._pumping = False
         self._duration = USUAL_DECODE_SECONDS
         self.pool = EnginePool(1, 1)
         self.waiting_elsewhere: Callable[[], int] = lambda: 0
@@ -106,7 +108,8 @@
                 placed.callback(server)
                 return placed
         patience = PATIENCE_OBJECTIVES * objective - (now - arrived)
-        wait = self.expected_wait()
+        soonest = min(self._health.avoided_for(s.id) for s in self._engines())
+        wait = max(soonest, self.expected_wait())
         if wait > patience:
             placed.errback(Refused(503, "engines_full", retry_after=wait))
             return placed
@@ -117,6 +120,7 @@
         waiter.without = without
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, patience), self._give_up, waiter)
+        self._keep_pumping()
         return placed
 
     def finished(self, seconds: float) -> None:
@@ -145,6 +149,17 @@
             self._loads.begin(server.id, waiter.tokens)
             waiter.placed.callback(server)
 
+    def _keep_pumping(self) -> None:
+        """Look for room while calls wait: servers come back without a sign."""
+        if self._waiters and not self._pumping:
+            self._pumping = True
+            self._clock.callLater(PUMP_SECONDS, self._pump_again)
+
+    def _pump_again(self) -> None:
+        self._pumping = False
+        self.pump()
+        self._keep_pumping()
+
     def has_room(self, server: BackendServer, tokens: int) -> bool:
         """Whether an engine has a slot and memory for ``tokens`` more."""
         work = self._loads.work(server.id)
@@ -163,7 +178,7 @@
     def _choose(self, tokens: int, without: frozenset[str]) -> BackendServer | None:
         engines = [s for s in self._engines() if s.id not in without]
         reachable = [s for s in engines if not self._health.avoided(s.id)]
-        free = [s for s in reachable or engines if self.has_room(s, tokens)]
+        free = [s for s in reachable if self.has_room(s, tokens)]
         return min(free, key=self._cost, default=None)
 
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -37,6 +37,10 @@
 """Two questions of the balancer, a second apart, and their travel: after this no
 new connection comes to an instance that says it is not ready."""
 
+ORDERED_SECONDS = 3.0
+"""How long an engine that was ordered to change gets no calls; by then its
+registration tells the rest."""
+
 EXIT_MARGIN_SECONDS = 0.7
 """What is left of the grace period for closing connections."""
 
@@ -152,6 +156,7 @@
             loads=self._loads,
             log=log,
             random=random,
+            on_order=self._ordered,
         )
         metrics.gauge("belief_age_seconds", self.belief.age)
         metrics.gauge("open_calls", lambda: self.forwarder.open_calls)
@@ -254,9 +259,17 @@
                 for service, queue in self._queues_by_service.items()
                 if len(queue)
             },
+            changing=self._stage_orders.changing(),
         )
 
+    def _ordered(self, server: str) -> None:
+        self._health.avoid(server, ORDERED_SECONDS)
+        self._reports.changed()
+
     def _heard(self, report: Report) -> None:
+        for server in report.changing:
+            if not self._health.avoided(server):
+                self._health.avoid(server, ORDERED_SECONDS)
         self._loads.heard(report.instance, report.work_by_server())
         self._usage.heard(report.instance, report.run, report.usage)
         self._waiting_by_instance[report.instance] = report.waiting
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -29,8 +29,8 @@
 
     ``run`` differs for each start of the instance and ``sequence`` grows within
     a run. ``work`` is by backend server, ``usage`` by account, in units admitted
-    in this run. ``suspects`` are fingerprints of calls by the servers that they
-    crashed.
+    in this run. ``waiting`` counts calls in queues by service, and ``changing``
+    names engines that were just ordered to another stage.
     """
 
     instance: str
@@ -39,7 +39,7 @@
     work: dict[str, tuple[int, int]] = field(default_factory=dict)
     usage: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
-    suspects: dict[str, list[str]] = field(default_factory=dict)
+    changing: list[str] = field(default_factory=list)
 
     def work_by_server(self) -> dict[str, Work]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -33,12 +33,18 @@
 decode engine reads the prompt itself, at half the speed."""
 
 
+HANDLE_PART = 0.8
+"""Part of a handle's time within which it is offered again; the rest is for the
+way and the transfer's queue."""
+
+
 @dataclass(frozen=True, slots=True)
 class KvCache:
-    """A prompt's KV cache that waits at a prefill engine."""
+    """A prompt's KV cache that waits at a prefill engine until it lapses."""
 
     server: BackendServer
     handle: str
+    lapses: float
 
 
 class ModelCalls:
@@ -76,6 +82,17 @@
 
     async def run(self, state: CallState, responder: Responder) -> None:
         """Stream the answer to the caller, or raise ``Refused`` before its head."""
+        caches: list[KvCache] = []
+        try:
+            await self._run(state, responder, caches)
+        finally:
+            for cache in caches:
+                self._free(cache)
+
+    async def _run(
+        self, state: CallState, responder: Responder, caches: list[KvCache]
+    ) -> None:
+        """Try engines; ``caches`` holds the KV cache that nobody has taken yet."""
         stream = EventStream(
             resumable=state.resolved.route.resumable,
             last_id=state.call.last_event_id,
@@ -92,12 +109,13 @@
             started = self._clock.seconds()
             tokens = state.call.prompt.held_tokens if state.call.prompt else 0
             try:
-                await self._attempt(state, responder, stream, server)
+                await self._attempt(state, responder, stream, server, caches)
                 self._health.succeeded(server.id)
                 queue.finished(self._clock.seconds() - started)
                 return
             except _RejectedError as error:
                 state.note(server.id, "rejected", str(error))
+                self._health.rejected(server.id)
                 without.add(server.id)
             except BackendUnreachableError as error:
                 state.note(server.id, "unreachable", str(error))
@@ -145,11 +163,17 @@
         responder: Responder,
         stream: EventStream,
         server: BackendServer,
+        caches: list[KvCache],
     ) -> None:
-        cache = None
-        if not stream.begun and state.call.prompt is not None:
+        now = self._clock.seconds()
+        if caches and not (
+            now < caches[0].lapses and self._backends.usable(caches[0].server)
+        ):
+            caches.clear()
+        if not caches and not stream.begun and state.call.prompt is not None:
             cache = await self._prefill(state, server)
-        taken = False
+            if cache is not None:
+                caches.append(cache)
         exchange: Exchange | None = None
         try:
             connection = await self._pool.connection(
@@ -157,11 +181,14 @@
             )
             self._check_usable(server)
             state.resolve()
+            source = None
+            if caches:
+                source = (caches[0].server.address, caches[0].handle)
             dispatch = Dispatch(
                 server=server.id,
                 account=state.account_name,
                 seconds_left=state.seconds_left(),
-                kv_source=(cache.server.address, cache.handle) if cache else None,
+                kv_source=source,
                 last_event_id=stream.last_id,
             )
             request = self._codec.request(state.call, dispatch)
@@ -173,14 +200,12 @@
             if facts.not_run:
                 state.rejected(server.id)
                 raise _RejectedError(f"status {facts.status}")
-            taken = True
+            caches.clear()
             check_answer(facts, server.id)
             await self._forward(state, responder, stream, head, exchange)
         finally:
             if exchange is not None:
                 exchange.cancel()
-            if cache is not None and not taken:
-                self._free(cache)
 
     def _check_usable(self, server: BackendServer) -> None:
         if not self._backends.usable(server):
@@ -264,7 +289,9 @@
             if not queued and seconds > 0:
                 rate = tokens / seconds
                 self._prefill_rate += PREFILL_WEIGHT * (rate - self._prefill_rate)
-            return KvCache(server, result)
+            pool = self._queue_for(service).pool
+            lapses = self._clock.seconds() + HANDLE_PART * pool.handle_seconds
+            return KvCache(server, result, lapses)
         except _RejectedError as error:
             state.note(server.id, "prefill_rejected", str(error))
             self._health.failed(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
@@ -13,6 +13,11 @@
 """A server that could not be reached is left alone for a second, doubling up to
 this; engines are back some seconds after a crash."""
 
+REJECTED_SECONDS = 0.3
+LONGEST_REJECTED_SECONDS = 2.0
+"""A server that rejects a call has no room or changes its stage; both last longer
+than the next call's arrival, and each further rejection costs the budget."""
+
 FAILURE_PENALTY = 8.0
 
 
@@ -31,11 +36,13 @@
         self._rates_by_server: dict[str, tuple[float, float]] = {}
         self._avoid_until_by_server: dict[str, float] = {}
         self._misses_by_server: dict[str, int] = {}
+        self._rejections_by_server: dict[str, int] = {}
 
     def succeeded(self, server: str) -> None:
         """Note an answer."""
         self._note(server, 0.0)
         self._misses_by_server.pop(server, None)
+        self._rejections_by_server.pop(server, None)
         self._avoid_until_by_server.pop(server, None)
 
     def failed(self, server: str) -> None:
@@ -47,12 +54,31 @@
         self._note(server, 1.0)
         misses = self._misses_by_server.get(server, 0) + 1
         self._misses_by_server[server] = misses
-        pause = min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2 ** (misses - 1))
-        self._avoid_until_by_server[server] = self._clock.seconds() + pause
+        self.avoid(
+            server, min(LONGEST_AVOID_SECONDS, AVOID_SECONDS * 2 ** (misses - 1))
+        )
+
+    def rejected(self, server: str) -> None:
+        """Note that a server has not run a call that it should have had room for."""
+        rejections = self._rejections_by_server.get(server, 0) + 1
+        self._rejections_by_server[server] = rejections
+        pause = REJECTED_SECONDS * 2 ** (rejections - 1)
+        self.avoid(server, min(LONGEST_REJECTED_SECONDS, pause))
+
+    def avoid(self, server: str, seconds: float) -> None:
+        """Give a server no calls for some time, if others can be had."""
+        until = self._clock.seconds() + seconds
+        known = self._avoid_until_by_server.get(server, 0.0)
+        self._avoid_until_by_server[server] = max(known, until)
+
+    def avoided_for(self, server: str) -> float:
+        """Return the seconds for which a server will get no calls."""
+        until = self._avoid_until_by_server.get(server, 0.0)
+        return max(0.0, until - self._clock.seconds())
 
     def avoided(self, server: str) -> bool:
         """Whether a server should get calls only if there is no other."""
-        return self._clock.seconds() < self._avoid_until_by_server.get(server, 0.0)
+        return self.avoided_for(server) > 0
 
     def failure_rate(self, server: str) -> float:
         """Return the share of recent calls that failed, fading with time."""
@@ -68,6 +94,7 @@
         self._rates_by_server.pop(server, None)
         self._avoid_until_by_server.pop(server, None)
         self._misses_by_server.pop(server, None)
+        self._rejections_by_server.pop(server, None)
 
     def _note(self, server: str, outcome: float) -> None:
         rate = self.failure_rate(server)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -1,5 +1,6 @@
 """Changes of engines' stages, ordered by one instance at a time."""
 
+from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 from typing import Any
@@ -28,6 +29,13 @@
 """Between orders to engines of one service: a change takes six seconds, and its
 effect on the load shows some seconds later."""
 
+LASTING_SECONDS = 10.0
+"""How long engines of a stage must be missing before others are changed: a crashed
+engine is back after some seconds, and a change takes six."""
+
+CHANGE_SECONDS = 1.5
+"""How long an engine is reported as changing; its registration follows."""
+
 CALL_SECONDS = 1.0
 CONNECT_SECONDS = 0.5
 ACCEPTED = 202
@@ -45,6 +53,8 @@
     ----------
     key : str
         The key that the holder of the right keeps.
+    on_order : callable
+        Called with each engine that is about to be ordered.
     silence : float
         Seconds that must pass between orders of two holders.
     """
@@ -64,7 +74,9 @@
         loads: Loads,
         log: EventLog,
         random: Random,
+        on_order: Callable[[str], None],
     ) -> None:
+        self._on_order = on_order
         self._clock = clock
         self._holder = holder
         self._silence = silence
@@ -85,6 +97,8 @@
         )
         self._held_since = 0.0
         self._paused_until_by_service: dict[str, float] = {}
+        self._wrong_since_by_service: dict[str, float] = {}
+        self._changed_at_by_server: dict[str, float] = {}
         self._timer: Any = None
 
     def start(self) -> None:
@@ -98,6 +112,13 @@
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
 
+    def changing(self) -> list[str]:
+        """Return the engines whose change was ordered a short time ago."""
+        newest = self._clock.seconds() - CHANGE_SECONDS
+        return [
+            server for server, at in self._changed_at_by_server.items() if at > newest
+        ]
+
     def _lease_changed(self) -> None:
         self._held_since = self._clock.seconds()
         self._log.event(
@@ -131,9 +152,14 @@
         prefill = self._backends.serving(service, "prefill")
         decode = self._backends.serving(service, "decode")
         wanted = wanted_prefill(len(prefill) + len(decode))
+        if len(prefill) == wanted:
+            self._wrong_since_by_service.pop(service, None)
+            return None
+        now = self._clock.seconds()
+        since = self._wrong_since_by_service.setdefault(service, now)
         if len(prefill) > wanted:
             candidates, stage = prefill, "decode"
-        elif len(prefill) < wanted and len(decode) > 1:
+        elif len(decode) > 1 and now - since > LASTING_SECONDS:
             candidates, stage = decode, "prefill"
         else:
             return None
@@ -150,6 +176,8 @@
             stage, self._holder, self._lease.fencing_number, report.orders
         )
         request, data = self._codec.stage_order(server, order)
+        self._changed_at_by_server[server.id] = self._clock.seconds()
+        self._on_order(server.id)
         head, _ = await self._call(server, request, data)
         self._log.event(
             "stage_ordered",
