--- a/packages/pomeloglade/src/pomeloglade/errors.py
+++ b/packages/pomeloglade/src/pomeloglade/errors.py
@@ -19,6 +19,10 @@
     """No connection was made, so the backend server has received nothing."""
 
 
+class BackendLeftError(BackendUnreachableError):
+    """The backend server must get no calls any more, and has received nothing."""
+
+
 class BackendLostError(BackendError):
     """The connection broke after bytes were sent, so the call may have run."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -5,6 +5,8 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from ..errors import BackendLeftError
+
 REMOVAL_GRACE_SECONDS = 1.5
 """How long a server whose entry lapsed with the store's trouble is kept as a last
 resort; entries of live servers are back within two seconds of the store's return."""
@@ -95,6 +97,12 @@
         lapsed = self._lapsed_by_id.get(server.id)
         return lapsed is not None and self._clock.seconds() < lapsed[1]
 
+    def check(self, server: BackendServer, service: str) -> None:
+        """Raise ``BackendLeftError`` unless a server may get a service's calls."""
+        if server.service != service or not self.usable(server):
+            text = f"backend server {server.id!r} no longer serves {service!r}"
+            raise BackendLeftError(text, step="connect", peer=server.id)
+
     def serving(self, service: str, stage: str | None = None) -> list[BackendServer]:
         """Return the servers of a service that may get calls.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -92,6 +92,7 @@
         self._store = store
         self._log = log
         self._run = run
+        self._started = reactor.seconds()
         self._key = layout.instances_prefix + settings.instance
         self._pool = ConnectionPool(reactor)
         self._loads = Loads(reactor)
@@ -249,6 +250,7 @@
             instance=self._settings.instance,
             run=self._run,
             sequence=sequence,
+            age=round(self._reactor.seconds() - self._started, 3),
             work={
                 server: (work.calls, work.tokens)
                 for server, work in self._loads.own().items()
@@ -271,7 +273,7 @@
             if not self._health.avoided(server):
                 self._health.avoid(server, ORDERED_SECONDS)
         self._loads.heard(report.instance, report.work_by_server())
-        self._usage.heard(report.instance, report.run, report.usage)
+        self._usage.heard(report.instance, report.run, report.usage, age=report.age)
         self._waiting_by_instance[report.instance] = report.waiting
         self._pump()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -28,14 +28,16 @@
     """What one instance tells the others.
 
     ``run`` differs for each start of the instance and ``sequence`` grows within
-    a run. ``work`` is by backend server, ``usage`` by account, in units admitted
-    in this run. ``waiting`` counts calls in queues by service, and ``changing``
-    names engines that were just ordered to another stage.
+    a run, which began ``age`` seconds ago. ``work`` is by backend server;
+    ``usage`` is by account, in units admitted in this run. ``waiting`` counts
+    calls in queues by service, and ``changing`` names engines that were just
+    ordered to another stage.
     """
 
     instance: str
     run: int
     sequence: int
+    age: float = 0.0
     work: dict[str, tuple[int, int]] = field(default_factory=dict)
     usage: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, int] = field(default_factory=dict)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -6,8 +6,18 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import BackendError, BackendLostError, BackendUnreachableError
-from ..transport.http_exchange import AnswerHead, ConnectionPool, Exchange
+from ..errors import (
+    BackendError,
+    BackendLeftError,
+    BackendLostError,
+    BackendUnreachableError,
+)
+from ..transport.http_exchange import (
+    AnswerHead,
+    ConnectionPool,
+    Exchange,
+    ServerConnection,
+)
 from ..transport.http_site import Responder
 from .backends import Backends, BackendServer
 from .call_state import CallState
@@ -117,6 +127,9 @@
                 state.note(server.id, "rejected", str(error))
                 self._health.rejected(server.id)
                 without.add(server.id)
+            except BackendLeftError as error:
+                state.note(server.id, "left", str(error))
+                without.add(server.id)
             except BackendUnreachableError as error:
                 state.note(server.id, "unreachable", str(error))
                 self._health.unreachable(server.id)
@@ -179,8 +192,7 @@
             connection = await self._pool.connection(
                 server.address, max_idle_seconds=0.0, timeout=CONNECT_SECONDS
             )
-            self._check_usable(server)
-            state.resolve()
+            self._check(state, server, connection)
             source = None
             if caches:
                 source = (caches[0].server.address, caches[0].handle)
@@ -207,10 +219,16 @@
             if exchange is not None:
                 exchange.cancel()
 
-    def _check_usable(self, server: BackendServer) -> None:
-        if not self._backends.usable(server):
-            text = f"backend server {server.id!r} left before the call was sent"
-            raise BackendUnreachableError(text, step="connect", peer=server.id)
+    def _check(
+        self, state: CallState, server: BackendServer, connection: ServerConnection
+    ) -> None:
+        """Check all beliefs once more, as the last step before the first byte."""
+        try:
+            state.resolve()
+            self._backends.check(server, state.service())
+        except (Refused, BackendLeftError):
+            self._pool.release(connection)
+            raise
 
     async def _forward(
         self,
@@ -268,8 +286,7 @@
             connection = await self._pool.connection(
                 server.address, max_idle_seconds=0.0, timeout=CONNECT_SECONDS
             )
-            self._check_usable(server)
-            state.resolve()
+            self._check(state, server, connection)
             dispatch = Dispatch(
                 server=server.id,
                 account=state.account_name,
@@ -296,6 +313,9 @@
             state.note(server.id, "prefill_rejected", str(error))
             self._health.failed(server.id)
             return None
+        except BackendLeftError as error:
+            state.note(server.id, "prefill_left", str(error))
+            return None
         except BackendError as error:
             state.note(server.id, "prefill_lost", str(error))
             self._health.unreachable(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -9,6 +9,7 @@
 
 from ..errors import (
     BackendError,
+    BackendLeftError,
     BackendLostError,
     BackendNonsenseError,
     BackendUnreachableError,
@@ -101,6 +102,10 @@
                 raise state.given_up("resend_budget")
             try:
                 answer = await self._send(state, server, bool(tried))
+            except BackendLeftError as error:
+                state.note(server.id, "left", str(error))
+                rejected.add(server.id)
+                continue
             except BackendUnreachableError as error:
                 state.note(server.id, "unreachable", str(error))
                 self._health.unreachable(server.id)
@@ -185,13 +190,10 @@
             connection = await self._pool.connection(
                 server.address, max_idle_seconds=idle, timeout=CONNECT_SECONDS
             )
-            if not self._backends.usable(server):
-                self._pool.release(connection)
-                text = f"backend server {server.id!r} left while connecting"
-                raise BackendUnreachableError(text, step="connect", peer=server.id)
             try:
                 state.resolve()
-            except Refused:
+                self._backends.check(server, state.service())
+            except (Refused, BackendLeftError):
                 self._pool.release(connection)
                 raise
             dispatch = Dispatch(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -10,6 +10,9 @@
 """Silence after which an instance is taken to use its even part of each limit;
 instances report every quarter of a second while they use anything."""
 
+SHORTEST_WAIT_SECONDS = 0.001
+"""A refusal's wait is never 0, which would mean that the call was admitted."""
+
 
 @dataclass(slots=True)
 class _Bucket:
@@ -55,6 +58,7 @@
     def __init__(self, clock: IReactorTime, *, start: float = 50_000.0) -> None:
         self._clock = clock
         self._start = start
+        self._started = clock.seconds()
         self._buckets_by_account: dict[str, _Bucket] = {}
         self._peers_by_instance: dict[str, _Peer] = {}
 
@@ -72,7 +76,8 @@
             bucket.level -= cost
             bucket.own_total += cost
             return 0.0
-        return round((needed - bucket.level) / self._rate(account), 4)
+        wait = (needed - bucket.level) / self._rate(account)
+        return max(SHORTEST_WAIT_SECONDS, round(wait, 4))
 
     def give_back(self, account: Account, cost: int) -> None:
         """Return the units of a call that has not run."""
@@ -90,11 +95,17 @@
             if bucket.own_total
         }
 
-    def heard(self, instance: str, run: int, totals: dict[str, int]) -> None:
-        """Take another instance's totals in its present run."""
+    def heard(
+        self, instance: str, run: int, totals: dict[str, int], *, age: float
+    ) -> None:
+        """Take another instance's totals in its present run of ``age`` seconds.
+
+        At the first report of a run that began before this instance did, what it
+        used is not charged: it is what the buckets' start level stands for.
+        """
         now = self._clock.seconds()
         peer = self._peers_by_instance.get(instance)
-        first = peer is None
+        uncharged = peer is None and age > now - self._started
         if peer is None or peer.run != run:
             for bucket in self._buckets_by_account.values():
                 bucket.peer_totals.pop(instance, None)
@@ -104,8 +115,7 @@
             if bucket is None:
                 bucket = _Bucket(0.0, 0.0)
                 self._buckets_by_account[name] = bucket
-            # What a peer used before this instance started is not charged.
-            known = bucket.peer_totals.get(instance, total if first else 0)
+            known = bucket.peer_totals.get(instance, total if uncharged else 0)
             bucket.level -= total - known
             bucket.peer_totals[instance] = total
         for bucket in self._buckets_by_account.values():
--- /dev/null
+++ b/tests/forwarding_fakes.py
@@ -0,0 +1,356 @@
+"""Forwarding parts joined without sockets: scripted servers and a virtual clock."""
+
+import json
+from dataclasses import dataclass, field
+from datetime import timedelta
+from random import Random
+
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import Clock
+
+from pomeloglade.errors import BackendLostError, BackendUnreachableError
+from pomeloglade.forwarding.backends import Backends, BackendServer
+from pomeloglade.forwarding.belief import Belief, StoreLayout
+from pomeloglade.forwarding.deployment import (
+    Account,
+    CallKind,
+    Deployment,
+    EnginePool,
+    Route,
+    Service,
+    ServiceWeight,
+)
+from pomeloglade.forwarding.engine_queue import EngineQueue
+from pomeloglade.forwarding.forwarder import Forwarder
+from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
+from pomeloglade.forwarding.loads import Loads
+from pomeloglade.forwarding.model_calls import ModelCalls
+from pomeloglade.forwarding.plain_calls import PlainCalls
+from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
+from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.usage import SharedUsage
+from pomeloglade.state.key_digest import digest_key
+from pomeloglade.transport.http_exchange import AnswerHead, RequestHead
+from pomeloglade_platform.calls import PlatformCallCodec
+
+KEY = "club-key"
+HOST = b"api.example"
+
+
+class ListLog:
+    """Keeps events instead of writing them."""
+
+    def __init__(self):
+        self.events = []
+
+    def event(self, name, **fields):
+        self.events.append((name, fields))
+
+    def names(self):
+        return [name for name, _ in self.events]
+
+
+@dataclass
+class Sending:
+    """A request that reached a scripted server."""
+
+    address: str
+    head: RequestHead
+    body: bytes
+    exchange: object
+    connection: object
+    aborted: bool = False
+
+    def header(self, name):
+        found = {k.lower(): v for k, v in self.head.headers}
+        return found.get(name.lower().encode())
+
+    @property
+    def prefill(self):
+        return self.header("X-Pomeloglade-Stage") == b"prefill"
+
+    def head_of_answer(self, status=200, **headers):
+        named = {
+            b"x-pomeloglade-attempt-id": self.header("X-Pomeloglade-Attempt-Id"),
+            b"x-pomeloglade-server-seal": b"seal",
+        }
+        for name, value in headers.items():
+            key = name.replace("_", "-").encode()
+            named.pop(key, None)
+            if value is not None:
+                named[key] = value
+        self.exchange.answered(AnswerHead(status, tuple(named.items()), named))
+
+    def answer(self, status=200, body=b"ok", **headers):
+        self.head_of_answer(status, **headers)
+        if body:
+            self.exchange.received(body)
+        self.exchange.ended(self.connection)
+
+    def reject(self, status=503):
+        self.answer(
+            status,
+            b"",
+            x_pomeloglade_not_executed=b"1",
+            x_pomeloglade_server_seal=None,
+        )
+
+    def answer_prefill(self, handle="h1"):
+        body = json.dumps({"kvHandle": handle, "tokens": 10, "version": 1}).encode()
+        self.answer(200, body)
+
+    def event(self, number, data="x"):
+        self.exchange.received(f"id: {number}\ndata: {data}\n\n".encode())
+
+    def end(self):
+        self.exchange.ended(self.connection)
+
+    def reset(self):
+        self.exchange.broken(BackendLostError("reset", step="answer"))
+
+
+class FakeConnection:
+    closed = False
+
+    def __init__(self, network, address):
+        self._network = network
+        self.address = address
+        self.sending = None
+
+    def begin(self, exchange):
+        self.sending = Sending(
+            self.address, exchange.request, exchange.body, exchange, self
+        )
+        self._network.sendings.append(self.sending)
+        self._network.arrived(self.sending)
+
+    def abort(self):
+        if self.sending is not None:
+            self.sending.aborted = True
+
+    def pause(self, paused):
+        pass
+
+
+class FakeNetwork:
+    """Stands in for the connection pool; ``on_sending`` scripts the servers."""
+
+    def __init__(self):
+        self.sendings = []
+        self.down = set()
+        self.slow = {}
+        self.idle_bounds = []
+        self.on_sending = lambda sending: None
+
+    def connection(self, address, *, max_idle_seconds, timeout=1.0):
+        self.idle_bounds.append(max_idle_seconds)
+        if address in self.down:
+            return fail(BackendUnreachableError("refused", step="connect"))
+        if address in self.slow:
+            self.slow[address] = Deferred()
+            return self.slow[address]
+        return succeed(FakeConnection(self, address))
+
+    def connect(self, address):
+        self.slow[address].callback(FakeConnection(self, address))
+
+    def release(self, connection):
+        pass
+
+    def drop(self, address):
+        pass
+
+    def arrived(self, sending):
+        self.on_sending(sending)
+
+    def to(self, address):
+        return [each for each in self.sendings if each.address == address]
+
+
+@dataclass
+class FakeResponder:
+    """Records one answer."""
+
+    begun: bool = False
+    done: bool = False
+    status: int = 0
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+    was_cut: bool = False
+
+    def answer(self, status, headers, body):
+        self.begin(status, headers)
+        self.write(body)
+        self.end()
+
+    def begin(self, status, headers):
+        assert not self.begun, "answered twice"
+        self.begun = True
+        self.status = status
+        self.headers = {k.lower(): v for k, v in headers}
+
+    def write(self, data):
+        assert not self.done
+        self.body += data
+
+    def end(self):
+        assert not self.done
+        self.done = True
+
+    def cut(self):
+        self.done = True
+        self.was_cut = True
+
+    def drained(self):
+        return succeed(None)
+
+    @property
+    def reason(self):
+        return json.loads(self.body)["reason"]
+
+
+def server(name, service="api", stage="", slots=2, zone="zone-a", draining=False):
+    number = sum(name.encode()) % 250
+    address = f"10.0.0.{number}:{8000 + len(name)}"
+    return BackendServer(name, service, address, zone, slots, draining, stage)
+
+
+def route(name, prefix, kind, service, **options):
+    options.setdefault("timeout", timedelta(seconds=2))
+    options.setdefault("objective", timedelta(seconds=0.4))
+    return Route(
+        name, "api.example", prefix, kind, (ServiceWeight(service, 1),), **options
+    )
+
+
+def deployment(version=1, *, key=KEY, rate=0.0, burst=0.0, slots=4, **routes):
+    llm = {"timeout": timedelta(seconds=14), "objective": timedelta(seconds=0.9)}
+    found = {
+        "lookups": route("lookups", "/lookups/", CallKind.SAFE, "api", max_servers=2),
+        "bookings": route("bookings", "/bookings/", CallKind.UNSAFE, "api"),
+        "public": route("public", "/public/", CallKind.SAFE, "api", public=True),
+        "digests": route("digests", "/digests/", CallKind.STREAMING, "llm", **llm),
+        "reports": route(
+            "reports",
+            "/reports/",
+            CallKind.STREAMING,
+            "llm",
+            resumable=True,
+            max_servers=2,
+            **llm,
+        ),
+    }
+    found.update(routes)
+    account = Account(
+        "club",
+        frozenset({digest_key(key)}),
+        rate=rate,
+        burst=burst,
+        counts_tokens=True,
+        plain_cost=200,
+    )
+    services = (
+        Service("api", 96),
+        Service("llm", 150, EnginePool(slots, 50_000, handle_seconds=0.5)),
+    )
+    return Deployment(
+        version,
+        tuple(each for each in found.values() if each is not None),
+        services,
+        (account,),
+    )
+
+
+class World:
+    """One instance's request path on a virtual clock, with scripted servers."""
+
+    def __init__(self, *servers, found=None, slack=100.0):
+        self.clock = Clock()
+        self.clock.advance(1000.0)
+        self.log = ListLog()
+        self.network = FakeNetwork()
+        self.backends = Backends(self.clock, lambda _: None)
+        self.backends.replace_all(servers, lenient=False)
+        self.loads = Loads(self.clock)
+        self.health = ServerHealth(self.clock)
+        self.usage = SharedUsage(self.clock)
+        self.budget = ResendBudget(self.clock, ResendLimit(0.2, slack, 10.0))
+        self.belief = Belief(
+            clock=self.clock,
+            layout=StoreLayout("op/config", "servers/", "i/", None, None),
+            backends=self.backends,
+            log=self.log,
+            revoke_seconds=5.0,
+            transit_seconds=0.12,
+            apply_seconds=2.0,
+        )
+        self.age = 0.0
+        self.belief.age = lambda: self.age
+        self.belief.deployment = found or deployment()
+        self.queue = EngineQueue(
+            "llm",
+            clock=self.clock,
+            backends=self.backends,
+            loads=self.loads,
+            health=self.health,
+            availability_zone="zone-a",
+        )
+        self.queue.pool = self.belief.deployment.services_by_name["llm"].engines
+        shared = {
+            "clock": self.clock,
+            "codec": PlatformCallCodec(),
+            "pool": self.network,
+            "backends": self.backends,
+            "loads": self.loads,
+            "health": self.health,
+            "budget": self.budget,
+            "changed": lambda: None,
+        }
+        self.forwarder = Forwarder(
+            clock=self.clock,
+            random=Random(1),
+            codec=shared["codec"],
+            belief=self.belief,
+            usage=self.usage,
+            budget=self.budget,
+            plain_calls=PlainCalls(
+                random=Random(1), availability_zone="zone-a", **shared
+            ),
+            model_calls=ModelCalls(
+                queue_for=lambda _: self.queue, log=self.log, **shared
+            ),
+            log=self.log,
+            metrics=ForwardingMetrics(),
+        )
+        self.calls = 0
+
+    def call(self, target, *, key=KEY, limit_ms=14_000, headers=(), method=b"POST"):
+        """Begin a call and return its responder and its task."""
+        self.calls += 1
+        given = [
+            (b"Host", HOST),
+            (b"X-Pomeloglade-Attempt-Id", b"%016x" % self.calls),
+            (b"X-Pomeloglade-Deadline-Ms", b"%d" % limit_ms),
+            *headers,
+        ]
+        if key is not None:
+            given.append((b"Authorization", b"Bearer " + key.encode()))
+        responder = FakeResponder()
+        head = RequestHead(method, target.encode(), tuple(given))
+        task = self.forwarder.handle(head, b"body", responder)
+        return responder, task
+
+    def model_call(self, target="/digests/1", *, prompt=5000, output=5000, **options):
+        """Begin a model call."""
+        headers = (
+            (b"X-Pomeloglade-Model", b"m"),
+            (b"X-Pomeloglade-Token-Counts", b"%d,%d" % (prompt, output)),
+            (b"X-Pomeloglade-Prompt-Prefix", b"aa:200,bb:4800"),
+        )
+        return self.call(target, headers=headers, **options)
+
+    def advance(self, seconds):
+        """Let time pass in small steps, so that timers fire in order."""
+        steps = max(1, round(seconds / 0.01))
+        for _ in range(steps):
+            self.clock.advance(seconds / steps)
--- /dev/null
+++ b/tests/test_engine_queue.py
@@ -0,0 +1,154 @@
+"""Who waits for an engine, who is refused, and where work goes."""
+
+import pytest
+from tests.forwarding_fakes import server
+from twisted.internet.task import Clock
+
+from pomeloglade.forwarding.backends import Backends
+from pomeloglade.forwarding.calls import Refused
+from pomeloglade.forwarding.deployment import EnginePool
+from pomeloglade.forwarding.engine_queue import EngineQueue
+from pomeloglade.forwarding.loads import Loads, Work
+from pomeloglade.forwarding.server_health import ServerHealth
+
+OBJECTIVE = 0.9
+
+
+class Pool:
+    """A queue with two engines of two slots each."""
+
+    def __init__(self):
+        self.clock = Clock()
+        self.clock.advance(50.0)
+        self.loads = Loads(self.clock)
+        self.health = ServerHealth(self.clock)
+        self.backends = Backends(self.clock, lambda _: None)
+        self.engines = [
+            server(name, "llm", "decode", zone=zone)
+            for name, zone in (("a", "zone-a"), ("bb", "zone-b"))
+        ]
+        self.backends.replace_all(self.engines, lenient=False)
+        self.queue = EngineQueue(
+            "llm",
+            clock=self.clock,
+            backends=self.backends,
+            loads=self.loads,
+            health=self.health,
+            availability_zone="zone-a",
+        )
+        self.queue.pool = EnginePool(2, 20_000)
+
+    def place(self, tokens=5000, priority=1, age=0.0, **options):
+        outcome = []
+        placed = self.queue.place(
+            tokens=tokens,
+            priority=priority,
+            arrived=self.clock.seconds() - age,
+            objective=OBJECTIVE,
+            **options,
+        )
+        placed.addCallbacks(
+            lambda found: outcome.append(found.id),
+            lambda failure: outcome.append(failure.value),
+        )
+        return outcome, placed
+
+    def end(self, name, tokens=5000):
+        self.loads.end(name, tokens)
+        self.queue.pump()
+
+
+@pytest.fixture
+def pool():
+    return Pool()
+
+
+def fill(pool):
+    return [pool.place()[0][0] for _ in range(4)]
+
+
+def test_work_is_spread_and_the_near_engine_comes_first(pool):
+    assert fill(pool) == ["a", "bb", "a", "bb"]
+
+
+def test_engines_without_memory_get_no_more(pool):
+    assert pool.place(tokens=19_000)[0] == ["a"]
+    assert [pool.place(tokens=4_000)[0] for _ in range(2)] == [["bb"], ["bb"]]
+
+
+def test_work_of_other_instances_counts(pool):
+    pool.loads.heard("other", {"a": Work(2, 100), "bb": Work(1, 100)})
+    assert pool.place()[0] == ["bb"]
+    assert pool.place()[0] == []
+
+
+def test_burst_on_a_full_pool_waits_in_order_of_priority_then_age(pool):
+    fill(pool)
+    usual, _ = pool.place(priority=1)
+    urgent, _ = pool.place(priority=0)
+    assert usual == urgent == []
+    pool.end("a")
+    assert (usual, urgent) == ([], ["a"])
+    pool.end("bb")
+    assert usual == ["bb"]
+
+
+def test_calls_that_can_still_be_on_time_go_before_late_ones(pool):
+    fill(pool)
+    late, _ = pool.place(age=0.8)
+    pool.clock.advance(0.2)
+    fresh, _ = pool.place()
+    pool.end("a")
+    assert (late, fresh) == ([], ["a"])
+
+
+def test_hopeless_call_is_refused_at_its_arrival_with_a_time_to_come_back(pool):
+    fill(pool)
+    waiting = [pool.place()[0] for _ in range(6)]
+    refused = [each[0] for each in waiting if each]
+    assert refused
+    assert all(isinstance(each, Refused) for each in refused)
+    assert all(each.status == 503 and each.retry_after > 0 for each in refused)
+    assert len(refused) < len(waiting)
+
+
+def test_nobody_waits_beyond_the_patience_of_callers(pool):
+    fill(pool)
+    waiting, _ = pool.place()
+    pool.clock.pump([0.1] * 40)
+    assert isinstance(waiting[0], Refused)
+
+
+def test_caller_that_leaves_frees_its_place_in_the_queue(pool):
+    fill(pool)
+    gone, placed = pool.place()
+    behind, _ = pool.place()
+    placed.cancel()
+    pool.end("a")
+    assert behind == ["a"]
+
+
+def test_engine_that_comes_back_is_used_without_another_sign(pool):
+    for engine in pool.engines:
+        pool.health.avoid(engine.id, 0.4)
+    waiting, _ = pool.place()
+    assert waiting == []
+    pool.clock.pump([0.05] * 12)
+    assert waiting == ["a"]
+
+
+def test_engines_that_are_all_away_for_long_refuse_at_once(pool):
+    for engine in pool.engines:
+        pool.health.avoid(engine.id, 4.0)
+    (refused,) = pool.place()[0]
+    assert refused.status == 503
+    assert refused.retry_after >= 4.0
+
+
+def test_one_account_of_large_calls_does_not_hide_room_for_good(pool):
+    pool.place(tokens=15_000)
+    pool.place(tokens=15_000)
+    large, _ = pool.place(tokens=15_000)
+    assert large == []
+    pool.end("a", 15_000)
+    assert large == ["a"]
--- /dev/null
+++ b/tests/test_forwarding_parts.py
@@ -0,0 +1,366 @@
+"""Small parts of the forwarding instance: backends, health, budget, belief, logs."""
+
+import json
+import os
+
+import pytest
+from tests.forwarding_fakes import ListLog, deployment, server
+from twisted.internet.defer import succeed
+from twisted.internet.task import Clock
+from twisted.internet.testing import StringTransport
+
+from pomeloglade.errors import BadConfigurationError, BadRegistrationError
+from pomeloglade.forwarding.backends import REMOVAL_GRACE_SECONDS, Backends
+from pomeloglade.forwarding.belief import Belief, StoreLayout
+from pomeloglade.forwarding.calls import ServerLoad, end_to_end
+from pomeloglade.forwarding.event_log import MAX_LINES_PER_SECOND, EventLog
+from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
+from pomeloglade.forwarding.instance_reports import (
+    Report,
+    ReportExchange,
+    decode,
+    encode,
+)
+from pomeloglade.forwarding.loads import PEER_LOAD_SECONDS, Loads, Work
+from pomeloglade.forwarding.registration import LEASE_SECONDS, Registration
+from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
+from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.stage_orders import wanted_prefill
+from pomeloglade.transport.text_pages import TextPages
+from pomeloglade_coordination.errors import KeyValueUnavailableError
+from pomeloglade_coordination.key_value import Entry, MemoryKeyValueStore
+
+
+@pytest.fixture
+def clock():
+    clock = Clock()
+    clock.advance(100.0)
+    return clock
+
+
+@pytest.fixture
+def gone():
+    return []
+
+
+@pytest.fixture
+def backends(clock, gone):
+    return Backends(clock, gone.append)
+
+
+def test_draining_server_gets_no_more_calls_and_is_reported_once(backends, gone):
+    ready = server("a")
+    backends.put(ready)
+    assert backends.serving("api") == [ready]
+    backends.put(server("a", draining=True))
+    assert backends.serving("api") == []
+    assert not backends.usable(ready)
+    assert gone == [ready]
+
+
+def test_removed_server_is_gone_at_once(backends, gone):
+    backends.put(server("a"))
+    backends.remove("a", lenient=False)
+    assert backends.serving("api") == []
+    assert [each.id for each in gone] == ["a"]
+
+
+def test_entries_that_lapsed_with_the_store_are_a_last_resort(backends, clock):
+    found = server("a")
+    backends.put(found)
+    backends.remove("a", lenient=True)
+    assert backends.serving("api") == [found]
+    assert backends.usable(found)
+    backends.put(server("bb"))
+    assert [each.id for each in backends.serving("api")] == ["bb"]
+    clock.advance(REMOVAL_GRACE_SECONDS + 0.1)
+    assert not backends.usable(found)
+
+
+def test_server_that_was_draining_gets_no_grace(backends):
+    backends.put(server("a", draining=True))
+    backends.remove("a", lenient=True)
+    assert backends.serving("api") == []
+
+
+def test_new_stage_makes_a_server_unusable_for_the_old_one(backends):
+    found = server("a", "llm", "decode")
+    backends.put(found)
+    backends.put(server("a", "llm", "prefill"))
+    assert not backends.usable(found)
+    assert [each.id for each in backends.serving("llm", "prefill")] == ["a"]
+
+
+def test_unreachable_server_is_avoided_longer_each_time(clock):
+    health = ServerHealth(clock)
+    pauses = []
+    for _ in range(4):
+        health.unreachable("a")
+        pauses.append(health.avoided_for("a"))
+        clock.advance(health.avoided_for("a"))
+    assert pauses == [1.0, 2.0, 4.0, 4.0]
+    health.succeeded("a")
+    health.unreachable("a")
+    assert health.avoided_for("a") == 1.0
+
+
+def test_rejecting_server_is_avoided_for_a_shorter_time(clock):
+    health = ServerHealth(clock)
+    health.rejected("a")
+    assert health.avoided_for("a") == pytest.approx(0.3)
+    for _ in range(5):
+        health.rejected("a")
+    assert health.avoided_for("a") == pytest.approx(2.0)
+
+
+def test_failures_fade_so_that_a_server_is_tried_again(clock):
+    health = ServerHealth(clock)
+    for _ in range(10):
+        health.failed("a")
+    assert health.penalty("a") > 5.0
+    clock.advance(20.0)
+    assert health.penalty("a") < 1.5
+
+
+def test_instances_together_keep_the_resend_budget(clock):
+    budgets = [ResendBudget(clock, ResendLimit(0.2, 52.0, 10.0)) for _ in range(6)]
+    for budget in budgets:
+        budget.instances = 6
+        for _ in range(10):
+            budget.called("api")
+    resends = sum(budget.take("api") for budget in budgets for _ in range(50))
+    assert 20 < resends <= 0.2 * 60 + 52
+
+
+def test_resends_are_allowed_again_after_the_window(clock):
+    budget = ResendBudget(clock, ResendLimit(0.0, 2.0, 10.0))
+    assert [budget.take("a") for _ in range(2)] == [True, False]
+    clock.advance(10.1)
+    assert budget.take("a")
+
+
+def test_load_of_a_silent_instance_is_forgotten(clock):
+    loads = Loads(clock)
+    loads.heard("other", {"a": Work(3, 300)})
+    assert loads.work("a") == Work(3, 300)
+    clock.advance(PEER_LOAD_SECONDS + 0.1)
+    assert loads.work("a") == Work()
+
+
+def test_servers_own_word_counts_for_a_short_time(clock):
+    loads = Loads(clock)
+    loads.told("a", ServerLoad(5, 2, 6))
+    assert loads.calls("a", 0.2) == 7
+    clock.advance(0.3)
+    assert loads.calls("a", 0.2) == 0
+
+
+def _decode_deployment(value):
+    if value == b"bad":
+        raise BadConfigurationError("bad")
+    return deployment(int(value))
+
+
+def _decode_server(key, value):
+    if value == b"bad":
+        raise BadRegistrationError("bad")
+    return server(key.removeprefix("servers/"), service=value.decode())
+
+
+@pytest.fixture
+def log():
+    return ListLog()
+
+
+@pytest.fixture
+def belief(clock, backends, log):
+    layout = StoreLayout(
+        "op/config", "servers/", "instances/", _decode_deployment, _decode_server
+    )
+    found = Belief(
+        clock=clock,
+        layout=layout,
+        backends=backends,
+        log=log,
+        revoke_seconds=5.0,
+        transit_seconds=0.12,
+        apply_seconds=2.0,
+    )
+    found.age = lambda: 0.0
+    return found
+
+
+def test_configuration_never_goes_back(belief, log):
+    belief.change(Entry("op/config", b"7", 1), lenient=False)
+    belief.change(Entry("op/config", b"5", 2), lenient=False)
+    belief.replace_all((Entry("op/config", b"6", 3),), lenient=False)
+    assert belief.deployment.version == 7
+    assert log.names().count("configuration_older") == 2
+
+
+def test_unreadable_entries_are_logged_and_the_others_hold(belief, backends, log):
+    belief.change(Entry("op/config", b"7", 1), lenient=False)
+    belief.replace_all(
+        (
+            Entry("op/config", b"bad", 2),
+            Entry("servers/a", b"api", 3),
+            Entry("servers/bb", b"bad", 4),
+        ),
+        lenient=False,
+    )
+    assert belief.deployment.version == 7
+    assert [each.id for each in backends.serving("api")] == ["a"]
+    assert "configuration_rejected" in log.names()
+    assert "server_rejected" in log.names()
+
+
+def test_instance_is_ready_with_configuration_servers_and_fresh_belief(belief):
+    assert not belief.ready()
+    belief.change(Entry("op/config", b"7", 1), lenient=False)
+    assert not belief.ready()
+    belief.change(Entry("servers/a", b"api", 2), lenient=False)
+    assert belief.ready()
+    belief.age = lambda: 4.0
+    assert not belief.ready()
+
+
+def test_reports_survive_the_wire_and_strangers_are_told_apart():
+    report = Report("a", 1, 2, 3.5, {"s": (1, 20)}, {"club": 5}, {"llm": 2}, ["s"])
+    assert decode(encode(report)) == report
+    assert report.work_by_server() == {"s": Work(1, 20)}
+    for data in (b"", b"\xff", b"\xa1\x61a\x01", encode(report)[:-3]):
+        with pytest.raises(ValueError, match="not a report"):
+            decode(data)
+
+
+class Datagrams:
+    def __init__(self):
+        self.sent = []
+
+    def write(self, data, address):
+        self.sent.append((decode(data), address))
+
+
+def test_reports_go_to_all_peers_soon_after_a_change_and_repeatedly(clock, log):
+    exchange = ReportExchange(
+        clock, lambda number: Report("a", 1, number), lambda _: None, log
+    )
+    exchange.transport = Datagrams()
+    exchange.set_peers({"b": ("10.0.0.2", 1), "c": ("10.0.0.3", 1)})
+    clock.advance(0.01)
+    assert [address for _, address in exchange.transport.sent] == [
+        ("10.0.0.2", 1),
+        ("10.0.0.3", 1),
+    ]
+    clock.advance(1.1)
+    assert len(exchange.transport.sent) == 4
+
+
+def test_old_and_doubled_reports_are_dropped(clock, log):
+    heard = []
+    exchange = ReportExchange(clock, None, heard.append, log)
+    for run, number in ((1, 2), (1, 2), (1, 1), (2, 1), (1, 9)):
+        exchange.datagramReceived(encode(Report("b", run, number)), None)
+    exchange.datagramReceived(b"junk", None)
+    assert [(each.run, each.sequence) for each in heard] == [(1, 2), (2, 1)]
+    assert exchange.bad == 1
+
+
+def test_registration_is_kept_and_written_again_when_it_lapsed(clock, log):
+    store = MemoryKeyValueStore(clock)
+    Registration(clock, store, "i/a", lambda: b"here", log).start()
+    for _ in range(20):
+        clock.advance(0.5)
+    assert store.list("i/").result[0].value == b"here"
+    store.renew_lease = lambda lease: succeed(None)
+    clock.advance(LEASE_SECONDS + 0.1)
+    assert store.list("i/").result == ()
+    del store.renew_lease
+    for _ in range(10):
+        clock.advance(0.5)
+    assert store.list("i/").result[0].value == b"here"
+
+
+def test_registration_outlives_an_outage_of_the_store(clock, log):
+    store = MemoryKeyValueStore(clock)
+    grant = store.grant_lease
+
+    def down(_):
+        raise KeyValueUnavailableError("down")
+
+    store.grant_lease = down
+    Registration(clock, store, "i/a", lambda: b"here", log).start()
+    clock.advance(0.6)
+    store.grant_lease = grant
+    clock.advance(0.6)
+    assert store.list("i/").result[0].value == b"here"
+
+
+def test_log_lines_are_json_and_bounded_each_second(clock):
+    reader, writer = os.pipe()
+    log = EventLog(clock, writer, instance="a")
+    for number in range(MAX_LINES_PER_SECOND + 50):
+        log.event("call", number=number)
+    clock.advance(1.0)
+    log.event("call", number=-1)
+    log.flush()
+    lines = os.read(reader, 10**6).splitlines()
+    assert json.loads(lines[0]) == {
+        "event": "call",
+        "at": 100.0,
+        "instance": "a",
+        "number": 0,
+    }
+    assert len(lines) == MAX_LINES_PER_SECOND + 2
+    assert json.loads(lines[-2])["lines"] == 50
+
+
+def test_reader_that_stops_reading_never_blocks_the_log(clock):
+    reader, writer = os.pipe()
+    log = EventLog(clock, writer)
+    for _ in range(40):
+        clock.advance(1.0)
+        for _ in range(100):
+            log.event("call", text="x" * 300)
+    assert log.dropped > 0
+    os.close(reader)
+    log.event("call")
+    log.flush()
+
+
+def test_metrics_are_rendered():
+    metrics = ForwardingMetrics()
+    metrics.gauge("open_calls", lambda: 3)
+    metrics.ended("lookups", "answered", 200, 0.05)
+    text = metrics.render().decode()
+    labels = 'route="lookups",outcome="answered",status="200"'
+    assert f"pomeloglade_calls_total{{{labels}}} 1" in text
+    assert "pomeloglade_open_calls 3" in text
+    assert 'pomeloglade_call_seconds{route="lookups",quantile="0.99"}' in text
+
+
+@pytest.mark.parametrize("ready", [True, False])
+def test_readiness_is_a_status(ready):
+    pages = TextPages(lambda: ready, lambda: b"metrics")
+    connection = pages.buildProtocol(None)
+    transport = StringTransport()
+    connection.makeConnection(transport)
+    connection.dataReceived(b"GET /v1/readiness HTTP/1.1\r\nHost: h\r\n\r\n")
+    connection.dataReceived(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n")
+    expected = b"HTTP/1.1 200" if ready else b"HTTP/1.1 503"
+    assert transport.value().startswith(expected)
+    assert transport.value().endswith(b"metrics")
+
+
+def test_headers_of_one_connection_are_not_passed_on():
+    headers = (
+        (b"Keep-Alive", b"timeout=5"),
+        (b"Connection", b"close, X-Hop"),
+        (b"X-Hop", b"1"),
+        (b"X-End", b"2"),
+    )
+    assert end_to_end(headers) == ((b"X-End", b"2"),)
+
+
+def test_share_of_prefill_engines():
+    assert [wanted_prefill(n) for n in (0, 1, 2, 4, 8, 14)] == [0, 0, 1, 1, 2, 3]
--- /dev/null
+++ b/tests/test_http_exchange.py
@@ -0,0 +1,208 @@
+"""Calls to backend servers: broken, doubled, unframed and late answers."""
+
+import pytest
+from twisted.internet.defer import Deferred
+from twisted.internet.error import ConnectionDone, ConnectionLost
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python.failure import Failure
+
+from pomeloglade.errors import (
+    BackendLostError,
+    BackendNonsenseError,
+    BackendUnreachableError,
+)
+from pomeloglade.transport.http_exchange import (
+    ConnectionPool,
+    Exchange,
+    RequestHead,
+)
+
+
+class Transport(StringTransport):
+    aborted = False
+
+    def setTcpNoDelay(self, enabled):  # noqa: N802
+        pass
+
+    def abortConnection(self):  # noqa: N802
+        self.aborted = True
+
+
+REQUEST = RequestHead(b"POST", b"/a", ((b"Host", b"h"),))
+
+
+@pytest.fixture
+def reactor():
+    return MemoryReactorClock()
+
+
+@pytest.fixture
+def pool(reactor):
+    return ConnectionPool(reactor)
+
+
+def opened(pool, reactor, **options):
+    options.setdefault("max_idle_seconds", 5.0)
+    found = []
+    pool.connection("10.0.0.1:80", **options).addBoth(found.append)
+    if not found:
+        factory = reactor.tcpClients[-1][2]
+        protocol = factory.buildProtocol(None)
+        protocol.makeConnection(Transport())
+    return found[0]
+
+
+def sent(pool, reactor, body=b"hi", **options):
+    connection = opened(pool, reactor, **options)
+    exchange = Exchange(REQUEST, body)
+    exchange.start(connection, pool.release)
+    return connection, exchange
+
+
+def outcome(coroutine):
+    results = []
+    Deferred.fromCoroutine(coroutine).addBoth(results.append)
+    return results
+
+
+async def whole(exchange):
+    head = await exchange.head()
+    return head.status, await exchange.body_bytes()
+
+
+def test_request_is_framed_and_its_answer_read(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    wire = connection.transport.value()
+    assert wire.startswith(b"POST /a HTTP/1.1\r\n")
+    assert wire.endswith(b"Content-Length: 2\r\n\r\nhi")
+    results = outcome(whole(exchange))
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\no")
+    assert results == []
+    connection.dataReceived(b"k")
+    assert results == [(200, b"ok")]
+
+
+def test_connection_is_used_again_while_it_was_idle_for_a_short_time(pool, reactor):
+    connection, _ = sent(pool, reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert opened(pool, reactor, max_idle_seconds=1.0) is connection
+    pool.release(connection)
+    reactor.advance(1.5)
+    assert opened(pool, reactor, max_idle_seconds=1.0) is not connection
+    assert connection.transport.aborted
+
+
+def test_servers_own_idle_timeout_is_kept_to(pool, reactor):
+    connection, _ = sent(pool, reactor)
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nKeep-Alive: timeout=2\r\n\r\n"
+    )
+    reactor.advance(1.8)
+    assert opened(pool, reactor) is not connection
+
+
+@pytest.mark.parametrize(
+    "answer",
+    [
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nokHTTP/1.1 200 OK\r\n",
+        b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok",
+    ],
+)
+def test_connection_with_more_bytes_or_a_close_is_not_used_again(pool, reactor, answer):
+    connection, exchange = sent(pool, reactor)
+    results = outcome(whole(exchange))
+    connection.dataReceived(answer)
+    assert results == [(200, b"ok")]
+    assert connection.transport.aborted
+    assert opened(pool, reactor) is not connection
+
+
+def test_bytes_on_an_idle_connection_end_it(pool, reactor):
+    connection, _ = sent(pool, reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert connection.transport.aborted
+
+
+@pytest.mark.parametrize(
+    ("data", "reason"),
+    [
+        (b"", ConnectionDone()),
+        (b"", ConnectionLost()),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal", ConnectionDone()),
+        (b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhal", ConnectionLost()),
+        (
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nhal\r\n",
+            ConnectionDone(),
+        ),
+        (b"HTTP/1.1 200 OK\r\n\r\nhalf", ConnectionLost()),
+    ],
+)
+def test_cut_answers_are_lost(pool, reactor, data, reason):
+    connection, exchange = sent(pool, reactor)
+    results = outcome(whole(exchange))
+    if data:
+        connection.dataReceived(data)
+    connection.connectionLost(Failure(reason))
+    assert isinstance(results[0].value, BackendLostError)
+
+
+def test_answer_without_a_length_ends_with_its_connection(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    results = outcome(whole(exchange))
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\n\r\nall")
+    assert results == []
+    connection.connectionLost(Failure(ConnectionDone()))
+    assert results == [(200, b"all")]
+
+
+def test_bytes_that_are_no_answer_are_nonsense(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    results = outcome(whole(exchange))
+    connection.dataReceived(b"\x00\x01garbage\r\n\r\n")
+    assert isinstance(results[0].value, BackendNonsenseError)
+    assert connection.transport.aborted
+
+
+def test_cancelled_exchange_resets_its_connection(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    exchange.cancel()
+    assert connection.transport.aborted
+
+
+def test_complete_exchange_keeps_its_connection_when_cancelled(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    exchange.cancel()
+    assert not connection.transport.aborted
+
+
+def test_body_that_nobody_reads_stops_the_connection(pool, reactor):
+    connection, exchange = sent(pool, reactor)
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\nContent-Length: 100000\r\n\r\n" + b"x" * 70_000
+    )
+    assert connection.transport.producerState == "paused"
+    assert len(outcome(exchange.read())[0]) == 70_000
+    assert connection.transport.producerState == "producing"
+
+
+def test_address_that_is_none_is_unreachable(pool):
+    results = []
+    pool.connection("nowhere", max_idle_seconds=0).addErrback(results.append)
+    assert isinstance(results[0].value, BackendUnreachableError)
+
+
+def test_refused_connection_is_unreachable(pool, reactor):
+    results = []
+    pool.connection("10.0.0.1:80", max_idle_seconds=0).addErrback(results.append)
+    factory = reactor.tcpClients[-1][2]
+    factory.clientConnectionFailed(None, Failure(ConnectionLost()))
+    assert isinstance(results[0].value, BackendUnreachableError)
+
+
+def test_closing_the_pool_of_an_address_ends_its_idle_connections(pool, reactor):
+    connection, _ = sent(pool, reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    pool.drop("10.0.0.1:80")
+    assert connection.transport.aborted
--- /dev/null
+++ b/tests/test_model_calls.py
@@ -0,0 +1,154 @@
+"""Streams of model engines under rejections, crashes and full pools."""
+
+import pytest
+from tests.forwarding_fakes import World, server
+
+
+@pytest.fixture
+def prefill():
+    return server("pre", "llm", "prefill")
+
+
+@pytest.fixture
+def decodes():
+    return server("dec-a", "llm", "decode"), server("dec-bb", "llm", "decode")
+
+
+@pytest.fixture
+def world(prefill, decodes):
+    return World(prefill, *decodes)
+
+
+def test_prompt_is_read_apart_and_its_cache_taken_by_the_decode_engine(
+    world, prefill, decodes
+):
+    responder, _ = world.model_call()
+    (read,) = world.network.sendings
+    assert read.address == prefill.address
+    assert read.prefill
+    read.answer_prefill("h7")
+    run = world.network.sendings[-1]
+    source = f"{prefill.address}/h7".encode()
+    assert run.header("X-Pomeloglade-Kv-Source") == source
+    assert not run.prefill
+    run.head_of_answer()
+    run.event(1)
+    assert responder.body == b"id: 1\ndata: x\n\n"
+    run.end()
+    assert responder.done
+    assert not responder.was_cut
+
+
+def test_rejecting_engine_leaves_the_cache_to_the_next_one(world, prefill):
+    world.model_call()
+    world.network.sendings[0].answer_prefill("h7")
+    first = world.network.sendings[1]
+    first.reject()
+    again = world.network.sendings[2]
+    assert again.address != first.address
+    assert again.header("X-Pomeloglade-Kv-Source").endswith(b"/h7")
+    assert len(world.network.to(prefill.address)) == 1
+
+
+def test_lapsed_cache_is_not_offered_again(world, prefill):
+    world.model_call()
+    world.network.sendings[0].answer_prefill("h7")
+    world.advance(0.45)
+    world.network.sendings[1].reject()
+    assert [s.prefill for s in world.network.to(prefill.address)] == [True, True]
+
+
+def test_untaken_cache_of_a_caller_that_left_is_freed(world, prefill):
+    _, task = world.model_call()
+    world.network.sendings[0].answer_prefill("h7")
+    task.cancel()
+    assert world.network.sendings[1].aborted
+    freed = world.network.sendings[2]
+    assert freed.head.method == b"DELETE"
+    assert freed.head.target == b"/v1/kv-handle/h7"
+
+
+def test_engine_that_rejected_gets_no_further_calls_for_a_while(world, decodes):
+    world.model_call()
+    world.network.sendings[0].answer_prefill()
+    rejecting = world.network.sendings[1].address
+    world.network.sendings[1].reject()
+    for _ in range(2):
+        world.model_call()
+        world.network.sendings[-1].answer_prefill()
+        assert world.network.sendings[-1].address != rejecting
+
+
+def test_one_call_never_holds_more_slots_than_one(world, decodes):
+    _, task = world.model_call()
+    world.network.sendings[0].answer_prefill()
+    assert sum(world.loads.work(d.id).calls for d in decodes) == 1
+    task.cancel()
+    assert sum(world.loads.work(d.id).calls for d in decodes) == 0
+
+
+def test_stream_that_cannot_be_resumed_is_cut_not_repeated(world):
+    responder, _ = world.model_call("/digests/1")
+    world.network.sendings[0].answer_prefill()
+    run = world.network.sendings[1]
+    run.head_of_answer()
+    run.event(1)
+    run.reset()
+    assert responder.was_cut
+    assert len(world.network.sendings) == 2
+
+
+def test_lost_before_its_head_a_stream_that_cannot_be_resumed_ends_unknown(world):
+    responder, _ = world.model_call("/digests/1")
+    world.network.sendings[0].answer_prefill()
+    world.network.sendings[1].reset()
+    assert responder.status == 502
+    # The cache may be left at the prefill engine, so it is freed.
+    freed = world.network.sendings[2]
+    assert freed.head.method == b"DELETE"
+    assert len(world.network.sendings) == 3
+
+
+def test_resumable_stream_goes_on_after_its_last_whole_event(world):
+    responder, _ = world.model_call("/reports/1")
+    world.network.sendings[0].answer_prefill()
+    run = world.network.sendings[1]
+    run.head_of_answer()
+    run.event(1)
+    run.exchange.received(b"id: 2\nda")
+    run.reset()
+    again = world.network.sendings[-1]
+    assert again.address != run.address
+    assert again.header("Last-Event-Id") == b"1"
+    again.head_of_answer()
+    again.event(2)
+    again.end()
+    assert responder.body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+    assert responder.done
+    assert not responder.was_cut
+
+
+def test_burst_on_a_full_pool_waits_and_the_hopeless_are_refused_at_once(world):
+    world.queue.pool = type(world.queue.pool)(1, 1_000_000, 0.5)
+    for _ in range(2):
+        world.model_call()
+    waiting, _ = world.model_call()
+    assert not waiting.begun
+    refused = [world.model_call()[0] for _ in range(8)][-1]
+    assert refused.status == 503
+    assert float(refused.headers[b"retry-after"]) > 0.5
+
+
+def test_without_any_engine_the_call_is_refused_at_once(prefill):
+    world = World(prefill)
+    responder, _ = world.model_call()
+    assert responder.status == 503
+    assert responder.reason == "no_engine"
+
+
+def test_crashed_prefill_engine_leaves_the_prompt_to_the_decode_engine(world, prefill):
+    world.network.down.add(prefill.address)
+    world.model_call()
+    (run,) = world.network.sendings
+    assert run.address != prefill.address
+    assert run.header("X-Pomeloglade-Kv-Source") is None
--- /dev/null
+++ b/tests/test_plain_calls.py
@@ -0,0 +1,255 @@
+"""Plain calls: at most once, retries within the budget, slow and failing servers."""
+
+import pytest
+from tests.forwarding_fakes import KEY, World, deployment, route, server
+
+from pomeloglade.forwarding.deployment import CallKind
+
+
+@pytest.fixture
+def servers():
+    return server("a"), server("bb"), server("ccc")
+
+
+@pytest.fixture
+def world(servers):
+    return World(*servers)
+
+
+def test_answer_passes_unchanged_with_its_seal(world):
+    responder, _ = world.call("/lookups/7?x=1", method=b"GET")
+    (sending,) = world.network.sendings
+    assert sending.head.target == b"/lookups/7?x=1"
+    assert sending.header("X-Pomeloglade-Tenant") == b"club"
+    assert sending.header("Authorization") is None
+    sending.answer(200, b"roster", x_own=b"1")
+    assert (responder.status, responder.body) == (200, b"roster")
+    assert responder.headers[b"x-pomeloglade-server-seal"] == b"seal"
+    assert responder.headers[b"x-own"] == b"1"
+
+
+def test_every_sending_names_the_expected_server_and_the_time_left(world, servers):
+    world.call("/bookings/1", limit_ms=1500)
+    (sending,) = world.network.sendings
+    names = {each.address: each.id.encode() for each in servers}
+    expected = sending.header("X-Pomeloglade-Expect-Instance")
+    assert expected == names[sending.address]
+    assert sending.header("X-Pomeloglade-Deadline-Ms") == b"1500"
+
+
+def test_headers_that_the_router_sets_never_pass_from_a_caller(world):
+    forged = (
+        (b"X-Pomeloglade-Tenant", b"other"),
+        (b"X-Pomeloglade-Kv-Hold", b"1"),
+        (b"X-Pomeloglade-Kv-Backup", b"10.0.0.1:1"),
+        (b"X-Pomeloglade-Kv-Source", b"10.0.0.1:1/h"),
+        (b"X-Pomeloglade-Pin-Ms", b"100"),
+        (b"X-Pomeloglade-Stage", b"prefill"),
+        (b"Connection", b"X-Private"),
+        (b"X-Private", b"1"),
+    )
+    world.call("/bookings/1", headers=forged)
+    (sending,) = world.network.sendings
+    assert sending.header("X-Pomeloglade-Tenant") == b"club"
+    for name in (
+        "X-Pomeloglade-Kv-Hold",
+        "X-Pomeloglade-Kv-Backup",
+        "X-Pomeloglade-Kv-Source",
+        "X-Pomeloglade-Pin-Ms",
+        "X-Pomeloglade-Stage",
+        "X-Private",
+        "Connection",
+    ):
+        assert sending.header(name) is None
+
+
+def test_booking_whose_answer_is_lost_is_never_sent_again(world):
+    responder, _ = world.call("/bookings/1")
+    world.network.sendings[0].reset()
+    assert responder.status == 502
+    assert len(world.network.sendings) == 1
+
+
+def test_rejected_booking_is_sent_elsewhere(world):
+    responder, _ = world.call("/bookings/1")
+    world.network.sendings[0].reject()
+    assert len(world.network.sendings) == 2
+    world.network.sendings[1].answer()
+    assert responder.status == 200
+
+
+def test_rejected_everywhere_a_booking_is_refused_as_not_run(world):
+    responder, _ = world.call("/bookings/1")
+    while not responder.done:
+        world.network.sendings[-1].reject()
+    assert responder.status == 503
+    assert b"retry-after" in responder.headers
+    assert len(world.network.sendings) == 3
+
+
+def test_bookings_take_new_connections_only(world):
+    world.call("/bookings/1")
+    world.call("/lookups/1", method=b"GET")
+    assert world.network.idle_bounds[0] == 0.0
+    assert world.network.idle_bounds[1] > 0.0
+
+
+def test_silent_server_is_given_up_for_another_within_the_objective(world):
+    responder, _ = world.call("/lookups/1", method=b"GET")
+    world.advance(0.25)
+    first, second = world.network.sendings
+    assert first.aborted
+    assert first.address != second.address
+    second.answer()
+    assert responder.status == 200
+
+
+def test_silent_server_of_a_booking_is_waited_for_until_the_time_limit(world):
+    responder, _ = world.call("/bookings/1", limit_ms=1000)
+    world.advance(0.9)
+    assert not responder.done
+    world.advance(0.2)
+    assert responder.status == 504
+    assert len(world.network.sendings) == 1
+    assert world.network.sendings[0].aborted
+
+
+def test_routes_timeout_ends_a_call_before_the_callers_limit(world):
+    responder, _ = world.call("/bookings/1", limit_ms=4000)
+    world.advance(2.1)
+    assert responder.status == 504
+
+
+def test_caller_that_leaves_takes_its_request_back_at_once(world):
+    _, task = world.call("/lookups/1", method=b"GET")
+    task.cancel()
+    assert world.network.sendings[0].aborted
+    assert world.forwarder.open_calls == 0
+
+
+def test_errors_that_all_servers_give_are_not_repeated(world):
+    responder, _ = world.call("/lookups/1", method=b"GET")
+    world.network.sendings[0].answer(500, b"no")
+    assert (responder.status, responder.body) == (500, b"no")
+    assert len(world.network.sendings) == 1
+
+
+def test_errors_of_one_faulty_server_are_repeated_elsewhere(world, servers):
+    faulty = servers[0]
+    for _ in range(6):
+        world.health.failed(faulty.id)
+    world.backends.replace_all([faulty], lenient=False)
+    responder, _ = world.call("/lookups/1", method=b"GET")
+    world.backends.replace_all(servers, lenient=False)
+    world.network.sendings[0].answer(500, b"no")
+    world.network.sendings[1].answer(200, b"yes")
+    assert (responder.status, responder.body) == (200, b"yes")
+
+
+def test_refused_connection_costs_no_budget(world, servers):
+    world.network.down.update(each.address for each in servers[:2])
+    responder, _ = world.call("/bookings/1")
+    (sending,) = world.network.sendings
+    assert sending.address == servers[2].address
+    sending.answer()
+    assert responder.status == 200
+    assert world.budget.left("api") == world.budget.left("other")
+
+
+def test_spent_budget_ends_repeats(servers):
+    world = World(*servers, slack=0.0)
+    responder, _ = world.call("/bookings/1")
+    world.network.sendings[0].reject()
+    assert responder.status == 503
+    assert responder.reason == "resend_budget"
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"x_pomeloglade_server_seal": None},
+        {"x_pomeloglade_attempt_id": b"other"},
+        {"content_encoding": b"gzip"},
+    ],
+)
+def test_answer_that_is_not_this_calls_is_never_passed_on(world, fault):
+    responder, _ = world.call("/bookings/1")
+    world.network.sendings[0].answer(200, b"someone else's", **fault)
+    assert responder.status == 502
+    assert b"someone" not in responder.body
+
+
+def test_server_that_leaves_while_connecting_gets_nothing(world, servers):
+    world.backends.replace_all(servers[:1], lenient=False)
+    world.network.slow[servers[0].address] = None
+    responder, _ = world.call("/bookings/1")
+    world.backends.replace_all(servers[1:], lenient=False)
+    world.network.connect(servers[0].address)
+    assert world.network.to(servers[0].address) == []
+    world.network.sendings[0].answer()
+    assert responder.status == 200
+
+
+def test_key_withdrawn_while_connecting_is_not_served(world, servers):
+    world.backends.replace_all(servers[:1], lenient=False)
+    world.network.slow[servers[0].address] = None
+    responder, _ = world.call("/bookings/1")
+    world.belief.deployment = deployment(2, key="another")
+    world.network.connect(servers[0].address)
+    assert responder.status == 401
+    assert world.network.sendings == []
+
+
+def test_configuration_too_old_for_keys_refuses_keyed_calls_only(world):
+    world.age = 4.5
+    keyed, _ = world.call("/bookings/1")
+    assert keyed.status == 503
+    assert b"retry-after" in keyed.headers
+    world.call("/public/1", key=None, method=b"GET")
+    assert len(world.network.sendings) == 1
+
+
+def test_old_configuration_puts_off_what_it_does_not_know(world):
+    world.age = 3.0
+    unknown_route, _ = world.call("/new/1")
+    unknown_key, _ = world.call("/bookings/1", key="new-key")
+    assert (unknown_route.status, unknown_key.status) == (503, 503)
+    world.age = 0.5
+    unknown_route, _ = world.call("/new/1")
+    unknown_key, _ = world.call("/bookings/1", key="new-key")
+    assert (unknown_route.status, unknown_key.status) == (404, 401)
+
+
+def test_route_moved_while_connecting_goes_to_its_new_service(world, servers):
+    other = server("dddd", service="other")
+    world.backends.replace_all([servers[0], other], lenient=False)
+    world.network.slow[servers[0].address] = None
+    world.call("/bookings/1")
+    moved = route("bookings", "/bookings/", CallKind.UNSAFE, "other")
+    world.belief.deployment = deployment(2, bookings=moved)
+    world.network.connect(servers[0].address)
+    assert [s.address for s in world.network.sendings] == [other.address]
+
+
+def test_hot_account_is_told_when_to_come_back(servers):
+    world = World(*servers, found=deployment(rate=1000.0, burst=400.0))
+    first = [world.call("/lookups/1", method=b"GET")[0] for _ in range(2)]
+    over, _ = world.call("/lookups/1", method=b"GET")
+    assert not any(each.done for each in first)
+    assert over.status == 429
+    assert 0.1 < float(over.headers[b"retry-after"]) <= 0.3
+
+
+def test_units_of_a_call_that_did_not_run_are_given_back(servers):
+    world = World(*servers, found=deployment(rate=1000.0, burst=400.0))
+    world.backends.replace_all([], lenient=False)
+    for _ in range(5):
+        refused, _ = world.call("/bookings/1")
+        assert refused.status == 503
+    assert world.usage.totals() == {}
+
+
+def test_key_of_no_account_is_unknown(world):
+    responder, _ = world.call("/lookups/1", key="stranger")
+    assert responder.status == 401
+    assert KEY.encode() not in responder.body
--- /dev/null
+++ b/tests/test_platform_codecs.py
@@ -0,0 +1,464 @@
+"""The platform's formats: what is understood, and what faulty writers send."""
+
+import base64
+import json
+from datetime import timedelta
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from pomeloglade.errors import (
+    BackendNonsenseError,
+    BadConfigurationError,
+    BadRegistrationError,
+    BadRequestError,
+    SettingsError,
+)
+from pomeloglade.forwarding.backends import BackendServer
+from pomeloglade.forwarding.calls import Dispatch, ServerLoad, StageOrder
+from pomeloglade.forwarding.deployment import CallKind
+from pomeloglade.transport.http_exchange import AnswerHead, RequestHead
+from pomeloglade_coordination.errors import (
+    HistoryLostError,
+    KeyValueOutcomeUnknownError,
+    KeyValueUnavailableError,
+    LeaseNotFoundError,
+    RevisionConflictError,
+)
+from pomeloglade_coordination.key_value import Entry
+from pomeloglade_platform import configuration, servers
+from pomeloglade_platform import settings as platform_settings
+from pomeloglade_platform.calls import PlatformCallCodec
+from pomeloglade_platform.store import PlatformStore
+
+CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r-1",
+            "host": "A.example",
+            "prefix": "/a/",
+            "kind": "streaming",
+            "timeoutMs": 14000,
+            "targetLatencyMs": 900,
+            "priority": 1,
+            "split": [
+                {"service": "s-1", "weight": 90},
+                {"service": "s-2", "weight": 10},
+            ],
+            "maxAttempts": 2,
+            "public": False,
+            "sticky": True,
+            "resumable": True,
+            "gapAimMs": 300,
+        },
+        {
+            "name": "r-2",
+            "host": "a.example",
+            "prefix": "/b/",
+            "kind": "unsafe",
+            "timeoutMs": 2000,
+            "targetLatencyMs": 300,
+            "service": "s-2",
+        },
+    ],
+    "services": [
+        {
+            "name": "s-1",
+            "healthPath": "/health",
+            "maxConns": 150,
+            "engine": {"slots": 12, "kvCapacityTokens": 80233, "handleTtlS": 0.5},
+        },
+        {"name": "s-2", "healthPath": "/health", "maxConns": 96},
+    ],
+    "limits": {
+        "maxHeaderBytes": 16384,
+        "maxBodyBytes": 4194304,
+        "headerTimeoutMs": 3000,
+        "idleTimeoutMs": 15000,
+    },
+    "tenants": [
+        {
+            "name": "club",
+            "apiKeys": ["key-1"],
+            "priority": 1,
+            "unit": "tokens",
+            "plainTokens": 200,
+            "ratePerS": 44323,
+            "burst": 44323,
+        }
+    ],
+}
+
+SERVER = {
+    "service": "s-1",
+    "address": "10.1.0.9:8080",
+    "zone": "nordvik-a",
+    "version": "v1",
+    "slots": 12,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "stage": "decode",
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "seq": 4,
+    "born": 1783311283363,
+}
+
+SETTINGS = """
+nodeName = "front-a-1"
+role = "entry"
+ip = "10.1.0.3"
+zone = "nordvik-a"
+internalPorts = [7500, 7515]
+bootstrap = true
+somethingNew = 1
+[listen]
+front = "10.1.0.3:8360"
+ready = "10.1.0.3:8365"
+[bounds]
+stableWindowMs = 3000
+drainMs = 2000
+graceS = 8
+configApplyMs = 2000
+revokeMs = 5000
+strictRevoke = true
+retryBudgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = 52
+quotaWindowS = 8
+quotaOverrun = 0.1
+quotaSlack = 120000
+transitMs = 120
+leaseMs = 3000
+[platform]
+address = "10.200.1.7:8361"
+"""
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=8),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=3)
+    ),
+    max_leaves=8,
+)
+
+
+@pytest.fixture
+def codec():
+    return PlatformCallCodec()
+
+
+def read(codec, *headers, target=b"/a/1?x=2"):
+    head = RequestHead(b"POST", target, ((b"Host", b"A.example:80"), *headers))
+    return codec.read_call(head, b"body", 1.0)
+
+
+def test_configuration_is_decoded(snapshot):
+    found = configuration.decode(json.dumps(CONFIGURATION).encode())
+    route = found.route("a.example", "/a/1")
+    assert route.kind is CallKind.STREAMING
+    assert route.objective == timedelta(seconds=0.9)
+    assert found.route("a.example", "/c/") is None
+    assert found.account("key-1").cost(None) == 200
+    assert found.account("key-2") is None
+    assert snapshot == (route, found.services_by_name, found.limits)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"version": "7"},
+        {"routes": [{"name": "r"}]},
+        {"routes": [CONFIGURATION["routes"][0] | {"kind": "odd"}]},
+        {"services": None},
+        {"limits": []},
+    ],
+)
+def test_configuration_of_a_faulty_writer_is_a_typed_error(change):
+    with pytest.raises(BadConfigurationError):
+        configuration.decode(json.dumps(CONFIGURATION | change).encode())
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.binary(max_size=60) | json_values.map(lambda v: json.dumps(v).encode()))
+def test_no_bytes_break_the_decoders(value):
+    with pytest.raises(BadConfigurationError):
+        configuration.decode(value)
+    with pytest.raises(BadRegistrationError):
+        servers.decode("servers/x", value)
+
+
+@settings(max_examples=150, deadline=None, derandomize=True)
+@given(st.sampled_from(sorted(SERVER)), json_values)
+def test_registration_with_any_field_changed_is_whole_or_an_error(field, value):
+    entry = SERVER | {field: value}
+    try:
+        found = servers.decode("servers/x", json.dumps(entry).encode())
+    except BadRegistrationError:
+        return
+    assert found.id == "x"
+    assert found.address.rpartition(":")[2].isdigit()
+    assert found.slots >= 1
+
+
+def test_registration_is_decoded():
+    found = servers.decode("servers/i-1", json.dumps(SERVER).encode())
+    assert found == BackendServer(
+        id="i-1",
+        service="s-1",
+        address="10.1.0.9:8080",
+        availability_zone="nordvik-a",
+        slots=12,
+        draining=False,
+        stage="decode",
+        started=1783311283363,
+    )
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "asleep"},
+        {"address": "10.1.0.9"},
+        {"address": 5},
+        {"zone": None},
+        {"stage": "other"},
+        {"slots": "many"},
+    ],
+)
+def test_registration_of_a_faulty_writer_names_no_server(change):
+    with pytest.raises(BadRegistrationError):
+        servers.decode("servers/x", json.dumps(SERVER | change).encode())
+
+
+def test_settings_are_read_and_unknown_fields_ignored(snapshot, tmp_path, monkeypatch):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS)
+    monkeypatch.setenv("POMELOGLADE_BOOT", str(path))
+    assert platform_settings.load() == snapshot
+
+
+def test_bad_settings_name_their_fault(tmp_path, monkeypatch):
+    path = tmp_path / "settings.toml"
+    path.write_text(SETTINGS.replace("graceS = 8", 'graceS = "long"'))
+    monkeypatch.setenv("POMELOGLADE_BOOT", str(path))
+    with pytest.raises(SettingsError, match="graceS"):
+        platform_settings.load()
+    monkeypatch.setenv("POMELOGLADE_BOOT", str(tmp_path / "missing"))
+    with pytest.raises(SettingsError, match="missing"):
+        platform_settings.load()
+
+
+def test_call_is_read_from_its_headers(codec):
+    call = read(
+        codec,
+        (b"x-pomeloglade-attempt-id", b"77"),
+        (b"X-Pomeloglade-Deadline-Ms", b"1500"),
+        (b"Authorization", b"bearer  key-1"),
+        (b"X-Pomeloglade-Model", b"m"),
+        (b"X-Pomeloglade-Token-Counts", b"1460,80"),
+        (b"X-Pomeloglade-Length-Hint", b"60"),
+        (b"X-Pomeloglade-Prompt-Prefix", b"5c:800,91:660"),
+        (b"Last-Event-Id", b"12"),
+    )
+    assert (call.id, call.host, call.path) == ("77", "a.example", "/a/1")
+    assert (call.time_limit, call.key) == (1.5, "key-1")
+    assert call.prompt.tokens == 1540
+    assert call.prompt.held_tokens == 1490
+    assert call.prompt.parts == (("5c", 800), ("91", 660))
+    assert call.last_event_id == b"12"
+    names = [name.lower() for name, _ in call.headers]
+    assert b"x-pomeloglade-token-counts" in names
+    assert b"authorization" not in names
+
+
+@pytest.mark.parametrize(
+    "header",
+    [
+        (b"X-Pomeloglade-Deadline-Ms", b"soon"),
+        (b"X-Pomeloglade-Token-Counts", b"1"),
+        (b"X-Pomeloglade-Token-Counts", b"1,x"),
+    ],
+)
+def test_call_that_makes_no_sense_is_a_bad_request(codec, header):
+    with pytest.raises(BadRequestError):
+        read(codec, header)
+
+
+def test_request_to_a_server(codec, snapshot):
+    call = read(codec, (b"X-Own", b"1"), (b"Authorization", b"Bearer key-1"))
+    dispatch = Dispatch(
+        server="i-1",
+        account="club",
+        seconds_left=1.2345,
+        kv_source=("10.1.0.9:8080", "h"),
+        last_event_id=b"3",
+    )
+    assert codec.request(call, dispatch) == snapshot
+
+
+def test_facts_of_answers(codec):
+    call = read(codec, (b"X-Pomeloglade-Attempt-Id", b"77"))
+
+    def facts(status, **headers):
+        by_name = {
+            name.replace("_", "-").encode(): value for name, value in headers.items()
+        }
+        return codec.answer_facts(call, AnswerHead(status, (), by_name))
+
+    whole = facts(
+        200,
+        x_pomeloglade_attempt_id=b"77",
+        x_pomeloglade_server_seal=b"s",
+        x_pomeloglade_server_load=b"3,0,8",
+    )
+    assert whole.own
+    assert whole.sealed
+    assert not whole.not_run
+    assert whole.load == ServerLoad(3, 0, 8)
+    assert facts(503, x_pomeloglade_not_executed=b"1").not_run
+    assert facts(421).not_run
+    assert not facts(503).not_run
+    late = facts(
+        503, x_pomeloglade_not_executed=b"1", x_pomeloglade_attempt_id=b"other"
+    )
+    assert not late.not_run
+    assert facts(200, x_pomeloglade_server_load=b"lots").load is None
+
+
+def test_bodies_of_engines(codec):
+    assert codec.prefill_result(b'{"kvHandle":"h","tokens":3}').handle == "h"
+    assert codec.engine_report(b'{"stage":"decode","seq":2}').orders == 2
+    with pytest.raises(BackendNonsenseError):
+        codec.prefill_result(b"{}")
+    with pytest.raises(BackendNonsenseError):
+        codec.engine_report(b"\xff")
+
+
+def test_stage_order_carries_its_fence(codec):
+    target = BackendServer("i-1", "s", "10.1.0.9:80", "z", 1)
+    head, body = codec.stage_order(target, StageOrder("prefill", "front-1", 41, 2))
+    assert head.target == b"/v1/order"
+    assert json.loads(body) == {
+        "op": "stage",
+        "stage": "prefill",
+        "holder": "front-1",
+        "fence": 41,
+        "expected": 2,
+    }
+
+
+class Store:
+    """A ``PlatformStore`` whose answers the test writes."""
+
+    def __init__(self):
+        self.reactor = MemoryReactorClock()
+        self.store = PlatformStore(self.reactor, "10.0.0.1:80")
+        self.transport = None
+
+    def begin(self, call):
+        results = []
+        call.addBoth(results.append)
+        self.connection = self.reactor.tcpClients[-1][2].buildProtocol(None)
+        transport = StringTransport()
+        transport.setTcpNoDelay = lambda enabled: None
+        transport.abortConnection = lambda: None
+        self.connection.makeConnection(transport)
+        self.transport = transport
+        return results
+
+    def answer(self, status, message):
+        body = json.dumps(message).encode()
+        head = f"HTTP/1.1 {status} X\r\nContent-Length: {len(body)}\r\n\r\n"
+        self.connection.dataReceived(head.encode() + body)
+
+
+@pytest.fixture
+def store():
+    return Store()
+
+
+def item(key, value, revision):
+    encoded = base64.b64encode(value).decode()
+    return {"key": key, "value": encoded, "revision": revision, "createRev": 1}
+
+
+def test_snapshot_reads_all_pages_at_the_first_ones_revision(store):
+    results = store.begin(store.store.snapshot("servers/"))
+    assert b"/v1/kv-range?prefix=servers%2F" in store.transport.value()
+    page = {"items": [item("servers/a", b"1", 5)], "truncated": True}
+    store.answer(200, page | {"storeRevision": 9})
+    assert b"after=servers%2Fa" in store.transport.value()
+    page = {"items": [item("servers/b", b"2", 11)], "truncated": False}
+    store.answer(200, page | {"storeRevision": 12})
+    (found,) = results
+    assert found.revision == 9
+    assert [each.key for each in found.entries] == ["servers/a", "servers/b"]
+
+
+def test_changes_and_removals_are_told_apart(store):
+    results = store.begin(store.store.changes("", 4, timedelta(seconds=2)))
+    assert b"after=4&waitMs=2000" in store.transport.value()
+    events = [
+        item("a", b"1", 5),
+        {"key": "b", "revision": 6, "removed": True},
+    ]
+    store.answer(200, {"events": events, "storeRevision": 6})
+    assert results[0].entries == (Entry("a", b"1", 5), Entry("b", b"", 6))
+
+
+@pytest.mark.parametrize(
+    ("status", "message", "error"),
+    [
+        (410, {}, HistoryLostError),
+        (503, {}, KeyValueUnavailableError),
+        (429, {}, KeyValueUnavailableError),
+        (200, {"events": 5}, KeyValueUnavailableError),
+    ],
+)
+def test_failed_watches_are_typed_errors(store, status, message, error):
+    results = store.begin(store.store.changes("", 4, timedelta(seconds=2)))
+    store.answer(status, message)
+    assert isinstance(results[0].value, error)
+
+
+def test_silent_store_is_given_up_after_the_wait_and_a_second(store):
+    results = store.begin(store.store.changes("", 4, timedelta(seconds=2)))
+    store.reactor.advance(2.9)
+    assert results == []
+    store.reactor.advance(0.2)
+    assert isinstance(results[0].value, KeyValueUnavailableError)
+
+
+def test_change_without_an_answer_may_have_been_applied(store):
+    results = store.begin(store.store.put("a", b"1"))
+    store.reactor.advance(1.1)
+    assert isinstance(results[0].value, KeyValueOutcomeUnknownError)
+
+
+@pytest.mark.parametrize(
+    ("status", "message", "error"),
+    [
+        (412, {"items": [item("a", b"x", 8)]}, RevisionConflictError),
+        (404, {}, LeaseNotFoundError),
+    ],
+)
+def test_refused_changes_are_typed_errors(store, status, message, error):
+    results = store.begin(store.store.put("a", b"1", expected=3, lease="5"))
+    store.answer(status, message)
+    assert isinstance(results[0].value, error)
+
+
+def test_leases(store):
+    results = store.begin(store.store.grant_lease(timedelta(seconds=3)))
+    assert store.transport.value().endswith(b'{"ttlMs":3000}')
+    store.answer(200, {"lease": 77120, "ttlMs": 3000})
+    assert results == ["77120"]
+    renewed = []
+    store.store.renew_lease("77120").addBoth(renewed.append)
+    assert b"POST /v1/kv-keep/77120" in store.transport.value()
+    store.answer(404, {})
+    assert isinstance(renewed[0].value, LeaseNotFoundError)
--- /dev/null
+++ b/tests/test_store_follower.py
@@ -0,0 +1,162 @@
+"""What an instance knows of the store, and how old that is, in all its troubles."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+from tests.forwarding_fakes import ListLog
+from twisted.internet.defer import Deferred, fail, succeed
+from twisted.internet.task import Clock
+
+from pomeloglade.forwarding.store_follower import (
+    LONGEST_WAIT_SECONDS,
+    SETTLING_SECONDS,
+    StoreFollower,
+)
+from pomeloglade_coordination.errors import (
+    HistoryLostError,
+    KeyValueUnavailableError,
+)
+from pomeloglade_coordination.key_value import Entry, MemoryKeyValueStore, Snapshot
+
+
+class Recorder:
+    def __init__(self):
+        self.entries = {}
+        self.lenient = []
+        self.reads = 0
+
+    def replace_all(self, entries, *, lenient):
+        self.reads += 1
+        self.entries = {each.key: each.value for each in entries}
+
+    def change(self, entry, *, lenient):
+        self.lenient.append(lenient)
+        if entry.value:
+            self.entries[entry.key] = entry.value
+        else:
+            self.entries.pop(entry.key, None)
+
+
+class ScriptedStore:
+    """Answers snapshots at once and leaves watches to the test."""
+
+    def __init__(self):
+        self.entries = ()
+        self.revision = 10
+        self.watches = []
+        self.snapshots = 0
+        self.down = False
+
+    def snapshot(self, prefix):
+        self.snapshots += 1
+        if self.down:
+            return fail(KeyValueUnavailableError("down"))
+        return succeed(Snapshot(self.entries, self.revision))
+
+    def changes(self, prefix, after, timeout):
+        if self.down:
+            return fail(KeyValueUnavailableError("down"))
+        waiting = Deferred()
+        self.watches.append((after, timeout, waiting))
+        return waiting
+
+
+@pytest.fixture
+def clock():
+    clock = Clock()
+    clock.advance(10.0)
+    return clock
+
+
+@pytest.fixture
+def recorder():
+    return Recorder()
+
+
+@pytest.fixture
+def store():
+    return ScriptedStore()
+
+
+@pytest.fixture
+def follower(clock, store, recorder):
+    follower = StoreFollower(clock, store, "", recorder, ListLog(), Random(1))
+    follower.start()
+    return follower
+
+
+def test_changes_and_deletions_of_a_real_store_arrive(clock, recorder):
+    store = MemoryKeyValueStore(clock)
+    store.put("a", b"1")
+    StoreFollower(clock, store, "", recorder, ListLog(), Random(1)).start()
+    assert recorder.entries == {"a": b"1"}
+    store.put("b", b"2")
+    store.delete("a")
+    clock.advance(0.0)
+    assert recorder.entries == {"b": b"2"}
+
+
+def test_nothing_is_known_before_the_first_read(clock, store, recorder):
+    store.down = True
+    follower = StoreFollower(clock, store, "", recorder, ListLog(), Random(1))
+    follower.start()
+    assert follower.age() == float("inf")
+
+
+def test_empty_watch_proves_the_whole_wait(clock, store, follower):
+    _, timeout, waiting = store.watches[0]
+    assert timeout == timedelta(seconds=LONGEST_WAIT_SECONDS)
+    clock.advance(LONGEST_WAIT_SECONDS + 0.1)
+    waiting.callback(Snapshot((), 10))
+    assert follower.age() == pytest.approx(0.1)
+
+
+def test_watch_that_was_cut_short_proves_only_its_sending(clock, store, follower):
+    clock.advance(1.5)
+    store.watches[0][2].callback(Snapshot((), 10))
+    assert follower.age() == pytest.approx(1.5)
+
+
+def test_watch_with_changes_proves_only_its_sending(clock, store, follower):
+    clock.advance(1.8)
+    store.watches[0][2].callback(Snapshot((Entry("a", b"1", 11),), 11))
+    assert follower.age() == pytest.approx(1.8)
+    # The next one is short, so that the age stays within one longest wait.
+    after, timeout, _ = store.watches[1]
+    assert after == 11
+    assert timeout.total_seconds() <= 0.31
+
+
+def test_lost_history_is_read_anew(clock, store, follower, recorder):
+    store.entries = (Entry("b", b"2", 20),)
+    store.revision = 25
+    store.watches[0][2].errback(HistoryLostError("compacted"))
+    assert recorder.entries == {"b": b"2"}
+    assert store.watches[1][0] == 25
+
+
+def test_failed_reads_are_spaced_and_age_grows(clock, store, follower):
+    store.down = True
+    store.watches[0][2].errback(KeyValueUnavailableError("cut"))
+    for _ in range(100):
+        clock.advance(0.1)
+    assert follower.age() >= 10.0
+    assert 8 <= follower.calls <= 40
+
+
+def test_removals_while_the_store_comes_back_are_lenient(
+    clock, store, follower, recorder
+):
+    store.watches[0][2].errback(KeyValueUnavailableError("cut"))
+    clock.advance(1.0)
+    removed = Entry("servers/x", b"", 12)
+    store.watches[1][2].callback(Snapshot((removed,), 12))
+    clock.advance(SETTLING_SECONDS + 0.1)
+    store.watches[2][2].callback(Snapshot((removed,), 13))
+    assert recorder.lenient == [True, False]
+
+
+def test_sleep_counts_as_age(clock, store, follower):
+    clock.advance(30.0)
+    assert follower.age() >= 30.0
