Refuse model calls that can't begin on time, and let late ones wait behind

Calls waited for an engine up to 2.5 objectives, so in a burst all were served at the edge of their objective or past it. 25 were preempted, as 97% of the KV memory was given out by guessed outputs, and had their prompts read again (195,000 tokens).

A call waits three quarters of its objective at most and is refused at its arrival if the queue is longer. A caller that comes again is known by the shorter time it gives, and goes behind those that can be on time. 85% of the memory is given out.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -43,6 +43,7 @@
         self._unresolved: dict[str, int] = {}
         self._service: str | None = None
         self.resolved = resolve(call)
+        self.longest_limit = 0.0
         self.sendings = 0
         self.completed_at_server = False
         self.begun = False
@@ -87,6 +88,17 @@
         """Return how long a backend server may still work on the call."""
         return max(0.001, self.limit() - self._now())
 
+    def waiting_since(self) -> float:
+        """Return the instant at which the caller began to wait.
+
+        A caller that comes again after a refusal gives the rest of its time, so
+        the longest time given on the route tells how long it has waited before.
+        """
+        if self.call.time_limit is None:
+            return self.call.arrived
+        longest = max(self.longest_limit, self.call.time_limit)
+        return self.call.arrived - (longest - self.call.time_limit)
+
     def sent(self, server: str) -> None:
         """Note that the call's first byte is about to leave."""
         self.sendings += 1
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -12,15 +12,20 @@
 from .loads import Loads
 from .server_health import ServerHealth
 
-PATIENCE_OBJECTIVES = 2.5
-"""Multiples of the objective that a call may wait; callers abandon a stream that
-has not begun after four objectives."""
+PATIENCE_OBJECTIVES = 0.75
+"""Part of the objective that a call may wait for an engine; the rest is for reading
+its prompt. Beyond it another call that can still be on time needs the engine more,
+and the refused one is told when to come back."""
+
+LATE_PATIENCE_OBJECTIVES = 1.5
+"""The same for a call that is late already: only callers' own patience counts."""
 
 BLOCK_TOKENS = 16
 """Engines hand out KV memory in blocks of this many tokens."""
 
-MEMORY_PART = 0.97
-"""Part of an engine's KV memory that is given out: blocks are not filled evenly."""
+MEMORY_PART = 0.85
+"""Part of an engine's KV memory that is given out. Outputs are guessed, and a call
+that is preempted has its whole prompt read again."""
 
 USUAL_DECODE_SECONDS = 3.0
 """Duration assumed until the first calls have ended."""
@@ -93,6 +98,7 @@
     ) -> "Deferred[BackendServer]":
         """Return the engine for a call, with its slot and tokens taken.
 
+        ``arrived`` is when the caller began to wait, maybe with an earlier call.
         Fails with ``Refused`` when there is no engine or the wait is too long.
         Cancelling the result leaves the queue.
         """
@@ -107,7 +113,9 @@
                 self._loads.begin(server.id, tokens)
                 placed.callback(server)
                 return placed
-        patience = PATIENCE_OBJECTIVES * objective - (now - arrived)
+        late = now > arrived + objective
+        objectives = LATE_PATIENCE_OBJECTIVES if late else PATIENCE_OBJECTIVES
+        patience = objectives * objective - (0.0 if late else now - arrived)
         soonest = min(self._health.avoided_for(s.id) for s in self._engines())
         wait = max(soonest, self.expected_wait())
         if wait > patience:
@@ -115,7 +123,7 @@
             return placed
         self._order += 1
         waiter = Waiter(
-            False, priority, arrived, self._order, tokens, arrived + objective, placed
+            late, priority, arrived, self._order, tokens, arrived + objective, placed
         )
         waiter.without = without
         self._waiters.append(waiter)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -24,6 +24,9 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses by which callers are promised that the call has not run."""
 
+MAX_ROUTES = 2_000
+"""Routes whose callers' time limits are remembered; then they are learned anew."""
+
 
 class Forwarder:
     """The handler of the callers' site.
@@ -61,6 +64,7 @@
         self._log = log
         self._metrics = metrics
         self._draining = False
+        self._longest_limit_by_route: dict[str, float] = {}
         self.open_calls = 0
 
     def begin_drain(self) -> None:
@@ -102,6 +106,7 @@
             state = CallState(
                 call, self._resolve, self._choose_service, self._clock.seconds
             )
+            state.longest_limit = self._longest_limit(state)
             await self._limited(state, responder)
             self._logged(call, state, started, "answered", responder.status)
         except BadRequestError as error:
@@ -111,6 +116,16 @@
         except CancelledError:
             self._logged(call, state, started, "caller_left", 0)
 
+    def _longest_limit(self, state: CallState) -> float:
+        """Return the longest time that callers of a route have given so far."""
+        name = state.resolved.route.name
+        longest = self._longest_limit_by_route.get(name, 0.0)
+        longest = max(longest, state.call.time_limit or 0.0)
+        if len(self._longest_limit_by_route) >= MAX_ROUTES:
+            self._longest_limit_by_route.clear()
+        self._longest_limit_by_route[name] = longest
+        return longest
+
     async def _limited(self, state: CallState, responder: Responder) -> None:
         """Run a call within its account's limit and its time limit."""
         call, account = state.call, state.resolved.account
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -159,7 +159,7 @@
             return await queue.place(
                 tokens=call.prompt.held_tokens if call.prompt else 0,
                 priority=priority,
-                arrived=call.arrived,
+                arrived=state.waiting_since(),
                 objective=resolved.route.objective.total_seconds(),
                 without=without,
             )
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -130,6 +130,8 @@
 
 def test_burst_on_a_full_pool_waits_and_the_hopeless_are_refused_at_once(world):
     world.queue.pool = type(world.queue.pool)(1, 1_000_000, 0.5)
+    for _ in range(50):
+        world.queue.finished(0.5)
     for _ in range(2):
         world.model_call()
     waiting, _ = world.model_call()
@@ -139,6 +141,21 @@
     assert float(refused.headers[b"retry-after"]) > 0.5
 
 
+def test_caller_that_comes_again_goes_behind_those_that_can_be_on_time(world):
+    world.queue.pool = type(world.queue.pool)(1, 1_000_000, 0.5)
+    for _ in range(50):
+        world.queue.finished(0.2)
+    first = [world.model_call()[1] for _ in range(2)]
+    again, _ = world.model_call(limit_ms=11_000)
+    fresh, _ = world.model_call(limit_ms=14_000)
+    waiting = len(world.network.sendings)
+    first[0].cancel()
+    assert len(world.network.sendings) == waiting + 1
+    newest = world.network.sendings[-1]
+    assert newest.header("X-Pomeloglade-Deadline-Ms") > b"13000"
+    assert not again.done
+
+
 def test_without_any_engine_the_call_is_refused_at_once(prefill):
     world = World(prefill)
     responder, _ = world.model_call()
