Let a decode engine read one prompt at a time, and none that stalls its streams

Cause: most late summaries began on time but paused for over 300 ms. A decode engine that reads a prompt itself stops its streams meanwhile, so two prompts at once made all of its streams late. A call that came again was told from a first one by any difference of its time limit, though first calls differ by 15 in 100.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -6,6 +6,9 @@
 from .calls import ForwardedCall, Refused
 from .deployment import Account, Route
 
+USUAL_SPREAD = 0.16
+"""Part by which the time limits of callers' first calls differ on one route."""
+
 
 @dataclass(frozen=True, slots=True)
 class Resolution:
@@ -92,12 +95,15 @@
         """Return the instant at which the caller began to wait.
 
         A caller that comes again after a refusal gives the rest of its time, so
-        the longest time given on the route tells how long it has waited before.
+        a time far below the longest that is given on the route tells how long it
+        has waited before.
         """
         if self.call.time_limit is None:
             return self.call.arrived
-        longest = max(self.longest_limit, self.call.time_limit)
-        return self.call.arrived - (longest - self.call.time_limit)
+        missing = self.longest_limit - self.call.time_limit
+        if missing < USUAL_SPREAD * self.longest_limit:
+            return self.call.arrived
+        return self.call.arrived - missing
 
     def sent(self, server: str) -> None:
         """Note that the call's first byte is about to leave."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -28,7 +28,8 @@
     """A host and path prefix with the services behind it and its promises.
 
     ``objective`` is the time within which an answer, or a stream's first event,
-    is on time. ``max_servers`` bounds to how many backend servers one call may
+    is on time; so must be each pause between events, which is at most
+    ``longest_pause``. ``max_servers`` bounds to how many backend servers one call may
     be sent. A ``resumable`` stream may go on at another backend server.
     """
 
@@ -43,6 +44,7 @@
     max_servers: int = 1
     public: bool = False
     resumable: bool = False
+    longest_pause: timedelta = timedelta(seconds=1)
 
     @property
     def idempotent(self) -> bool:
@@ -128,6 +130,7 @@
         limits: ConnectionLimits | None = None,
     ) -> None:
         self.version = version
+        self.routes = routes
         self.limits = limits or ConnectionLimits()
         self.has_accounts = bool(accounts)
         self.services_by_name = {each.name: each for each in services}
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -20,6 +20,13 @@
 LATE_PATIENCE_OBJECTIVES = 1.5
 """The same for a call that is late already: only callers' own patience counts."""
 
+READ_PART_OF_PAUSE = 0.75
+"""Part of the longest pause that a decode engine may spend on one prompt of its own
+reading while it has other streams; the rest is the usual time between events."""
+
+FEW_STREAMS = 2
+"""Streams that may be delayed by a long prompt: fewer than the calls it helps."""
+
 BLOCK_TOKENS = 16
 """Engines hand out KV memory in blocks of this many tokens."""
 
@@ -34,6 +41,21 @@
 PUMP_SECONDS = 0.05
 
 
+@dataclass(frozen=True, slots=True)
+class Need:
+    """What a call needs of a decode engine.
+
+    ``tokens`` are held in KV memory. If no prefill engine can be had, the engine
+    reads ``prompt_tokens`` itself, during which its streams pause; they bear
+    ``longest_pause`` seconds. Engines in ``without`` have refused the call.
+    """
+
+    tokens: int
+    prompt_tokens: int = 0
+    longest_pause: float = 1.0
+    without: frozenset[str] = frozenset()
+
+
 @dataclass(order=True)
 class Waiter:
     """A call that waits; the least goes first."""
@@ -42,10 +64,9 @@
     priority: int
     arrived: float
     order: int
-    tokens: int = field(compare=False)
+    need: "Need" = field(compare=False)
     due: float = field(compare=False)
     placed: "Deferred[BackendServer]" = field(compare=False)
-    without: frozenset[str] = field(compare=False, default=frozenset())
 
 
 class EngineQueue:
@@ -83,6 +104,8 @@
         self._duration = USUAL_DECODE_SECONDS
         self.pool = EnginePool(1, 1)
         self.waiting_elsewhere: Callable[[], int] = lambda: 0
+        self.prefill_free: Callable[[int], bool] = lambda tokens: True
+        self.read_rate: Callable[[], float] = lambda: float("inf")
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -90,11 +113,10 @@
     def place(
         self,
         *,
-        tokens: int,
+        need: Need,
         priority: int,
         arrived: float,
         objective: float,
-        without: frozenset[str] = frozenset(),
     ) -> "Deferred[BackendServer]":
         """Return the engine for a call, with its slot and tokens taken.
 
@@ -108,9 +130,9 @@
             placed.errback(Refused(503, "no_engine", retry_after=1.0))
             return placed
         if not self._waiters:
-            server = self._choose(tokens, without)
+            server = self._choose(need)
             if server is not None:
-                self._loads.begin(server.id, tokens)
+                self._loads.begin(server.id, need.tokens)
                 placed.callback(server)
                 return placed
         late = now > arrived + objective
@@ -123,9 +145,8 @@
             return placed
         self._order += 1
         waiter = Waiter(
-            late, priority, arrived, self._order, tokens, arrived + objective, placed
+            late, priority, arrived, self._order, need, arrived + objective, placed
         )
-        waiter.without = without
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, patience), self._give_up, waiter)
         self._keep_pumping()
@@ -150,11 +171,11 @@
             waiter.late = now > waiter.due
         self._waiters.sort()
         for waiter in list(self._waiters):
-            server = self._choose(waiter.tokens, waiter.without)
+            server = self._choose(waiter.need)
             if server is None:
                 return
             self._waiters.remove(waiter)
-            self._loads.begin(server.id, waiter.tokens)
+            self._loads.begin(server.id, waiter.need.tokens)
             waiter.placed.callback(server)
 
     def _keep_pumping(self) -> None:
@@ -183,12 +204,27 @@
             self._backends.serving(self._service, "")
         )
 
-    def _choose(self, tokens: int, without: frozenset[str]) -> BackendServer | None:
-        engines = [s for s in self._engines() if s.id not in without]
-        reachable = [s for s in engines if not self._health.avoided(s.id)]
-        free = [s for s in reachable if self.has_room(s, tokens)]
+    def _choose(self, need: Need) -> BackendServer | None:
+        free = [
+            server
+            for server in self._engines()
+            if server.id not in need.without
+            and not self._health.avoided(server.id)
+            and self.has_room(server, need.tokens)
+        ]
+        if need.prompt_tokens and not self.prefill_free(need.prompt_tokens):
+            free = [server for server in free if self._may_read(server, need)]
         return min(free, key=self._cost, default=None)
 
+    def _may_read(self, server: BackendServer, need: Need) -> bool:
+        """Whether a decode engine can read a prompt without harm to its streams."""
+        if self._loads.reading(server.id).calls:
+            return False
+        if self._loads.work(server.id).calls <= FEW_STREAMS:
+            return True
+        seconds = need.prompt_tokens / self.read_rate()
+        return seconds <= READ_PART_OF_PAUSE * need.longest_pause
+
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
         work = self._loads.work(server.id)
         calls = (work.calls + 1) * self._health.penalty(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -266,6 +266,9 @@
             may_have_run=bool(state and state.may_have_run),
             configuration=resolved.version if resolved else None,
             belief_age=round(self._belief.age(), 3),
+            waited_before=(
+                round(call.arrived - state.waiting_since(), 2) if state else None
+            ),
             prompt_tokens=call.prompt.prompt_tokens if call and call.prompt else None,
             output_tokens=(
                 call.prompt.max_output_tokens if call and call.prompt else None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -37,9 +37,9 @@
 """Two questions of the balancer, a second apart, and their travel: after this no
 new connection comes to an instance that says it is not ready."""
 
-ORDERED_SECONDS = 3.0
-"""How long an engine that was ordered to change gets no calls; by then its
-registration tells the rest."""
+ORDERED_SECONDS = 1.5
+"""How long an engine that is reported as changing gets no calls, until the next
+report."""
 
 EXIT_MARGIN_SECONDS = 0.7
 """What is left of the grace period for closing connections."""
@@ -130,6 +130,7 @@
             "budget": self._budget,
             "changed": self._reports.changed,
         }
+        self._model_calls = ModelCalls(queue_for=self._queue, log=log, **shared)
         self.forwarder = Forwarder(
             clock=reactor,
             random=random,
@@ -140,7 +141,7 @@
             plain_calls=PlainCalls(
                 random=random, availability_zone=settings.availability_zone, **shared
             ),
-            model_calls=ModelCalls(queue_for=self._queue, log=log, **shared),
+            model_calls=self._model_calls,
             log=log,
             metrics=metrics,
         )
@@ -235,17 +236,36 @@
                 waiting.get(service, 0)
                 for waiting in self._waiting_by_instance.values()
             )
+            objective = self._objective(service)
+            queue.prefill_free = lambda _: self._model_calls.prefill_free(
+                service, objective
+            )
+            queue.read_rate = self._model_calls.read_rate
             self._queues_by_service[service] = queue
         found = self.belief.deployment.services_by_name.get(service)
         if found is not None and found.engines is not None:
             queue.pool = found.engines
         return queue
 
+    def _objective(self, service: str) -> float:
+        """Return the shortest objective of the routes to a service."""
+        return min(
+            (
+                route.objective.total_seconds()
+                for route in self.belief.deployment.routes
+                if any(each.service == service for each in route.services)
+            ),
+            default=1.0,
+        )
+
     def _pump(self) -> None:
         for queue in self._queues_by_service.values():
             queue.pump()
 
     def _report(self, sequence: int) -> Report:
+        changing = self._stage_orders.changing()
+        for server in changing:
+            self._health.avoid(server, ORDERED_SECONDS)
         return Report(
             instance=self._settings.instance,
             run=self._run,
@@ -261,7 +281,7 @@
                 for service, queue in self._queues_by_service.items()
                 if len(queue)
             },
-            changing=self._stage_orders.changing(),
+            changing=changing,
         )
 
     def _ordered(self, server: str) -> None:
@@ -270,8 +290,7 @@
 
     def _heard(self, report: Report) -> None:
         for server in report.changing:
-            if not self._health.avoided(server):
-                self._health.avoid(server, ORDERED_SECONDS)
+            self._health.avoid(server, ORDERED_SECONDS)
         self._loads.heard(report.instance, report.work_by_server())
         self._usage.heard(report.instance, report.run, report.usage, age=report.age)
         self._waiting_by_instance[report.instance] = report.waiting
--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -10,6 +10,10 @@
 """Age at which a silent instance's calls are taken to be over; most calls last
 less, and an instance with calls in work reports more often than that."""
 
+READING = "reading/"
+"""Prefix of the keys under which prompts read at decode engines are counted, so
+that they are reported together with calls."""
+
 
 @dataclass(frozen=True, slots=True)
 class Work:
@@ -81,6 +85,18 @@
                 total = total.plus(work_by_server.get(server, NO_WORK))
         return total
 
+    def begin_reading(self, server: str, tokens: int) -> None:
+        """Count a prompt that a decode engine begins to read itself."""
+        self.begin(READING + server, tokens)
+
+    def end_reading(self, server: str, tokens: int) -> None:
+        """Take back what ``begin_reading`` counted."""
+        self.end(READING + server, tokens)
+
+    def reading(self, server: str) -> Work:
+        """Return the prompts that a decode engine reads for all instances."""
+        return self.work(READING + server)
+
     def calls(self, server: str, told_for: float) -> int:
         """Return the calls at a backend server, by its own word if that is more.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -29,12 +29,17 @@
 """Between orders to engines of one service: a change takes six seconds, and its
 effect on the load shows some seconds later."""
 
-LASTING_SECONDS = 10.0
-"""How long engines of a stage must be missing before others are changed: a crashed
-engine is back after some seconds, and a change takes six."""
+LASTING_SECONDS = 5.0
+"""How long prefill engines must be missing before a busy decode engine is changed;
+an idle one is changed at once."""
 
-CHANGE_SECONDS = 1.5
-"""How long an engine is reported as changing; its registration follows."""
+LEAST_ENGINES = 3
+"""Fewer engines read their prompts themselves. With three it already pays to let
+one only read: a decode engine reads at half the speed and delays its streams."""
+
+CHANGE_SECONDS = 12.0
+"""Longest time for which an engine that was ordered gets no calls: it finishes its
+work, takes six seconds to change, and its registration follows."""
 
 CALL_SECONDS = 1.0
 CONNECT_SECONDS = 0.5
@@ -98,7 +103,7 @@
         self._held_since = 0.0
         self._paused_until_by_service: dict[str, float] = {}
         self._wrong_since_by_service: dict[str, float] = {}
-        self._changed_at_by_server: dict[str, float] = {}
+        self._ordered_by_server: dict[str, tuple[str, float]] = {}
         self._timer: Any = None
 
     def start(self) -> None:
@@ -115,9 +120,11 @@
     def changing(self) -> list[str]:
         """Return the engines whose change was ordered a short time ago."""
         newest = self._clock.seconds() - CHANGE_SECONDS
-        return [
-            server for server, at in self._changed_at_by_server.items() if at > newest
-        ]
+        for server, (stage, at) in list(self._ordered_by_server.items()):
+            found = self._backends.get(server)
+            if at < newest or found is None or found.stage == stage:
+                del self._ordered_by_server[server]
+        return list(self._ordered_by_server)
 
     def _lease_changed(self) -> None:
         self._held_since = self._clock.seconds()
@@ -159,11 +166,14 @@
         since = self._wrong_since_by_service.setdefault(service, now)
         if len(prefill) > wanted:
             candidates, stage = prefill, "decode"
-        elif len(decode) > 1 and now - since > LASTING_SECONDS:
+        elif len(decode) > 1:
             candidates, stage = decode, "prefill"
         else:
             return None
         least = min(candidates, key=lambda s: (self._loads.work(s.id).tokens, s.id))
+        idle = not self._loads.work(least.id).calls
+        if stage == "prefill" and not idle and now - since < LASTING_SECONDS:
+            return None
         return least, stage
 
     async def _order(self, server: BackendServer, stage: str) -> None:
@@ -171,12 +181,18 @@
         _, body = await self._call(server, request, b"")
         report = self._codec.engine_report(body)
         if report.busy or report.stage == stage:
+            self._log.event(
+                "stage_order_needless",
+                server=server.id,
+                stage=report.stage,
+                busy=report.busy,
+            )
             return
         order = StageOrder(
             stage, self._holder, self._lease.fencing_number, report.orders
         )
         request, data = self._codec.stage_order(server, order)
-        self._changed_at_by_server[server.id] = self._clock.seconds()
+        self._ordered_by_server[server.id] = (stage, self._clock.seconds())
         self._on_order(server.id)
         head, _ = await self._call(server, request, data)
         self._log.event(
@@ -216,10 +232,10 @@
 def wanted_prefill(engines: int) -> int:
     """Return how many of a service's engines should read prompts.
 
-    >>> [wanted_prefill(count) for count in (1, 2, 4, 11, 14)]
+    >>> [wanted_prefill(count) for count in (2, 3, 4, 11, 14)]
     [0, 1, 1, 3, 3]
     """
-    if engines < 2:
+    if engines < LEAST_ENGINES:
         return 0
     return max(1, round(PREFILL_SHARE * engines))
 
