Space the prompts that one decode engine reads

One prompt after another was read at each decode engine, so the pauses of two fell into one event.

An engine counts as reading for 80 ms after the first event of the stream it read for.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -48,8 +48,7 @@
         self.resolved = resolve(call)
         self.longest_limit = 0.0
         self.sendings = 0
-        self.completed_at_server = False
-        self.begun = False
+        self.longest_pause = 0.0
         self.expired = False
         self.notes: list[str] = []
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -27,6 +27,7 @@
         self.last_id = last_id
         self.begun = False
         self.passed_on = 0
+        self.passed_on_at = 0.0
 
     def take(self, data: bytes) -> bytes:
         """Return what may be passed on after ``data`` has arrived."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -269,6 +269,7 @@
             waited_before=(
                 round(call.arrived - state.waiting_since(), 2) if state else None
             ),
+            longest_pause_ms=round(state.longest_pause * 1000) if state else None,
             prompt_tokens=call.prompt.prompt_tokens if call and call.prompt else None,
             output_tokens=(
                 call.prompt.max_output_tokens if call and call.prompt else None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -46,6 +46,10 @@
 """Speed of a decode engine in reading prompts, against a prefill engine's."""
 
 
+READ_SPACING_SECONDS = 0.08
+"""Pause between two prompts that a decode engine reads: its streams need it to make
+an event, or their pauses add up."""
+
 HANDLE_PART = 0.8
 """Part of a handle's time within which it is offered again; the rest is for the
 way and the transfer's queue."""
@@ -194,7 +198,7 @@
             cache = await self._prefill(state, server)
             if cache is not None:
                 caches.append(cache)
-        reading = _Reading(self._loads, server.id)
+        reading = _Reading(self._clock, self._loads, server.id)
         if not caches and state.call.prompt is not None:
             reading.begin(state.call.prompt.prompt_tokens)
             self._changed()
@@ -257,20 +261,23 @@
             if stream.begun:
                 text = f"resumed stream was answered with {head.status}"
                 raise BackendLostError(text, step="resume")
-            state.begun = True
             responder.answer(head.status, answer_headers(head), body)
             return
         if not stream.begun:
             stream.begun = True
-            state.begun = True
             state.note("", "head")
             responder.begin(head.status, answer_headers(head))
         try:
             while chunk := await exchange.read():
                 data = stream.take(chunk)
                 if data:
+                    now = self._clock.seconds()
                     if not stream.passed_on:
                         state.note("", "first")
+                    else:
+                        pause = now - stream.passed_on_at
+                        state.longest_pause = max(state.longest_pause, pause)
+                    stream.passed_on_at = now
                     stream.passed_on += len(data)
                     responder.write(data)
                     await responder.drained()
@@ -402,9 +409,10 @@
 
 
 class _Reading:
-    """Counts one prompt that a decode engine reads, until its first event."""
+    """Counts one prompt that a decode engine reads, and some time after it."""
 
-    def __init__(self, loads: Loads, server: str) -> None:
+    def __init__(self, clock: IReactorTime, loads: Loads, server: str) -> None:
+        self._clock = clock
         self._loads = loads
         self._server = server
         self._tokens: int | None = None
@@ -416,7 +424,9 @@
     def end(self) -> None:
         tokens, self._tokens = self._tokens, None
         if tokens is not None:
-            self._loads.end_reading(self._server, tokens)
+            self._clock.callLater(
+                READ_SPACING_SECONDS, self._loads.end_reading, self._server, tokens
+            )
 
 
 class _RejectedError(Exception):
