Limit accounts by a sliding window over all instances

Cause: half of the refused summaries were within their accounts' limits.

Each instance keeps the use of every instance by quarter seconds. While others are silent it keeps an even part of the limit for each, or what it knows them to have used. A lowered rate binds one window later.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -63,6 +63,8 @@
     orders_key: str
     order_silence: float
     resend_limit: ResendLimit
+    usage_window: float
+    usage_start: float
 
 
 class ForwardingInstance:
@@ -97,7 +99,9 @@
         self._pool = ConnectionPool(reactor)
         self._loads = Loads(reactor)
         self._health = ServerHealth(reactor)
-        self._usage = SharedUsage(reactor)
+        self._usage = SharedUsage(
+            reactor, window=settings.usage_window, start=settings.usage_start
+        )
         self._budget = ResendBudget(reactor, settings.resend_limit)
         self._backends = Backends(reactor, self._server_gone)
         self._queues_by_service: dict[str, EngineQueue] = {}
