Read resumed streams' prompts apart, and plan anew when a prefill fails

A stream that was resumed had its prompt read by the decode engine, and so had a call whose prefill failed; neither asked whether that engine was reading another prompt. 57 streams on engines that had gone dark were left by their callers after four seconds.

A resumed stream's prompt is read apart; a failed prefill sends its call back to the queue; a call whose prompt is read goes first; a resumable stream that is silent for two seconds goes on elsewhere. Repeated prefills count against the budget. A call that was accepted keeps its key's check, as the promise counts from its sending.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
@@ -75,7 +75,11 @@
         self.on_change: Callable[[], None] = lambda: None
 
     def fresh_for_keys(self) -> bool:
-        """Whether a key that is believed to be valid may still be served."""
+        """Whether a call that arrives now with a valid key may be served.
+
+        A call that was accepted may be served to its end: the promise counts
+        from when its caller sent it.
+        """
         return self.age() < self._longest_for_keys
 
     def fresh_for_denials(self) -> bool:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -25,7 +25,8 @@
     Parameters
     ----------
     resolve : callable
-        Returns the call's resolution by what is known now, or raises ``Refused``.
+        Returns the call's resolution by what is known now, or raises ``Refused``;
+        its second argument tells whether the call was accepted before.
     choose_service : callable
         Returns one of a route's services by their weights.
     now : callable
@@ -35,7 +36,7 @@
     def __init__(
         self,
         call: ForwardedCall,
-        resolve: Callable[[ForwardedCall], Resolution],
+        resolve: Callable[[ForwardedCall, bool], Resolution],
         choose_service: Callable[[Route], str],
         now: Callable[[], float],
     ) -> None:
@@ -45,9 +46,10 @@
         self._now = now
         self._unresolved: dict[str, int] = {}
         self._service: str | None = None
-        self.resolved = resolve(call)
+        self.resolved = resolve(call, False)
         self.longest_limit = 0.0
         self.sendings = 0
+        self.prefills = 0
         self.longest_pause = 0.0
         self.expired = False
         self.notes: list[str] = []
@@ -66,7 +68,7 @@
     def resolve(self) -> Resolution:
         """Resolve the call again, as every sending must by the newest belief."""
         version = self.resolved.version
-        self.resolved = self._resolve(self.call)
+        self.resolved = self._resolve(self.call, True)
         if self.resolved.version != version:
             names = {each.service for each in self.resolved.route.services}
             if self._service not in names:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -20,6 +20,9 @@
 LATE_PATIENCE_OBJECTIVES = 1.5
 """The same for a call that is late already: only callers' own patience counts."""
 
+CACHED_PATIENCE_SECONDS = 0.4
+"""The same for a call whose prompt is read: as long as its KV cache lasts."""
+
 READ_PART_OF_PAUSE = 0.75
 """Part of the longest pause that a decode engine may spend on one prompt of its own
 reading while it has other streams; the rest is the usual time between events."""
@@ -47,19 +50,22 @@
 
     ``tokens`` are held in KV memory. If no prefill engine can be had, the engine
     reads ``prompt_tokens`` itself, during which its streams pause; they bear
-    ``longest_pause`` seconds. Engines in ``without`` have refused the call.
+    ``longest_pause`` seconds. Engines in ``without`` have refused the call. A
+    call whose prompt is read already goes first, as its KV cache lapses soon.
     """
 
     tokens: int
     prompt_tokens: int = 0
     longest_pause: float = 1.0
     without: frozenset[str] = frozenset()
+    cached: bool = False
 
 
 @dataclass(order=True)
 class Waiter:
     """A call that waits; the least goes first."""
 
+    uncached: bool
     late: bool
     priority: int
     arrived: float
@@ -104,7 +110,7 @@
         self._duration = USUAL_DECODE_SECONDS
         self.pool = EnginePool(1, 1)
         self.waiting_elsewhere: Callable[[], int] = lambda: 0
-        self.prefill_free: Callable[[int], bool] = lambda tokens: True
+        self.prefill_free: Callable[[], bool] = lambda: True
         self.read_rate: Callable[[], float] = lambda: float("inf")
 
     def __len__(self) -> int:
@@ -129,7 +135,7 @@
         if not self._engines():
             placed.errback(Refused(503, "no_engine", retry_after=1.0))
             return placed
-        if not self._waiters:
+        if need.cached or not self._waiters:
             server = self._choose(need)
             if server is not None:
                 self._loads.begin(server.id, need.tokens)
@@ -140,12 +146,21 @@
         patience = objectives * objective - (0.0 if late else now - arrived)
         soonest = min(self._health.avoided_for(s.id) for s in self._engines())
         wait = max(soonest, self.expected_wait())
-        if wait > patience:
+        if need.cached:
+            patience = CACHED_PATIENCE_SECONDS
+        elif wait > patience:
             placed.errback(Refused(503, "engines_full", retry_after=wait))
             return placed
         self._order += 1
         waiter = Waiter(
-            late, priority, arrived, self._order, need, arrived + objective, placed
+            uncached=not need.cached,
+            late=late,
+            priority=priority,
+            arrived=arrived,
+            order=self._order,
+            need=need,
+            due=arrived + objective,
+            placed=placed,
         )
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, patience), self._give_up, waiter)
@@ -212,7 +227,8 @@
             and not self._health.avoided(server.id)
             and self.has_room(server, need.tokens)
         ]
-        if need.prompt_tokens and not self.prefill_free(need.prompt_tokens):
+        reads = need.prompt_tokens and not need.cached
+        if reads and not self.prefill_free():
             free = [server for server in free if self._may_read(server, need)]
         return min(free, key=self._cost, default=None)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -22,7 +22,7 @@
     """
 
     def __init__(self, *, resumable: bool, last_id: bytes | None = None) -> None:
-        self._resumable = resumable
+        self.resumable = resumable
         self._partial = b""
         self.last_id = last_id
         self.begun = False
@@ -31,7 +31,7 @@
 
     def take(self, data: bytes) -> bytes:
         """Return what may be passed on after ``data`` has arrived."""
-        if not self._resumable:
+        if not self.resumable:
             return data
         data = self._partial + data
         end = data.rfind(b"\n\n")
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -171,7 +171,7 @@
         )
         responder.answer(answer.head.status, headers, answer.body)
 
-    def _resolve(self, call: ForwardedCall) -> Resolution:
+    def _resolve(self, call: ForwardedCall, accepted: bool) -> Resolution:
         """Return a call's route and account by what is known now."""
         deployment = self._belief.deployment
         if deployment is None:
@@ -183,7 +183,7 @@
             raise Refused(404, "no_route")
         if route.public or not deployment.has_accounts:
             return Resolution(deployment.version, route, None)
-        if not self._belief.fresh_for_keys():
+        if not accepted and not self._belief.fresh_for_keys():
             raise Refused(503, "configuration_old", retry_after=0.2)
         account = deployment.account(call.key) if call.key else None
         if account is None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -26,8 +26,10 @@
 from .loads import Loads
 from .model_calls import ModelCalls
 from .plain_calls import PlainCalls
+from .prefills import Prefills
 from .registration import Registration
 from .resend_budget import ResendBudget, ResendLimit
+from .sending import SendingParts
 from .server_health import ServerHealth
 from .stage_orders import StageOrders
 from .store_follower import StoreFollower
@@ -124,17 +126,17 @@
         )
         self._reports = ReportExchange(reactor, self._report, self._heard, log)
         metrics = ForwardingMetrics()
-        shared = {
-            "clock": reactor,
-            "codec": codec,
-            "pool": self._pool,
-            "backends": self._backends,
-            "loads": self._loads,
-            "health": self._health,
-            "budget": self._budget,
-            "changed": self._reports.changed,
-        }
-        self._model_calls = ModelCalls(queue_for=self._queue, log=log, **shared)
+        parts = SendingParts(
+            clock=reactor,
+            codec=codec,
+            pool=self._pool,
+            backends=self._backends,
+            loads=self._loads,
+            health=self._health,
+            budget=self._budget,
+            changed=self._reports.changed,
+        )
+        self._prefills = Prefills(parts, log)
         self.forwarder = Forwarder(
             clock=reactor,
             random=random,
@@ -142,10 +144,8 @@
             belief=self.belief,
             usage=self._usage,
             budget=self._budget,
-            plain_calls=PlainCalls(
-                random=random, availability_zone=settings.availability_zone, **shared
-            ),
-            model_calls=self._model_calls,
+            plain_calls=PlainCalls(parts, random, settings.availability_zone),
+            model_calls=ModelCalls(parts, self._prefills, self._queue),
             log=log,
             metrics=metrics,
         )
@@ -241,10 +241,8 @@
                 for waiting in self._waiting_by_instance.values()
             )
             objective = self._objective(service)
-            queue.prefill_free = lambda _: self._model_calls.prefill_free(
-                service, objective
-            )
-            queue.read_rate = self._model_calls.read_rate
+            queue.prefill_free = lambda: self._prefills.free(service, objective)
+            queue.read_rate = self._prefills.decode_read_rate
             self._queues_by_service[service] = queue
         found = self.belief.deployment.services_by_name.get(service)
         if found is not None and found.engines is not None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -12,7 +12,7 @@
 from .event_log import EventLog
 from .loads import Work
 
-REPORT_DELAY_SECONDS = 0.005
+REPORT_DELAY_SECONDS = 0.002
 """Changes within this time go in one report."""
 
 BUSY_SECONDS = 0.25
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -5,7 +5,6 @@
 from random import Random
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 
 from ..errors import (
     BackendError,
@@ -14,22 +13,17 @@
     BackendNonsenseError,
     BackendUnreachableError,
 )
-from ..transport.http_exchange import AnswerHead, ConnectionPool, Exchange
-from .backends import Backends, BackendServer
+from ..transport.http_exchange import AnswerHead, Exchange
+from .backends import BackendServer
 from .call_state import CallState
-from .calls import AnswerFacts, CallCodec, Dispatch, ForwardedCall, Refused
+from .calls import AnswerFacts, Dispatch, ForwardedCall, Refused
 from .deployment import CallKind, Route
-from .loads import Loads
-from .resend_budget import ResendBudget
-from .server_health import ServerHealth
+from .sending import SendingParts
 
 PATIENCE = 0.5
 """Part of a route's objective after which a safe call is tried elsewhere; the rest
 is left for the second server."""
 
-CONNECT_SECONDS = 0.25
-"""Connecting takes milliseconds; a lost packet costs a second, another server less."""
-
 FAULTY_EXCESS = 0.25
 """Excess of a server's recent failures over the other servers' that is its own."""
 
@@ -57,29 +51,17 @@
     """
 
     def __init__(
-        self,
-        *,
-        clock: IReactorTime,
-        random: Random,
-        codec: CallCodec,
-        pool: ConnectionPool,
-        backends: Backends,
-        loads: Loads,
-        health: ServerHealth,
-        budget: ResendBudget,
-        availability_zone: str,
-        changed: Callable[[], None],
+        self, parts: SendingParts, random: Random, availability_zone: str
     ) -> None:
-        self._clock = clock
+        self._parts = parts
+        self._clock = parts.clock
         self._random = random
-        self._codec = codec
-        self._pool = pool
-        self._backends = backends
-        self._loads = loads
-        self._health = health
-        self._budget = budget
+        self._codec = parts.codec
+        self._backends = parts.backends
+        self._loads = parts.loads
+        self._health = parts.health
+        self._budget = parts.budget
         self._availability_zone = availability_zone
-        self._changed = changed
 
     async def run(self, state: CallState) -> WholeAnswer:
         """Return the answer to pass on, or raise ``Refused``."""
@@ -184,18 +166,10 @@
         # be repeated, only a new one is safe.
         idle = MAX_IDLE_SECONDS if resolved.route.idempotent else 0.0
         self._loads.begin(server.id, 0)
-        self._changed()
+        self._parts.changed()
         exchange: Exchange | None = None
         try:
-            connection = await self._pool.connection(
-                server.address, max_idle_seconds=idle, timeout=CONNECT_SECONDS
-            )
-            try:
-                state.resolve()
-                self._backends.check(server, state.service())
-            except (Refused, BackendLeftError):
-                self._pool.release(connection)
-                raise
+            connection = await self._parts.connect(state, server, max_idle_seconds=idle)
             dispatch = Dispatch(
                 server=server.id,
                 account=state.account_name,
@@ -204,7 +178,7 @@
             head = self._codec.request(call, dispatch)
             exchange = Exchange(head, call.body)
             state.sent(server.id)
-            exchange.start(connection, self._pool.release)
+            exchange.start(connection, self._parts.pool.release)
             answer = Deferred.fromCoroutine(self._answer(call, exchange, server))
             last = again or resolved.route.max_servers == 1
             if resolved.route.kind is CallKind.SAFE and not last:
@@ -221,7 +195,7 @@
             if exchange is not None:
                 exchange.cancel()
             self._loads.end(server.id, 0)
-            self._changed()
+            self._parts.changed()
 
     def _elsewhere(self, service: str, server: BackendServer) -> bool:
         others = [s for s in self._backends.serving(service) if s.id != server.id]
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/sending.py
@@ -0,0 +1,55 @@
+"""What all sendings to backend servers share, and their last check."""
+
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from twisted.internet.interfaces import IReactorTime
+
+from ..errors import BackendLeftError
+from ..transport.http_exchange import ConnectionPool, ServerConnection
+from .backends import Backends, BackendServer
+from .call_state import CallState
+from .calls import CallCodec, Refused
+from .loads import Loads
+from .resend_budget import ResendBudget
+from .server_health import ServerHealth
+
+CONNECT_SECONDS = 0.25
+"""Connecting takes milliseconds; a lost packet costs a second, another server less."""
+
+
+@dataclass(frozen=True, slots=True)
+class SendingParts:
+    """The parts of an instance by which calls are sent.
+
+    ``changed`` is to be called when this instance's work has changed.
+    """
+
+    clock: IReactorTime
+    codec: CallCodec
+    pool: ConnectionPool
+    backends: Backends
+    loads: Loads
+    health: ServerHealth
+    budget: ResendBudget
+    changed: Callable[[], None]
+
+    async def connect(
+        self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
+    ) -> ServerConnection:
+        """Return a connection on which the call may be sent now.
+
+        All beliefs are checked once more, as the last step before the first
+        byte. Raises ``Refused`` or ``BackendLeftError`` if they have changed, and
+        ``BackendUnreachableError`` if there is no connection.
+        """
+        connection = await self.pool.connection(
+            server.address, max_idle_seconds=max_idle_seconds, timeout=CONNECT_SECONDS
+        )
+        try:
+            state.resolve()
+            self.backends.check(server, state.service())
+        except (Refused, BackendLeftError):
+            self.pool.release(connection)
+            raise
+        return connection
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -26,7 +26,9 @@
 from pomeloglade.forwarding.loads import Loads
 from pomeloglade.forwarding.model_calls import ModelCalls
 from pomeloglade.forwarding.plain_calls import PlainCalls
+from pomeloglade.forwarding.prefills import Prefills
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
+from pomeloglade.forwarding.sending import SendingParts
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade.state.key_digest import digest_key
@@ -296,32 +298,28 @@
             availability_zone="zone-a",
         )
         self.queue.pool = self.belief.deployment.services_by_name["llm"].engines
-        shared = {
-            "clock": self.clock,
-            "codec": PlatformCallCodec(),
-            "pool": self.network,
-            "backends": self.backends,
-            "loads": self.loads,
-            "health": self.health,
-            "budget": self.budget,
-            "changed": lambda: None,
-        }
-        self.model_calls = ModelCalls(
-            queue_for=lambda _: self.queue, log=self.log, **shared
+        parts = SendingParts(
+            clock=self.clock,
+            codec=PlatformCallCodec(),
+            pool=self.network,
+            backends=self.backends,
+            loads=self.loads,
+            health=self.health,
+            budget=self.budget,
+            changed=lambda: None,
         )
-        self.queue.prefill_free = lambda _: self.model_calls.prefill_free("llm", 0.9)
-        self.queue.read_rate = self.model_calls.read_rate
+        self.prefills = Prefills(parts, self.log)
+        self.queue.prefill_free = lambda: self.prefills.free("llm", 0.9)
+        self.queue.read_rate = self.prefills.decode_read_rate
         self.forwarder = Forwarder(
             clock=self.clock,
             random=Random(1),
-            codec=shared["codec"],
+            codec=parts.codec,
             belief=self.belief,
             usage=self.usage,
             budget=self.budget,
-            plain_calls=PlainCalls(
-                random=Random(1), availability_zone="zone-a", **shared
-            ),
-            model_calls=self.model_calls,
+            plain_calls=PlainCalls(parts, Random(1), "zone-a"),
+            model_calls=ModelCalls(parts, self.prefills, lambda _: self.queue),
             log=self.log,
             metrics=ForwardingMetrics(),
         )
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -162,7 +162,7 @@
 
 
 def test_without_prefill_engines_one_prompt_at_a_time_is_read_at_each(pool):
-    pool.queue.prefill_free = lambda _: False
+    pool.queue.prefill_free = lambda: False
     pool.queue.read_rate = lambda: 25_000.0
     pool.queue.pool = EnginePool(8, 100_000)
     need = {"prompt_tokens": 5000, "longest_pause": 0.3}
@@ -180,7 +180,7 @@
     pool.queue.pool = EnginePool(8, 100_000)
     for _ in range(8):
         pool.place(tokens=1000)
-    pool.queue.prefill_free = lambda _: False
+    pool.queue.prefill_free = lambda: False
     pool.queue.read_rate = lambda: 25_000.0
     short, _ = pool.place(tokens=1000, prompt_tokens=5000, longest_pause=0.3)
     long, _ = pool.place(tokens=1000, prompt_tokens=9000, longest_pause=0.3)
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -117,7 +117,11 @@
     run.event(1)
     run.exchange.received(b"id: 2\nda")
     run.reset()
+    read_again = world.network.sendings[-1]
+    assert read_again.prefill
+    read_again.answer_prefill("h2")
     again = world.network.sendings[-1]
+    assert again.header("X-Pomeloglade-Kv-Source").endswith(b"/h2")
     assert again.address != run.address
     assert again.header("Last-Event-Id") == b"1"
     again.head_of_answer()
@@ -169,3 +173,65 @@
     (run,) = world.network.sendings
     assert run.address != prefill.address
     assert run.header("X-Pomeloglade-Kv-Source") is None
+
+
+def test_dark_engine_of_a_resumable_stream_is_given_up_before_the_caller_leaves(world):
+    world.model_call("/reports/1")
+    world.network.sendings[0].answer_prefill()
+    run = world.network.sendings[1]
+    run.head_of_answer()
+    run.event(1)
+    world.advance(1.9)
+    assert not run.aborted
+    world.advance(0.2)
+    assert run.aborted
+    assert world.network.sendings[-1].prefill
+
+
+def test_dark_engine_of_another_stream_is_waited_for(world):
+    world.model_call("/digests/1")
+    world.network.sendings[0].answer_prefill()
+    world.network.sendings[1].head_of_answer()
+    world.advance(3.0)
+    assert not world.network.sendings[1].aborted
+    assert len(world.network.sendings) == 2
+
+
+def test_failed_prefill_is_not_made_good_by_an_engine_that_already_reads(
+    world, prefill, decodes
+):
+    for decode in decodes:
+        world.loads.begin_reading(decode.id, 5000)
+    world.queue.pool = type(world.queue.pool)(4, 1_000_000, 0.5)
+    for _ in range(6):
+        world.model_call()
+    before = len(world.network.sendings)
+    world.network.sendings[-1].reset()
+    assert len(world.network.sendings) == before
+    for decode in decodes:
+        world.loads.end_reading(decode.id, 5000)
+    world.advance(0.1)
+    addresses = [decode.address for decode in decodes]
+    assert world.network.sendings[-1].address in addresses
+
+
+def test_second_prefill_of_a_call_draws_on_the_budget(world, prefill):
+    left = world.budget.left("llm")
+    world.model_call()
+    world.network.sendings[0].answer_prefill()
+    world.advance(0.45)
+    world.network.sendings[1].reject()
+    assert world.network.sendings[2].prefill
+    assert world.budget.left("llm") == left - 1
+
+
+def test_call_that_was_accepted_goes_on_when_the_belief_grows_old(world):
+    responder, _ = world.model_call("/reports/1")
+    world.network.sendings[0].answer_prefill()
+    world.age = 6.0
+    run = world.network.sendings[1]
+    run.head_of_answer()
+    run.event(1)
+    run.reset()
+    assert world.network.sendings[-1].prefill
+    assert not responder.done
