--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -202,8 +202,9 @@
 ):
     for decode in decodes:
         world.loads.begin_reading(decode.id, 5000)
-    world.queue.pool = type(world.queue.pool)(4, 1_000_000, 0.5)
-    for _ in range(6):
+    for _ in range(50):
+        world.queue.finished(0.2)
+    for _ in range(4):
         world.model_call()
     before = len(world.network.sendings)
     world.network.sendings[-1].reset()
