Seek the right to order only while it is free, and gather registrations

Each of 64 instances looked every two seconds who may give orders, and each registration at the start woke all watches. Its third prefill engine was ordered to decode only when traffic had begun, as orders waited twelve seconds for each other.

Who holds the right is learned from the watch that runs anyway; an instance seeks it only while nobody has it. A watch pauses half a second after mere registrations and waits 2.5 s. Reports carry no field names and only accounts in use. Engines are ordered one a second, counted as changed already.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
@@ -30,6 +30,7 @@
     configuration_key: str
     servers_prefix: str
     instances_prefix: str
+    orders_key: str
     decode_deployment: Callable[[bytes], Deployment]
     decode_server: Callable[[str, bytes], BackendServer]
 
@@ -70,6 +71,7 @@
         self._longest_for_denials = max(apply_seconds, 2.5)
         self.deployment: Deployment | None = None
         self.instances: dict[str, bytes] = {}
+        self.order_right_taken = False
         self.age: Callable[[], float] = lambda: float("inf")
         self.on_instances: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
@@ -94,6 +96,11 @@
             and self.fresh_for_keys()
         )
 
+    def urgent(self, entry: Entry) -> bool:
+        """Whether changes like this one must be learned at once."""
+        layout = self._layout
+        return not entry.key.startswith((layout.instances_prefix, layout.orders_key))
+
     def replace_all(self, entries: tuple[Entry, ...], *, lenient: bool) -> None:
         """Take a full read of the store."""
         layout = self._layout
@@ -110,6 +117,7 @@
                 instances[entry.key.removeprefix(layout.instances_prefix)] = entry.value
         self._backends.replace_all(servers, lenient=lenient)
         self.instances = instances
+        self.order_right_taken = any(e.key == layout.orders_key for e in entries)
         self.on_instances()
         self.on_change()
         self._log.event("store_read", entries=len(entries), servers=len(servers))
@@ -121,6 +129,8 @@
             self._take_deployment(entry)
         elif entry.key.startswith(layout.servers_prefix):
             self._change_server(entry, lenient)
+        elif entry.key == layout.orders_key:
+            self.order_right_taken = bool(entry.value)
         elif entry.key.startswith(layout.instances_prefix):
             name = entry.key.removeprefix(layout.instances_prefix)
             if entry.value:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -33,7 +33,7 @@
 BLOCK_TOKENS = 16
 """Engines hand out KV memory in blocks of this many tokens."""
 
-MEMORY_PART = 0.9
+MEMORY_PART = 0.92
 """Part of an engine's KV memory that is given out. Outputs are guessed, and a call
 that is preempted has its whole prompt read again."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -62,7 +62,6 @@
     apply: float
     revoke: float | None
     transit: float
-    orders_key: str
     order_silence: float
     resend_limit: ResendLimit
     usage_window: float
@@ -153,7 +152,7 @@
             clock=reactor,
             store=store,
             holder=settings.instance,
-            key=settings.orders_key,
+            key=layout.orders_key,
             silence=settings.order_silence,
             codec=codec,
             pool=self._pool,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -1,7 +1,7 @@
 """Reports that instances send each other as datagrams: work, usage, suspects."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, fields
 from typing import Any
 
 import cbor2
@@ -49,14 +49,18 @@
 
 
 def encode(report: Report) -> bytes:
-    """Return a report as CBOR."""
-    return cbor2.dumps(msgspec.to_builtins(report))
+    """Return a report as a CBOR array of its fields."""
+    return cbor2.dumps([getattr(report, each.name) for each in fields(Report)])
 
 
 def decode(data: bytes) -> Report:
     """Return the report in a datagram; ``ValueError`` if there is none."""
     try:
-        return msgspec.convert(cbor2.loads(data), Report)
+        values = cbor2.loads(data)
+        names = [each.name for each in fields(Report)]
+        if not isinstance(values, list) or len(values) != len(names):
+            raise ValueError(f"datagram is not a report: {data[:20]!r}")
+        return msgspec.convert(dict(zip(names, values, strict=True)), Report)
     except (cbor2.CBORDecodeError, msgspec.ValidationError) as error:
         raise ValueError(f"datagram is not a report: {error}") from error
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -24,11 +24,10 @@
 engine 0.09 s; its answer of 5,000 tokens takes a tenth of an engine for 3 s."""
 
 CHECK_SECONDS = 1.0
-LEASE_SECONDS = 6.0
-PAUSE_SECONDS = 12.0
-"""Between orders to engines of one service: a change takes six seconds, and its
-effect on the load shows some seconds later."""
+SEEK_SPREAD_SECONDS = 2.0
+"""Instances seek a free right at different instants, so that few ask in vain."""
 
+LEASE_SECONDS = 6.0
 LASTING_SECONDS = 5.0
 """How long prefill engines must be missing before a busy decode engine is changed;
 an idle one is changed at once."""
@@ -100,15 +99,16 @@
             time_to_live=timedelta(seconds=LEASE_SECONDS),
             changed=self._lease_changed,
         )
+        self._random = random
+        self._seek_at: float | None = None
+        self._seeking = False
         self._held_since = 0.0
-        self._paused_until_by_service: dict[str, float] = {}
         self._wrong_since_by_service: dict[str, float] = {}
         self._ordered_by_server: dict[str, tuple[str, float]] = {}
         self._timer: Any = None
 
     def start(self) -> None:
         """Begin to seek the right to give orders, and to check engines."""
-        self._lease.start()
         self._timer = self._clock.callLater(CHECK_SECONDS, self._check)
 
     def stop(self) -> None:
@@ -126,6 +126,22 @@
                 del self._ordered_by_server[server]
         return list(self._ordered_by_server)
 
+    def _seek(self) -> None:
+        """Seek the right while nobody has it; looking costs a call each time."""
+        now = self._clock.seconds()
+        if self._lease.valid():
+            return
+        if self._belief.order_right_taken:
+            self._seek_at = None
+            if self._seeking:
+                self._seeking = False
+                self._lease.stop()
+        elif self._seek_at is None:
+            self._seek_at = now + self._random.uniform(0.0, SEEK_SPREAD_SECONDS)
+        elif now >= self._seek_at and not self._seeking:
+            self._seeking = True
+            self._lease.start()
+
     def _lease_changed(self) -> None:
         self._held_since = self._clock.seconds()
         self._log.event(
@@ -139,25 +155,21 @@
     def _check(self) -> None:
         self._timer = self._clock.callLater(CHECK_SECONDS, self._check)
         deployment = self._belief.deployment
+        self._seek()
         if deployment is None or not self._may_order():
             return
-        now = self._clock.seconds()
         for service in deployment.services_by_name.values():
             if service.engines is None:
                 continue
-            if now < self._paused_until_by_service.get(service.name, 0.0):
-                continue
             chosen = self._choose(service.name)
             if chosen is None:
                 continue
-            self._paused_until_by_service[service.name] = now + PAUSE_SECONDS
             done = Deferred.fromCoroutine(self._order(*chosen))
             done.addErrback(self._not_ordered, chosen[0])
 
     def _choose(self, service: str) -> tuple[BackendServer, str] | None:
         """Return an engine to be changed and its new stage, or ``None``."""
-        prefill = self._backends.serving(service, "prefill")
-        decode = self._backends.serving(service, "decode")
+        prefill, decode = self._stages(service)
         wanted = wanted_prefill(len(prefill) + len(decode))
         if len(prefill) == wanted:
             self._wrong_since_by_service.pop(service, None)
@@ -170,12 +182,31 @@
             candidates, stage = decode, "prefill"
         else:
             return None
+        changing = set(self.changing())
+        candidates = [each for each in candidates if each.id not in changing]
+        if not candidates:
+            return None
         least = min(candidates, key=lambda s: (self._loads.work(s.id).tokens, s.id))
         idle = not self._loads.work(least.id).calls
         if stage == "prefill" and not idle and now - since < LASTING_SECONDS:
             return None
         return least, stage
 
+    def _stages(self, service: str) -> tuple[list[BackendServer], list[BackendServer]]:
+        """Return the prefill and decode engines as they will be after the orders."""
+        changing = set(self.changing())
+        prefill: list[BackendServer] = []
+        decode: list[BackendServer] = []
+        for stage, engines in (("prefill", prefill), ("decode", decode)):
+            for server in self._backends.serving(service, stage):
+                if server.id not in changing:
+                    engines.append(server)
+                elif self._ordered_by_server[server.id][0] == "prefill":
+                    prefill.append(server)
+                else:
+                    decode.append(server)
+        return prefill, decode
+
     async def _order(self, server: BackendServer, stage: str) -> None:
         request = self._codec.report_request(server)
         _, body = await self._call(server, request, b"")
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -14,10 +14,15 @@
 
 from .event_log import EventLog
 
-LONGEST_WAIT_SECONDS = 2.0
-"""Wait of one watch. Each costs a call, and the age of what is known grows to it."""
+LONGEST_WAIT_SECONDS = 2.5
+"""Wait of one watch. Each costs a call, and the age of what is known grows to it;
+withdrawn keys allow some 3.8 s, of which a lost watch takes the rest."""
 
 SHORTEST_WAIT_SECONDS = 0.3
+GATHER_SECONDS = 0.5
+"""Pause after changes that are not urgent, so that more come in one answer; a
+configuration that comes meanwhile is still in force within its two seconds."""
+
 RETRY_SECONDS = 0.2
 LONGEST_RETRY_SECONDS = 1.0
 SETTLING_SECONDS = 2.0
@@ -27,6 +32,9 @@
 class Follower(Protocol):
     """What a ``StoreFollower`` reports to."""
 
+    def urgent(self, entry: Entry) -> bool:
+        """Whether changes like this one must be learned at once."""
+
     def replace_all(self, entries: tuple[Entry, ...], *, lenient: bool) -> None:
         """Take all entries."""
 
@@ -122,6 +130,9 @@
         self._revision = max(self._revision, found.revision)
         waited = self._clock.seconds() - sent >= wait
         self._prove(sent + wait if waited and not found.entries else sent)
+        if found.entries and not any(map(self._follower.urgent, found.entries)):
+            # Instances of a fleet register together; each would wake all others.
+            await deferLater(self._clock, GATHER_SECONDS)
 
     def _prove(self, instant: float) -> None:
         if self._proved_at is None or instant > self._proved_at:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -132,11 +132,14 @@
         window.own_total -= cost
 
     def totals(self) -> dict[str, int]:
-        """Return what this run of the instance has admitted by account."""
+        """Return what this run of the instance has admitted by account.
+
+        Only accounts whose use is still in the window are returned.
+        """
         return {
             name: window.own_total
             for name, window in self._windows_by_account.items()
-            if window.own_total
+            if window.own_total and OWN in window.used_by_instance
         }
 
     def heard(
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -279,7 +279,7 @@
         self.budget = ResendBudget(self.clock, ResendLimit(0.2, slack, 10.0))
         self.belief = Belief(
             clock=self.clock,
-            layout=StoreLayout("op/config", "servers/", "i/", None, None),
+            layout=StoreLayout("op/config", "servers/", "i/", "orders", None, None),
             backends=self.backends,
             log=self.log,
             revoke_seconds=5.0,
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -175,7 +175,12 @@
 @pytest.fixture
 def belief(clock, backends, log):
     layout = StoreLayout(
-        "op/config", "servers/", "instances/", _decode_deployment, _decode_server
+        "op/config",
+        "servers/",
+        "instances/",
+        "orders",
+        _decode_deployment,
+        _decode_server,
     )
     found = Belief(
         clock=clock,
--- /dev/null
+++ b/tests/test_stage_orders.py
@@ -0,0 +1,160 @@
+"""Orders of stages: one holder, a silence after each change, no order in vain."""
+
+import json
+from random import Random
+
+import pytest
+from tests.forwarding_fakes import FakeNetwork, ListLog, deployment, server
+from twisted.internet.task import Clock
+
+from pomeloglade.forwarding.backends import Backends
+from pomeloglade.forwarding.belief import Belief, StoreLayout
+from pomeloglade.forwarding.loads import Loads
+from pomeloglade.forwarding.stage_orders import StageOrders
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
+from pomeloglade_platform.calls import PlatformCallCodec
+
+SILENCE = 3.0
+
+
+class Fleet:
+    """Instances that seek the right to give orders, on one store."""
+
+    def __init__(self, *engines, instances=2):
+        self.clock = Clock()
+        self.clock.advance(100.0)
+        self.store = MemoryKeyValueStore(self.clock)
+        self.backends = Backends(self.clock, lambda _: None)
+        self.backends.replace_all(engines, lenient=False)
+        self.loads = Loads(self.clock)
+        self.log = ListLog()
+        self.networks = []
+        self.orders = []
+        for number in range(instances):
+            self.add(f"entry-{number}")
+
+    def add(self, name):
+        layout = StoreLayout("op/config", "servers/", "i/", "orders", None, None)
+        belief = Belief(
+            clock=self.clock,
+            layout=layout,
+            backends=self.backends,
+            log=self.log,
+            revoke_seconds=None,
+            transit_seconds=0.1,
+            apply_seconds=2.0,
+        )
+        belief.deployment = deployment()
+        network = FakeNetwork()
+        network.on_sending = lambda sending: self.answer(name, sending)
+        found = StageOrders(
+            clock=self.clock,
+            store=self.store,
+            holder=name,
+            key="orders",
+            silence=SILENCE,
+            codec=PlatformCallCodec(),
+            pool=network,
+            belief=belief,
+            backends=self.backends,
+            loads=self.loads,
+            log=self.log,
+            random=Random(name),
+            on_order=lambda _: None,
+        )
+        found.start()
+        self.networks.append((found, belief))
+        return found
+
+    def answer(self, name, sending):
+        if sending.head.target == b"/v1/report":
+            sending.answer(200, json.dumps({"stage": "x", "seq": 2}).encode())
+            return
+        order = json.loads(sending.body)
+        self.orders.append((self.clock.seconds(), name, sending.address, order))
+        sending.answer(202, b"")
+
+    def advance(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.clock.advance(0.1)
+            taken = bool(self.store.list("orders").result)
+            for _, belief in self.networks:
+                belief.order_right_taken = taken
+
+
+@pytest.fixture
+def engines():
+    stages = ["prefill", "prefill", "decode", "decode"]
+    return [
+        server("e" * (number + 1), "llm", stage) for number, stage in enumerate(stages)
+    ]
+
+
+def test_one_instance_orders_one_engine_with_its_fence(engines):
+    fleet = Fleet(*engines)
+    fleet.advance(15.0)
+    ((_, _, address, order),) = fleet.orders
+    assert address in {each.address for each in engines[:2]}
+    assert (order["op"], order["stage"], order["expected"]) == ("stage", "decode", 2)
+    assert order["fence"] == fleet.store.list("orders").result[0].revision
+
+
+def test_nothing_is_ordered_within_the_silence_after_the_right_was_taken(engines):
+    fleet = Fleet(*engines)
+    taken_at = None
+    while not fleet.orders:
+        fleet.advance(0.1)
+        if taken_at is None and fleet.store.list("orders").result:
+            taken_at = fleet.clock.seconds()
+    assert fleet.orders[0][0] - taken_at >= SILENCE
+
+
+def test_successor_orders_with_a_higher_fence_after_the_silence(engines):
+    fleet = Fleet(*engines, instances=1)
+    fleet.advance(15.0)
+    first = fleet.orders[0]
+    fleet.networks[0][0].stop()
+    fleet.backends.put(server("extra1", "llm", "prefill"))
+    fleet.add("entry-9")
+    fleet.advance(20.0)
+    later = [each for each in fleet.orders if each[1] == "entry-9"]
+    assert later
+    assert later[0][3]["fence"] > first[3]["fence"]
+
+
+def test_several_engines_are_ordered_without_waiting_for_each_other():
+    engines = [server("p" * (number + 1), "llm", "prefill") for number in range(6)] + [
+        server("d" * (number + 1), "llm", "decode") for number in range(8)
+    ]
+    fleet = Fleet(*engines)
+    fleet.advance(15.0)
+    assert len(fleet.orders) == 3
+    assert len({address for _, _, address, _ in fleet.orders}) == 3
+
+
+def test_busy_decode_engine_is_changed_only_for_a_lasting_lack():
+    engines = [server("d" * (number + 1), "llm", "decode") for number in range(4)]
+    fleet = Fleet(*engines)
+    for engine in engines:
+        fleet.loads.begin(engine.id, 100)
+    fleet.advance(7.0)
+    assert fleet.orders == []
+    fleet.advance(10.0)
+    assert [order["stage"] for _, _, _, order in fleet.orders] == ["prefill"]
+
+
+def test_idle_decode_engine_is_changed_at_once():
+    engines = [server("d" * (number + 1), "llm", "decode") for number in range(4)]
+    fleet = Fleet(*engines)
+    fleet.advance(7.5)
+    assert [order["stage"] for _, _, _, order in fleet.orders] == ["prefill"]
+
+
+def test_instances_without_the_right_make_no_calls_for_it(engines):
+    fleet = Fleet(*engines, instances=5)
+    fleet.advance(10.0)
+    calls = []
+    get = fleet.store.get
+    fleet.store.get = lambda key: calls.append(key) or get(key)
+    fleet.advance(20.0)
+    assert calls == []
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -26,6 +26,9 @@
         self.lenient = []
         self.reads = 0
 
+    def urgent(self, entry):
+        return not entry.key.startswith("instances/")
+
     def replace_all(self, entries, *, lenient):
         self.reads += 1
         self.entries = {each.key: each.value for each in entries}
@@ -125,7 +128,7 @@
     # The next one is short, so that the age stays within one longest wait.
     after, timeout, _ = store.watches[1]
     assert after == 11
-    assert timeout.total_seconds() <= 0.31
+    assert timeout.total_seconds() == pytest.approx(LONGEST_WAIT_SECONDS - 1.8)
 
 
 def test_lost_history_is_read_anew(clock, store, follower, recorder):
@@ -160,3 +163,13 @@
 def test_sleep_counts_as_age(clock, store, follower):
     clock.advance(30.0)
     assert follower.age() >= 30.0
+
+
+def test_changes_that_are_not_urgent_are_gathered(clock, store, follower):
+    registered = Entry("instances/a", b"1", 11)
+    store.watches[0][2].callback(Snapshot((registered,), 11))
+    assert len(store.watches) == 1
+    clock.advance(0.6)
+    assert len(store.watches) == 2
+    store.watches[1][2].callback(Snapshot((registered, Entry("a", b"1", 12)), 12))
+    assert len(store.watches) == 3
