--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -230,12 +230,20 @@
         A word for logs, counters and the body of the answer.
     retry_after : float or None
         Seconds after which coming back helps.
+    inputs : dict
+        What decided it, for the log.
     """
 
     def __init__(
-        self, status: int, reason: str, *, retry_after: float | None = None
+        self,
+        status: int,
+        reason: str,
+        *,
+        retry_after: float | None = None,
+        inputs: dict[str, object] | None = None,
     ) -> None:
         super().__init__(f"{status} {reason}")
         self.status = status
         self.reason = reason
         self.retry_after = retry_after
+        self.inputs = inputs or {}
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -149,7 +149,9 @@
         if need.cached:
             patience = CACHED_PATIENCE_SECONDS
         elif wait > patience:
-            placed.errback(Refused(503, "engines_full", retry_after=wait))
+            inputs = {"expected_wait": round(wait, 3), "patience": round(patience, 3)}
+            refused = Refused(503, "engines_full", retry_after=wait, inputs=inputs)
+            placed.errback(refused)
             return placed
         self._order += 1
         waiter = Waiter(
@@ -251,7 +253,9 @@
         if waiter in self._waiters:
             self._waiters.remove(waiter)
             wait = self.expected_wait()
-            waiter.placed.errback(Refused(503, "waited_in_vain", retry_after=wait))
+            inputs = {"expected_wait": round(wait, 3), "waiting": len(self._waiters)}
+            refused = Refused(503, "waited_in_vain", retry_after=wait, inputs=inputs)
+            waiter.placed.errback(refused)
 
     def _forget(self, placed: object) -> None:
         self._waiters = [each for each in self._waiters if each.placed is not placed]
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -134,7 +134,8 @@
             cost = account.cost(call.prompt.tokens if call.prompt else None)
             wait = self._usage.take(account, cost)
             if wait > 0:
-                raise Refused(429, "over_limit", retry_after=wait)
+                inputs = {"cost": cost, "rate": account.rate, "burst": account.burst}
+                raise Refused(429, "over_limit", retry_after=wait, inputs=inputs)
         self._budget.called(state.service())
         run = Deferred.fromCoroutine(self._run(state, responder))
 
@@ -209,7 +210,7 @@
         if state is not None and state.may_have_run:
             status = refused.status
             if status in NOT_RUN_STATUSES or status < 500:
-                refused = Refused(502, refused.reason)
+                refused = Refused(502, refused.reason, inputs=refused.inputs)
         if responder.begun:
             responder.cut()
         else:
@@ -225,7 +226,9 @@
                 }
             )
             responder.answer(refused.status, headers, body)
-        self._logged(call, state, started, refused.reason, refused.status)
+        self._logged(
+            call, state, started, refused.reason, refused.status, refused.inputs
+        )
 
     def _failed(self, failure: Any, head: RequestHead, responder: Responder) -> None:
         """Answer a request that met an error of the router's own."""
@@ -248,6 +251,7 @@
         started: float,
         outcome: str,
         status: int,
+        inputs: dict[str, object] | None = None,
     ) -> None:
         seconds = self._clock.seconds() - started
         resolved = state.resolved if state is not None else None
@@ -261,6 +265,7 @@
             account=state.account_name if state else None,
             outcome=outcome,
             status=status,
+            inputs=inputs or {},
             ms=round(seconds * 1000, 1),
             steps=state.notes if state else (),
             may_have_run=bool(state and state.may_have_run),
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -139,9 +139,9 @@
                 objective=resolved.route.objective.total_seconds(),
             )
         except Refused as refused:
-            raise state.refusal(
-                refused.status, refused.reason, retry_after=refused.retry_after
-            ) from refused
+            if not state.may_have_run:
+                raise
+            raise Refused(502, refused.reason, inputs=refused.inputs) from refused
         finally:
             self._parts.changed()
 
