--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -7,10 +7,6 @@
 
 from ..errors import BackendLeftError
 
-REMOVAL_GRACE_SECONDS = 1.5
-"""How long a server whose entry lapsed with the store's trouble is kept as a last
-resort; entries of live servers are back within two seconds of the store's return."""
-
 
 @dataclass(frozen=True, slots=True)
 class BackendServer:
@@ -38,12 +34,20 @@
         Ends the grace of servers whose entries lapsed.
     on_gone : callable
         Called with each server that must get no call any more.
+    grace : float
+        Seconds for which a server whose entry lapsed with the store's trouble is
+        kept as a last resort; live servers' entries are back soon after it.
     """
 
     def __init__(
-        self, clock: IReactorTime, on_gone: Callable[[BackendServer], None]
+        self,
+        clock: IReactorTime,
+        on_gone: Callable[[BackendServer], None],
+        *,
+        grace: float = 1.5,
     ) -> None:
         self._clock = clock
+        self._grace = grace
         self._on_gone = on_gone
         self._servers_by_id: dict[str, BackendServer] = {}
         self._lapsed_by_id: dict[str, tuple[BackendServer, float]] = {}
@@ -75,7 +79,7 @@
         if server is None:
             return
         if lenient and not server.draining:
-            until = self._clock.seconds() + REMOVAL_GRACE_SECONDS
+            until = self._clock.seconds() + self._grace
             self._lapsed_by_id[server_id] = (server, until)
         else:
             self._on_gone(server)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/belief.py
@@ -3,8 +3,6 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from twisted.internet.interfaces import IReactorTime
-
 from pomeloglade_coordination.key_value import Entry
 
 from ..errors import BadConfigurationError, BadRegistrationError
@@ -52,7 +50,6 @@
     def __init__(
         self,
         *,
-        clock: IReactorTime,
         layout: StoreLayout,
         backends: Backends,
         log: EventLog,
@@ -60,7 +57,6 @@
         transit_seconds: float,
         apply_seconds: float,
     ) -> None:
-        self._clock = clock
         self._layout = layout
         self._backends = backends
         self._log = log
--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from datetime import timedelta
 
+from ..state.connection_limits import ConnectionLimits
 from ..state.key_digest import digest_key
 
 
@@ -99,16 +100,6 @@
         return self.plain_cost if tokens is None else tokens
 
 
-@dataclass(frozen=True, slots=True)
-class ConnectionLimits:
-    """What a caller may send, and how long a connection may be slow or idle."""
-
-    max_header_bytes: int = 16_384
-    max_body_bytes: int = 4_194_304
-    header_timeout: timedelta = timedelta(seconds=10)
-    idle_timeout: timedelta = timedelta(seconds=60)
-
-
 class Deployment:
     """One version of the configuration, indexed for look-ups.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -8,12 +8,13 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import BackendError, BadRequestError
+from ..state.connection_limits import ConnectionLimits
 from ..transport.http_exchange import RequestHead
 from ..transport.http_site import Responder
 from .belief import Belief
 from .call_state import CallState, Resolution
 from .calls import CallCodec, ForwardedCall, Refused, end_to_end
-from .deployment import ConnectionLimits, Route
+from .deployment import Route
 from .event_log import EventLog
 from .forwarding_metrics import ForwardingMetrics
 from .model_calls import ModelCalls
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -39,6 +39,10 @@
 """Two questions of the balancer, a second apart, and their travel: after this no
 new connection comes to an instance that says it is not ready."""
 
+REMOVAL_GRACE_PART = 0.75
+"""Part of the time in which a leaving server still serves, for which one whose entry
+lapsed with the store's trouble is kept as a last resort."""
+
 ORDERED_SECONDS = 1.5
 """How long an engine that is reported as changing gets no calls, until the next
 report."""
@@ -56,12 +60,14 @@
     host: str
     front_port: int
     ready_port: int
+    ready_path: bytes
     peer_port: int
     metrics_port: int
     grace: float
     apply: float
     revoke: float | None
     transit: float
+    drain: float
     order_silence: float
     resend_limit: ResendLimit
     usage_window: float
@@ -104,11 +110,12 @@
             reactor, window=settings.usage_window, start=settings.usage_start
         )
         self._budget = ResendBudget(reactor, settings.resend_limit)
-        self._backends = Backends(reactor, self._server_gone)
+        self._backends = Backends(
+            reactor, self._server_gone, grace=REMOVAL_GRACE_PART * settings.drain
+        )
         self._queues_by_service: dict[str, EngineQueue] = {}
         self._waiting_by_instance: dict[str, dict[str, int]] = {}
         self.belief = Belief(
-            clock=reactor,
             layout=layout,
             backends=self._backends,
             log=log,
@@ -169,7 +176,7 @@
         metrics.gauge("connections_opened", lambda: self._pool.opened)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
-        self._pages = TextPages(self._ready, metrics.render)
+        self._pages = TextPages(settings.ready_path, self._ready, metrics.render)
         self._draining = False
         self._tasks: list[Deferred[None]] = []
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -21,7 +21,7 @@
 from .loads import Loads
 from .plain_calls import check_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
-from .sending import SendingParts
+from .sending import SendingParts, silent
 
 READ_SPACING_SECONDS = 0.08
 """Pause between two prompts that a decode engine reads: its streams need it to make
@@ -248,7 +248,9 @@
         """Wait for a stream's next part; a silent one that may go on is lost."""
         arriving = Deferred.fromCoroutine(waiting)
         if stream.resumable:
-            arriving.addTimeout(SILENCE_SECONDS, self._parts.clock, _silent(server))
+            arriving.addTimeout(
+                SILENCE_SECONDS, self._parts.clock, silent(server, "stream")
+            )
         return await arriving
 
     def _note_pause(self, state: CallState, stream: EventStream, length: int) -> None:
@@ -287,14 +289,6 @@
     """An engine promised that it has not run the call."""
 
 
-def _silent(server: BackendServer) -> Callable[[object, float], None]:
-    def give_up(_: object, seconds: float) -> None:
-        text = f"engine {server.id!r} was silent for {seconds:g} s"
-        raise BackendLostError(text, step="stream", peer=server.id)
-
-    return give_up
-
-
 def answer_headers(head: AnswerHead) -> tuple[tuple[bytes, bytes], ...]:
     """Return the headers of a backend server's answer that a caller gets."""
     return tuple(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -1,6 +1,5 @@
 """Calls that one backend server answers as a whole."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
@@ -9,7 +8,6 @@
 from ..errors import (
     BackendError,
     BackendLeftError,
-    BackendLostError,
     BackendNonsenseError,
     BackendUnreachableError,
 )
@@ -18,7 +16,7 @@
 from .call_state import CallState
 from .calls import AnswerFacts, Dispatch, ForwardedCall, Refused
 from .deployment import CallKind, Route
-from .sending import SendingParts
+from .sending import SendingParts, silent
 
 PATIENCE = 0.5
 """Part of a route's objective after which a safe call is tried elsewhere; the rest
@@ -184,7 +182,7 @@
             if resolved.route.kind is CallKind.SAFE and not last:
                 seconds = PATIENCE * resolved.route.objective.total_seconds()
                 if self._elsewhere(state.service(), server):
-                    answer.addTimeout(seconds, self._clock, _too_slow(server))
+                    answer.addTimeout(seconds, self._clock, silent(server, "answer"))
             whole = await answer
             if whole.facts.load is not None:
                 self._loads.told(server.id, whole.facts.load)
@@ -225,11 +223,3 @@
         return
     text = f"answer {facts.status} of backend server {server!r} {reason}"
     raise BackendNonsenseError(text, step="answer", peer=server)
-
-
-def _too_slow(server: BackendServer) -> Callable[[object, float], None]:
-    def give_up(_: object, seconds: float) -> None:
-        text = f"backend server {server.id!r} was silent for {seconds:g} s"
-        raise BackendLostError(text, step="answer", peer=server.id)
-
-    return give_up
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -1,17 +1,16 @@
 """Prompts that are read at prefill engines, apart from the decode engines."""
 
-from collections.abc import Callable
 from dataclasses import dataclass
 
 from twisted.internet.defer import Deferred
 
-from ..errors import BackendError, BackendLeftError, BackendLostError
+from ..errors import BackendError, BackendLeftError
 from ..transport.http_exchange import Exchange
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import Dispatch
 from .event_log import EventLog
-from .sending import CONNECT_SECONDS, SendingParts
+from .sending import CONNECT_SECONDS, SendingParts, silent
 
 TOKENS_PER_SECOND = 50_000.0
 """Speed of a prefill engine that is assumed until prefills have been timed."""
@@ -103,7 +102,7 @@
             started = parts.clock.seconds()
             exchange.start(connection, parts.pool.release)
             answer = Deferred.fromCoroutine(self._handle(state, exchange, server))
-            answer.addTimeout(bound, parts.clock, _too_slow(server))
+            answer.addTimeout(bound, parts.clock, silent(server, "prefill"))
             handle = await answer
             parts.health.succeeded(server.id)
             if not queued:
@@ -184,11 +183,3 @@
             await exchange.body_bytes()
         finally:
             exchange.cancel()
-
-
-def _too_slow(server: BackendServer) -> Callable[[object, float], None]:
-    def give_up(_: object, seconds: float) -> None:
-        text = f"prefill engine {server.id!r} was silent for {seconds:g} s"
-        raise BackendLostError(text, step="prefill", peer=server.id)
-
-    return give_up
--- a/packages/pomeloglade/src/pomeloglade/forwarding/sending.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/sending.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import BackendLeftError
+from ..errors import BackendLeftError, BackendLostError
 from ..transport.http_exchange import ConnectionPool, ServerConnection
 from .backends import Backends, BackendServer
 from .call_state import CallState
@@ -53,3 +53,13 @@
             self.pool.release(connection)
             raise
         return connection
+
+
+def silent(server: BackendServer, step: str) -> Callable[[object, float], None]:
+    """Return what ``Deferred.addTimeout`` calls when a server was silent too long."""
+
+    def give_up(_: object, seconds: float) -> None:
+        text = f"backend server {server.id!r} was silent for {seconds:g} s"
+        raise BackendLostError(text, step=step, peer=server.id)
+
+    return give_up
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -1,6 +1,5 @@
 """Follows the platform's store, and knows how old its knowledge is."""
 
-from collections.abc import Callable
 from datetime import timedelta
 from random import Random
 from typing import Protocol
@@ -79,7 +78,6 @@
         self._proved_at: float | None = None
         self._failures = 0
         self._returned_at = clock.seconds()
-        self._on_proof: list[Callable[[], None]] = []
         self.calls = 0
 
     @property
--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -11,7 +11,7 @@
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
-from ..forwarding.deployment import ConnectionLimits
+from ..state.connection_limits import ConnectionLimits
 from .http_exchange import Headers, RequestHead
 
 HARD_HEADER_BYTES = 65_536
--- a/packages/pomeloglade/src/pomeloglade/transport/text_pages.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/text_pages.py
@@ -5,9 +5,7 @@
 import h11
 from twisted.internet.protocol import Factory, Protocol
 
-READINESS_PATH = b"/v1/readiness"
 METRICS_PATH = b"/metrics"
-TIMEOUT_SECONDS = 5.0
 
 
 class _PageConnection(Protocol):
@@ -53,6 +51,8 @@
 
     Parameters
     ----------
+    ready_path : bytes
+        Path of the readiness page.
     ready : callable
         Whether the instance takes new connections.
     metrics : callable
@@ -71,7 +71,7 @@
 
     def page(self, path: bytes) -> tuple[int, bytes]:
         """Return the status and body of a page."""
-        if path == READINESS_PATH:
+        if path == self._ready_path:
             return (200, b"ready\n") if self._ready() else (503, b"not ready\n")
         if path == METRICS_PATH:
             return 200, self._metrics()
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -278,7 +278,6 @@
         self.usage = SharedUsage(self.clock)
         self.budget = ResendBudget(self.clock, ResendLimit(0.2, slack, 10.0))
         self.belief = Belief(
-            clock=self.clock,
             layout=StoreLayout("op/config", "servers/", "i/", "orders", None, None),
             backends=self.backends,
             log=self.log,
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -10,7 +10,7 @@
 from twisted.internet.testing import StringTransport
 
 from pomeloglade.errors import BadConfigurationError, BadRegistrationError
-from pomeloglade.forwarding.backends import REMOVAL_GRACE_SECONDS, Backends
+from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.belief import Belief, StoreLayout
 from pomeloglade.forwarding.calls import ServerLoad, end_to_end
 from pomeloglade.forwarding.event_log import MAX_LINES_PER_SECOND, EventLog
@@ -45,7 +45,7 @@
 
 @pytest.fixture
 def backends(clock, gone):
-    return Backends(clock, gone.append)
+    return Backends(clock, gone.append, grace=1.5)
 
 
 def test_draining_server_gets_no_more_calls_and_is_reported_once(backends, gone):
@@ -73,7 +73,7 @@
     assert backends.usable(found)
     backends.put(server("bb"))
     assert [each.id for each in backends.serving("api")] == ["bb"]
-    clock.advance(REMOVAL_GRACE_SECONDS + 0.1)
+    clock.advance(1.6)
     assert not backends.usable(found)
 
 
@@ -183,7 +183,6 @@
         _decode_server,
     )
     found = Belief(
-        clock=clock,
         layout=layout,
         backends=backends,
         log=log,
@@ -346,7 +345,7 @@
 
 @pytest.mark.parametrize("ready", [True, False])
 def test_readiness_is_a_status(ready):
-    pages = TextPages(lambda: ready, lambda: b"metrics")
+    pages = TextPages(b"/v1/readiness", lambda: ready, lambda: b"metrics")
     connection = pages.buildProtocol(None)
     transport = StringTransport()
     connection.makeConnection(transport)
--- a/tests/test_http_site.py
+++ b/tests/test_http_site.py
@@ -10,7 +10,7 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
-from pomeloglade.forwarding.deployment import ConnectionLimits
+from pomeloglade.state.connection_limits import ConnectionLimits
 from pomeloglade.transport.http_site import HttpSite
 
 
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -36,7 +36,6 @@
     def add(self, name):
         layout = StoreLayout("op/config", "servers/", "i/", "orders", None, None)
         belief = Belief(
-            clock=self.clock,
             layout=layout,
             backends=self.backends,
             log=self.log,
