--- a/packages/pomeloglade/src/pomeloglade/transport/text_pages.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/text_pages.py
@@ -61,7 +61,13 @@
 
     noisy = False
 
-    def __init__(self, ready: Callable[[], bool], metrics: Callable[[], bytes]) -> None:
+    def __init__(
+        self,
+        ready_path: bytes,
+        ready: Callable[[], bool],
+        metrics: Callable[[], bytes],
+    ) -> None:
+        self._ready_path = ready_path
         self._ready = ready
         self._metrics = metrics
 
