Let accounts that use less of their limit go first

A waiting call is ordered by the part of its account's limit that is in use over all instances, in quarters, after lateness and priority; the expected wait counts only those that go before it.

Kept for the callers: the test shows a usual account untouched by a hot one.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -48,6 +48,7 @@
         self._service: str | None = None
         self.resolved = resolve(call, False)
         self.longest_limit = 0.0
+        self.account_part = 0.0
         self.sendings = 0
         self.prefills = 0
         self.longest_pause = 0.0
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -30,6 +30,10 @@
 FEW_STREAMS = 2
 """Streams that may be delayed by a long prompt: fewer than the calls it helps."""
 
+ACCOUNT_STEPS = 4
+"""Steps of an account's limit by which calls are ordered: an account that uses a
+quarter more of its limit than others goes behind them."""
+
 BLOCK_TOKENS = 16
 """Engines hand out KV memory in blocks of this many tokens."""
 
@@ -68,6 +72,7 @@
     uncached: bool
     late: bool
     priority: int
+    account_load: int
     arrived: float
     order: int
     need: "Need" = field(compare=False)
@@ -79,7 +84,8 @@
     """Gives out the slots and KV memory of one service's decode engines.
 
     A call that can still meet its objective goes before those that can't; among
-    equals the more urgent, then the older goes first. A call that would wait
+    equals the more urgent goes first, then that of the account which uses less of
+    its limit, then the older. A call that would wait
     longer than its patience is refused at its arrival.
 
     Parameters
@@ -123,9 +129,11 @@
         priority: int,
         arrived: float,
         objective: float,
+        account_part: float = 0.0,
     ) -> "Deferred[BackendServer]":
         """Return the engine for a call, with its slot and tokens taken.
 
+        ``account_part`` is the part of its limit that the call's account uses.
         ``arrived`` is when the caller began to wait, maybe with an earlier call.
         Fails with ``Refused`` when there is no engine or the wait is too long.
         Cancelling the result leaves the queue.
@@ -145,25 +153,26 @@
         objectives = LATE_PATIENCE_OBJECTIVES if late else PATIENCE_OBJECTIVES
         patience = objectives * objective - (0.0 if late else now - arrived)
         soonest = min(self._health.avoided_for(s.id) for s in self._engines())
-        wait = max(soonest, self.expected_wait())
-        if need.cached:
-            patience = CACHED_PATIENCE_SECONDS
-        elif wait > patience:
-            inputs = {"expected_wait": round(wait, 3), "patience": round(patience, 3)}
-            refused = Refused(503, "engines_full", retry_after=wait, inputs=inputs)
-            placed.errback(refused)
-            return placed
         self._order += 1
         waiter = Waiter(
             uncached=not need.cached,
             late=late,
             priority=priority,
+            account_load=int(account_part * ACCOUNT_STEPS),
             arrived=arrived,
             order=self._order,
             need=need,
             due=arrived + objective,
             placed=placed,
         )
+        wait = max(soonest, self.expected_wait(waiter))
+        if need.cached:
+            patience = CACHED_PATIENCE_SECONDS
+        elif wait > patience:
+            inputs = {"expected_wait": round(wait, 3), "patience": round(patience, 3)}
+            refused = Refused(503, "engines_full", retry_after=wait, inputs=inputs)
+            placed.errback(refused)
+            return placed
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, patience), self._give_up, waiter)
         self._keep_pumping()
@@ -173,10 +182,15 @@
         """Learn how long a call held its slot."""
         self._duration += DURATION_WEIGHT * (seconds - self._duration)
 
-    def expected_wait(self) -> float:
-        """Return the seconds until one more call would be placed."""
+    def expected_wait(self, waiter: Waiter | None = None) -> float:
+        """Return the seconds until one more call would be placed.
+
+        Those that wait here are ahead of ``waiter`` as they sort before it, those
+        that wait at other instances all are.
+        """
         slots = sum(min(s.slots, self.pool.slots) for s in self._engines())
-        ahead = len(self._waiters) + self.waiting_elsewhere() + 1
+        waiting = [each for each in self._waiters if waiter is None or each < waiter]
+        ahead = len(waiting) + self.waiting_elsewhere() + 1
         return ahead * self._duration / max(1, slots)
 
     def pump(self) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -137,6 +137,7 @@
             if wait > 0:
                 inputs = {"cost": cost, "rate": account.rate, "burst": account.burst}
                 raise Refused(429, "over_limit", retry_after=wait, inputs=inputs)
+            state.account_part = self._usage.part(account)
         self._budget.called(state.service())
         run = Deferred.fromCoroutine(self._run(state, responder))
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -137,6 +137,7 @@
                 priority=priority,
                 arrived=state.waiting_since(),
                 objective=resolved.route.objective.total_seconds(),
+                account_part=state.account_part,
             )
         except Refused as refused:
             if not state.may_have_run:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -131,6 +131,15 @@
         window.use(OWN, -cost)
         window.own_total -= cost
 
+    def part(self, account: Account) -> float:
+        """Return the part of an account's limit that is in use, 0 without limit."""
+        if not account.rate:
+            return 0.0
+        window = self._moved(account)
+        limit = self._limit(window)
+        used = sum(window.used_by_instance.values())
+        return used / limit if limit > 0 else 1.0
+
     def totals(self) -> dict[str, int]:
         """Return what this run of the instance has admitted by account.
 
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -40,13 +40,14 @@
         for _ in range(50):
             self.queue.finished(0.4)
 
-    def place(self, tokens=5000, priority=1, age=0.0, **need):
+    def place(self, tokens=5000, priority=1, age=0.0, account_part=0.0, **need):
         outcome = []
         placed = self.queue.place(
             need=Need(tokens, **need),
             priority=priority,
             arrived=self.clock.seconds() - age,
             objective=OBJECTIVE,
+            account_part=account_part,
         )
         placed.addCallbacks(
             lambda found: outcome.append(found.id),
@@ -186,3 +187,14 @@
     long, _ = pool.place(tokens=1000, prompt_tokens=9000, longest_pause=0.3)
     assert short
     assert long == []
+
+
+def test_hot_account_in_a_full_pool_leaves_the_others_untouched(pool):
+    fill(pool)
+    hot = [pool.place(account_part=0.9)[0] for _ in range(12)]
+    assert any(each and isinstance(each[0], Refused) for each in hot)
+    usual, _ = pool.place(account_part=0.3)
+    assert usual == []
+    pool.end("a")
+    assert usual == ["a"]
+    assert not any(each == ["a"] for each in hot)
