Bound how often a safe call is sent to one breaking server

Cause: servers that had lost a call were counted, not sendings. Where a service has one server that resets every connection, a safe call was sent to it until the whole budget of repeated sendings was spent, within milliseconds. Found by reading; the new test was red before.

Sendings that may have run are counted against the route's bound.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -7,7 +7,7 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import BackendError, BadRequestError
+from ..errors import BadRequestError
 from ..state.connection_limits import ConnectionLimits
 from ..transport.http_exchange import RequestHead
 from ..transport.http_site import Responder
@@ -240,11 +240,12 @@
             reason=repr(failure.value),
             traceback=failure.getBriefTraceback(),
         )
-        if isinstance(failure.value, BackendError) or not responder.done:
-            if responder.begun:
-                responder.cut()
-            else:
-                responder.answer(502, (), b"")
+        if responder.done:
+            return
+        if responder.begun:
+            responder.cut()
+        else:
+            responder.answer(502, (), b"")
 
     def _logged(
         self,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -66,6 +66,7 @@
         best: WholeAnswer | None = None
         tried: set[str] = set()
         rejected: set[str] = set()
+        runs = 0
         while True:
             resolved = state.resolve()
             service = state.service()
@@ -110,7 +111,8 @@
                     return answer
                 best = answer
                 tried.add(server.id)
-            if len(tried) >= resolved.route.max_servers:
+            runs += 1
+            if runs >= resolved.route.max_servers:
                 if best is not None:
                     return best
                 raise state.given_up("answer_lost")
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -253,3 +253,11 @@
     responder, _ = world.call("/lookups/1", key="stranger")
     assert responder.status == 401
     assert KEY.encode() not in responder.body
+
+
+def test_only_server_that_breaks_is_not_tried_without_end(servers):
+    world = World(servers[0])
+    world.network.on_sending = lambda sending: sending.reset()
+    responder, _ = world.call("/lookups/1", method=b"GET")
+    assert responder.status == 502
+    assert len(world.network.sendings) == 2
