Name an instance's runs at random instead of by the time of day

Cause: runs were numbered by the time of day, and reports of a lower number were dropped as old. A machine whose clock had jumped back and that restarted would have been deaf to all: its work and use would have counted for nothing. Found by reading; the new test was red before.

A run has a random name; a differing name begins a new run and ends the former, whose late reports are dropped.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -39,6 +39,9 @@
 """Two questions of the balancer, a second apart, and their travel: after this no
 new connection comes to an instance that says it is not ready."""
 
+RUN_BITS = 53
+"""Bits of the random name of a run; CBOR and JSON readers keep them exactly."""
+
 REMOVAL_GRACE_PART = 0.75
 """Part of the time in which a leaving server still serves, for which one whose entry
 lapsed with the store's trouble is kept as a last resort."""
@@ -81,8 +84,8 @@
     ----------
     reactor : IReactorTCP, IReactorUDP and IReactorTime
         Sockets and timers.
-    run : int
-        Differs for each start of an instance and grows.
+    random : random.Random
+        Differs for each start of an instance, and names its run.
     """
 
     def __init__(
@@ -94,13 +97,12 @@
         codec: CallCodec,
         log: EventLog,
         random: Random,
-        run: int,
     ) -> None:
         self._reactor = reactor
         self._settings = settings
         self._store = store
         self._log = log
-        self._run = run
+        self._run = random.getrandbits(RUN_BITS)
         self._started = reactor.seconds()
         self._key = layout.instances_prefix + settings.instance
         self._pool = ConnectionPool(reactor)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -21,13 +21,15 @@
 
 IDLE_SECONDS = 1.0
 MAX_REPORT_BYTES = 60_000
+MAX_ENDED_RUNS = 1_000
+"""Former runs of instances whose late reports are dropped."""
 
 
 @dataclass(frozen=True, slots=True)
 class Report:
     """What one instance tells the others.
 
-    ``run`` differs for each start of the instance and ``sequence`` grows within
+    ``run`` is random for each start of the instance, ``sequence`` grows within
     a run, which began ``age`` seconds ago. ``work`` is by backend server;
     ``usage`` is by account, in units admitted in this run. ``waiting`` counts
     calls in queues by service, and ``changing`` names engines that were just
@@ -94,6 +96,7 @@
         self._log = log
         self._addresses_by_instance: dict[str, tuple[str, int]] = {}
         self._newest_by_instance: dict[str, tuple[int, int]] = {}
+        self._ended_runs: set[tuple[str, int]] = set()
         self._sequence = 0
         self._sent_at = 0.0
         self._timer: Any = None
@@ -132,13 +135,24 @@
             self.bad += 1
             self._log.event("bad_report", sender=str(addr), reason=str(error))
             return
+        if self._is_new(report):
+            self._newest_by_instance[report.instance] = (report.run, report.sequence)
+            self._on_report(report)
+
+    def _is_new(self, report: Report) -> bool:
+        """Whether a report is newer than all that its sender was heard of."""
+        if (report.instance, report.run) in self._ended_runs:
+            return False
         newest = self._newest_by_instance.get(report.instance)
-        if newest and newest[0] == report.run and newest[1] >= report.sequence:
-            return
-        if newest and newest[0] > report.run:
-            return
-        self._newest_by_instance[report.instance] = (report.run, report.sequence)
-        self._on_report(report)
+        if newest is None:
+            return True
+        run, sequence = newest
+        if run == report.run:
+            return report.sequence > sequence
+        if len(self._ended_runs) >= MAX_ENDED_RUNS:
+            self._ended_runs.clear()
+        self._ended_runs.add((report.instance, run))
+        return True
 
     def _schedule(self, delay: float) -> None:
         due = self._clock.seconds() + delay
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -270,6 +270,18 @@
     assert exchange.bad == 1
 
 
+def test_restarted_instance_is_heard_whatever_its_clock_says(clock, log):
+    heard = []
+    exchange = ReportExchange(clock, None, heard.append, log)
+    for run, number in ((900, 7), (300, 1), (900, 8), (300, 2)):
+        exchange.datagramReceived(encode(Report("b", run, number)), None)
+    assert [(each.run, each.sequence) for each in heard] == [
+        (900, 7),
+        (300, 1),
+        (300, 2),
+    ]
+
+
 def test_registration_is_kept_and_written_again_when_it_lapsed(clock, log):
     store = MemoryKeyValueStore(clock)
     Registration(clock, store, "i/a", lambda: b"here", log).start()
