Read whole answers and their headers in one way

Cause: reading the change once more.

answer_headers stands beside end_to_end, and Exchange.whole reads both.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -38,6 +38,16 @@
     return tuple(each for each in headers if each[0].lower() not in dropped)
 
 
+def answer_headers(head: AnswerHead) -> Headers:
+    """Return the headers of a backend server's answer that a caller gets.
+
+    The answer is framed anew, so its length is left out.
+    """
+    return tuple(
+        each for each in end_to_end(head.headers) if each[0] != b"content-length"
+    )
+
+
 @dataclass(frozen=True, slots=True)
 class Prompt:
     """What a model call tells of its size; counts are in tokens.
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -13,7 +13,7 @@
 from ..transport.http_site import Responder
 from .belief import Belief
 from .call_state import CallState, Resolution
-from .calls import CallCodec, ForwardedCall, Refused, end_to_end
+from .calls import CallCodec, ForwardedCall, Refused, answer_headers
 from .deployment import Route
 from .event_log import EventLog
 from .forwarding_metrics import ForwardingMetrics
@@ -167,11 +167,7 @@
             await self._model_calls.run(state, responder)
             return
         answer = await self._plain_calls.run(state)
-        headers = tuple(
-            each
-            for each in end_to_end(answer.head.headers)
-            if each[0] != b"content-length"
-        )
+        headers = answer_headers(answer.head)
         responder.answer(answer.head.status, headers, answer.body)
 
     def _resolve(self, call: ForwardedCall, accepted: bool) -> Resolution:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -15,7 +15,7 @@
 from ..transport.http_site import Responder
 from .backends import BackendServer
 from .call_state import CallState
-from .calls import Dispatch, Refused, end_to_end
+from .calls import Dispatch, Refused, answer_headers
 from .engine_queue import EngineQueue, Need
 from .event_stream import EventStream
 from .loads import Loads
@@ -288,10 +288,3 @@
 
 class _RejectedError(Exception):
     """An engine promised that it has not run the call."""
-
-
-def answer_headers(head: AnswerHead) -> tuple[tuple[bytes, bytes], ...]:
-    """Return the headers of a backend server's answer that a caller gets."""
-    return tuple(
-        each for each in end_to_end(head.headers) if each[0] != b"content-length"
-    )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -204,8 +204,7 @@
     async def _answer(
         self, call: ForwardedCall, exchange: Exchange, server: BackendServer
     ) -> WholeAnswer:
-        head = await exchange.head()
-        body = await exchange.body_bytes()
+        head, body = await exchange.whole()
         facts = self._codec.answer_facts(call, head)
         check_answer(facts, server.id)
         return WholeAnswer(head, facts, body)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -157,8 +157,7 @@
     async def _handle(
         self, state: CallState, exchange: Exchange, server: BackendServer
     ) -> str:
-        head = await exchange.head()
-        body = await exchange.body_bytes()
+        head, body = await exchange.whole()
         facts = self._parts.codec.answer_facts(state.call, head)
         if facts.not_run or not facts.success:
             # A rejected prefill counts as a repeated sending.
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -247,7 +247,7 @@
             raise BackendError("the right to give orders has lapsed", step="order")
         exchange = Exchange(request, body)
         exchange.start(connection, self._pool.release)
-        answer = Deferred.fromCoroutine(_whole(exchange))
+        answer = Deferred.fromCoroutine(exchange.whole())
         answer.addTimeout(CALL_SECONDS, self._clock)
         try:
             return await answer
@@ -269,8 +269,3 @@
     if engines < LEAST_ENGINES:
         return 0
     return max(1, round(PREFILL_SHARE * engines))
-
-
-async def _whole(exchange: Exchange) -> tuple[AnswerHead, bytes]:
-    head = await exchange.head()
-    return head, await exchange.body_bytes()
--- a/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
@@ -228,6 +228,11 @@
             chunks.append(chunk)
         return b"".join(chunks)
 
+    async def whole(self) -> tuple[AnswerHead, bytes]:
+        """Wait for the complete answer."""
+        head = await self.head()
+        return head, await self.body_bytes()
+
     def cancel(self) -> None:
         """Give the exchange up and reset its connection, if it is not over."""
         if not self._complete and self._error is None and self.connection is not None:
