Let units given back cancel out those of other slots

Cause: a window kept the sum of an instance's use and dropped its entry when the sum was 0, although slots were left whose units cancelled out (a call's units taken, given back in a later slot, taken by a later call). Dropping those slots raised KeyError, in reports of peers and in calls, which were then answered 502.

Now an entry is kept as long as a slot names its instance. The test fails with KeyError before and passes after.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -36,12 +36,17 @@
     slots: deque[_Slot] = field(default_factory=deque)
     earned: float = 0.0
     used_by_instance: dict[str, int] = field(default_factory=dict)
+    slots_by_instance: dict[str, int] = field(default_factory=dict)
     own_total: int = 0
     peer_totals: dict[str, int] = field(default_factory=dict)
 
     def use(self, instance: str, units: int) -> None:
-        """Count use in the newest slot."""
-        for used in (self.slots[-1].used_by_instance, self.used_by_instance):
+        """Count use in the newest slot; less than nothing for units given back."""
+        used = self.slots[-1].used_by_instance
+        if instance not in used:
+            slots = self.slots_by_instance.get(instance, 0)
+            self.slots_by_instance[instance] = slots + 1
+        for used in (used, self.used_by_instance):
             used[instance] = used.get(instance, 0) + units
 
     def drop_oldest(self) -> None:
@@ -49,9 +54,12 @@
         slot = self.slots.popleft()
         self.earned -= slot.earned
         for instance, units in slot.used_by_instance.items():
+            # The sum may be 0 while slots are left: their units cancel out.
             self.used_by_instance[instance] -= units
-            if not self.used_by_instance[instance]:
+            self.slots_by_instance[instance] -= 1
+            if not self.slots_by_instance[instance]:
                 del self.used_by_instance[instance]
+                del self.slots_by_instance[instance]
 
 
 @dataclass(slots=True)
--- a/tests/test_usage.py
+++ b/tests/test_usage.py
@@ -204,3 +204,21 @@
         earned = min(WINDOW + 0.25, clock.seconds() - started) * RATE
         if clock.seconds() - started <= WINDOW:
             assert admitted <= BURST + earned + 1e-6
+
+
+def test_units_given_back_may_cancel_out_those_of_other_slots(clock, account):
+    usage = SharedUsage(clock, window=WINDOW)
+    other = SharedUsage(clock, window=WINDOW)
+    for change in (+100, -100, +100):
+        if change > 0:
+            assert usage.take(account, change) == 0.0
+        else:
+            usage.give_back(account, -change)
+        other.heard("a", 1, usage.totals(), age=0.0)
+        clock.advance(1.0)
+    for _ in range(10):
+        clock.advance(1.0)
+        other.heard("a", 1, usage.totals(), age=0.0)
+        assert usage.part(account) >= 0.0
+        assert other.part(account) >= 0.0
+    assert usage.part(account) == other.part(account) == 0.0
