Change stages of a busy service only for a lasting lack or excess

Cause: an availability zone that was cut off for 5.5 s took two of four engines out of the listing for some 3 s, and the prefill engine was ordered to decode at once; an order takes an engine away for ten seconds (its running calls, the change itself, its next registration), and a second one was needed to undo the first. A crash does the same, and a decode engine that had just come back empty was ordered away in the midst of a burst.

Ruled out: that the order was needed; both engines were back 2 s after it.

Now a lack or an excess must last 5 s while the service has calls, in both directions; a service without calls is still changed at once.

Both new tests fail before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -29,8 +29,9 @@
 
 LEASE_SECONDS = 6.0
 LASTING_SECONDS = 5.0
-"""How long prefill engines must be missing before a busy decode engine is changed;
-an idle one is changed at once."""
+"""How long there must be too few or too many prefill engines before one is changed
+while the service has calls. An engine that crashes or whose availability zone is cut
+off for some seconds is back sooner, and a change takes an engine away for ten."""
 
 LEAST_ENGINES = 3
 """Fewer engines read their prompts themselves. With three it already pays to let
@@ -186,11 +187,13 @@
         candidates = [each for each in candidates if each.id not in changing]
         if not candidates:
             return None
-        least = min(candidates, key=lambda s: (self._loads.work(s.id).tokens, s.id))
-        idle = not self._loads.work(least.id).calls
-        if stage == "prefill" and not idle and now - since < LASTING_SECONDS:
+        calls = sum(self._loads.work(each.id).calls for each in prefill + decode)
+        if calls and now - since < LASTING_SECONDS:
             return None
-        return least, stage
+        return (
+            min(candidates, key=lambda s: (self._loads.work(s.id).tokens, s.id)),
+            stage,
+        )
 
     def _stages(self, service: str) -> tuple[list[BackendServer], list[BackendServer]]:
         """Return the prefill and decode engines as they will be after the orders."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -42,11 +42,11 @@
 
     def use(self, instance: str, units: int) -> None:
         """Count use in the newest slot; less than nothing for units given back."""
-        used = self.slots[-1].used_by_instance
-        if instance not in used:
+        newest = self.slots[-1].used_by_instance
+        if instance not in newest:
             slots = self.slots_by_instance.get(instance, 0)
             self.slots_by_instance[instance] = slots + 1
-        for used in (used, self.used_by_instance):
+        for used in (newest, self.used_by_instance):
             used[instance] = used.get(instance, 0) + units
 
     def drop_oldest(self) -> None:
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -149,6 +149,27 @@
     assert [order["stage"] for _, _, _, order in fleet.orders] == ["prefill"]
 
 
+def test_prefill_engine_is_kept_while_others_are_cut_off_for_a_few_seconds():
+    engines = [server("p", "llm", "prefill"), server("d", "llm", "decode")]
+    cut_off = server("dd", "llm", "decode")
+    fleet = Fleet(*engines, cut_off)
+    fleet.loads.begin("d", 5000)
+    fleet.advance(8.0)
+    fleet.backends.remove("dd", lenient=False)
+    fleet.advance(4.0)
+    fleet.backends.put(cut_off)
+    fleet.advance(8.0)
+    assert fleet.orders == []
+
+
+def test_prefill_engine_is_changed_when_the_others_stay_away():
+    engines = [server("p", "llm", "prefill"), server("d", "llm", "decode")]
+    fleet = Fleet(*engines)
+    fleet.loads.begin("d", 5000)
+    fleet.advance(20.0)
+    assert [order["stage"] for _, _, _, order in fleet.orders] == ["decode"]
+
+
 def test_instances_without_the_right_make_no_calls_for_it(engines):
     fleet = Fleet(*engines, instances=5)
     fleet.advance(10.0)
