Let instances take free places in the order of their first waiting calls

Cause: when an engine had room again, all instances that let calls wait heard of it within the same milliseconds and each placed a call, and a call that had just come took a place before those that waited elsewhere. Reports now tell of the first waiting call of each queue, and an instance leaves 8 ms for each that goes before its own; nobody is held up longer by one that doesn't use its turn.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -1,7 +1,7 @@
 """Who waits for a decode engine, who is refused, and where work goes."""
 
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -11,6 +11,7 @@
 from .deployment import EnginePool
 from .loads import Loads
 from .server_health import ServerHealth
+from .waiting_elsewhere import Queued, Standing, WaitingElsewhere
 
 PATIENCE_OBJECTIVES = 0.75
 """Part of the objective that a call may wait for an engine; the rest is for reading
@@ -47,6 +48,10 @@
 DURATION_WEIGHT = 0.1
 PUMP_SECONDS = 0.05
 
+TURN_SECONDS = 0.008
+"""Time that each instance whose first call goes before this one's has to take what
+has become free. A report and the answer to it take some 6 ms."""
+
 
 @dataclass(frozen=True, slots=True)
 class Need:
@@ -70,10 +75,7 @@
     """A call that waits; the least goes first."""
 
     uncached: bool
-    late: bool
-    priority: int
-    account_load: int
-    arrived: float
+    standing: Standing
     order: int
     need: "Need" = field(compare=False)
     due: float = field(compare=False)
@@ -92,6 +94,11 @@
     ----------
     service : str
         The service whose engines are given out.
+    elsewhere : WaitingElsewhere
+        The other instances' queues. An instance lets those go first that have an
+        earlier call, so that two don't take the same place.
+    changed : callable
+        Called when the others should hear of this queue.
     """
 
     def __init__(
@@ -103,6 +110,8 @@
         loads: Loads,
         health: ServerHealth,
         availability_zone: str,
+        elsewhere: WaitingElsewhere,
+        changed: Callable[[], None],
     ) -> None:
         self._service = service
         self._clock = clock
@@ -110,12 +119,14 @@
         self._loads = loads
         self._health = health
         self._availability_zone = availability_zone
+        self._elsewhere = elsewhere
+        self._changed = changed
         self._waiters: list[Waiter] = []
         self._order = 0
         self._pumping = False
+        self._turn_awaited = False
         self._duration = USUAL_DECODE_SECONDS
         self.pool = EnginePool(1, 1)
-        self.waiting_elsewhere: Callable[[], int] = lambda: 0
         self.prefill_free: Callable[[], bool] = lambda: True
         self.read_rate: Callable[[], float] = lambda: float("inf")
 
@@ -143,23 +154,22 @@
         if not self._engines():
             placed.errback(Refused(503, "no_engine", retry_after=1.0))
             return placed
-        if need.cached or not self._waiters:
+        late = now > arrived + objective
+        standing = Standing(late, priority, int(account_part * ACCOUNT_STEPS), arrived)
+        first = not self._waiters and not self._elsewhere.ahead(self._service, standing)
+        if need.cached or first:
             server = self._choose(need)
             if server is not None:
                 self._loads.begin(server.id, need.tokens)
                 placed.callback(server)
                 return placed
-        late = now > arrived + objective
         objectives = LATE_PATIENCE_OBJECTIVES if late else PATIENCE_OBJECTIVES
         patience = objectives * objective - (0.0 if late else now - arrived)
         soonest = min(self._health.avoided_for(s.id) for s in self._engines())
         self._order += 1
         waiter = Waiter(
             uncached=not need.cached,
-            late=late,
-            priority=priority,
-            account_load=int(account_part * ACCOUNT_STEPS),
-            arrived=arrived,
+            standing=standing,
             order=self._order,
             need=need,
             due=arrived + objective,
@@ -175,9 +185,17 @@
             return placed
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, patience), self._give_up, waiter)
+        self._changed()
+        self.pump()
         self._keep_pumping()
         return placed
 
+    def queued(self) -> Queued | None:
+        """Return what the other instances should know of this queue."""
+        if not self._waiters:
+            return None
+        return Queued(len(self._waiters), min(self._waiters).standing)
+
     def finished(self, seconds: float) -> None:
         """Learn how long a call held its slot."""
         self._duration += DURATION_WEIGHT * (seconds - self._duration)
@@ -190,24 +208,44 @@
         """
         slots = sum(min(s.slots, self.pool.slots) for s in self._engines())
         waiting = [each for each in self._waiters if waiter is None or each < waiter]
-        ahead = len(waiting) + self.waiting_elsewhere() + 1
+        ahead = len(waiting) + self._elsewhere.count(self._service) + 1
         return ahead * self._duration / max(1, slots)
 
     def pump(self) -> None:
-        """Place those that wait, as far as there is room."""
-        if not self._waiters:
-            return
+        """Place those that wait, as far as there is room and it is their turn."""
+        self._sort()
+        while self._waiters and not self._turn_awaited:
+            first = self._waiters[0].standing
+            ahead = self._elsewhere.ahead(self._service, first)
+            if ahead:
+                self._turn_awaited = True
+                self._clock.callLater(ahead * TURN_SECONDS, self._turn_came)
+            elif not self._place_first():
+                return
+
+    def _turn_came(self) -> None:
+        self._turn_awaited = False
+        self._sort()
+        if self._waiters and self._place_first():
+            self.pump()
+
+    def _sort(self) -> None:
         now = self._clock.seconds()
         for waiter in self._waiters:
-            waiter.late = now > waiter.due
+            if now > waiter.due and not waiter.standing.late:
+                waiter.standing = replace(waiter.standing, late=True)
         self._waiters.sort()
-        for waiter in list(self._waiters):
-            server = self._choose(waiter.need)
-            if server is None:
-                return
-            self._waiters.remove(waiter)
-            self._loads.begin(server.id, waiter.need.tokens)
-            waiter.placed.callback(server)
+
+    def _place_first(self) -> bool:
+        """Place the first of those that wait; ``False`` if there is no room."""
+        waiter = self._waiters[0]
+        server = self._choose(waiter.need)
+        if server is None:
+            return False
+        self._waiters.remove(waiter)
+        self._loads.begin(server.id, waiter.need.tokens)
+        waiter.placed.callback(server)
+        return True
 
     def _keep_pumping(self) -> None:
         """Look for room while calls wait: servers come back without a sign."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -34,6 +34,7 @@
 from .stage_orders import StageOrders
 from .store_follower import StoreFollower
 from .usage import SharedUsage
+from .waiting_elsewhere import WaitingElsewhere
 
 UNREADY_SECONDS = 2.5
 """Two questions of the balancer, a second apart, and their travel: after this no
@@ -116,7 +117,7 @@
             reactor, self._server_gone, grace=REMOVAL_GRACE_PART * settings.drain
         )
         self._queues_by_service: dict[str, EngineQueue] = {}
-        self._waiting_by_instance: dict[str, dict[str, int]] = {}
+        self._elsewhere = WaitingElsewhere(reactor)
         self.belief = Belief(
             layout=layout,
             backends=self._backends,
@@ -229,7 +230,7 @@
         for name in self._reports.peers() - set(addresses):
             self._loads.forget(name)
             self._usage.forget(name)
-            self._waiting_by_instance.pop(name, None)
+            self._elsewhere.forget(name)
         self._reports.set_peers(addresses)
         self._budget.instances = max(1, len(addresses) + 1)
 
@@ -243,10 +244,8 @@
                 loads=self._loads,
                 health=self._health,
                 availability_zone=self._settings.availability_zone,
-            )
-            queue.waiting_elsewhere = lambda: sum(
-                waiting.get(service, 0)
-                for waiting in self._waiting_by_instance.values()
+                elsewhere=self._elsewhere,
+                changed=self._reports.changed,
             )
             objective = self._objective(service)
             queue.prefill_free = lambda: self._prefills.free(service, objective)
@@ -286,14 +285,26 @@
                 for server, work in self._loads.own().items()
             },
             usage=self._usage.totals(),
-            waiting={
-                service: len(queue)
-                for service, queue in self._queues_by_service.items()
-                if len(queue)
-            },
+            waiting=self._waiting(),
             changing=changing,
         )
 
+    def _waiting(self) -> dict[str, tuple[int, bool, int, int, float]]:
+        now = self._reactor.seconds()
+        waiting = {}
+        for service, queue in self._queues_by_service.items():
+            queued = queue.queued()
+            if queued is not None:
+                first = queued.first
+                waiting[service] = (
+                    queued.count,
+                    first.late,
+                    first.priority,
+                    first.account_load,
+                    round(now - first.arrived, 4),
+                )
+        return waiting
+
     def _ordered(self, server: str) -> None:
         self._health.avoid(server, ORDERED_SECONDS)
         self._reports.changed()
@@ -303,7 +314,8 @@
             self._health.avoid(server, ORDERED_SECONDS)
         self._loads.heard(report.instance, report.work_by_server())
         self._usage.heard(report.instance, report.run, report.usage, age=report.age)
-        self._waiting_by_instance[report.instance] = report.waiting
+        queued = report.queued_by_service(self._reactor.seconds())
+        self._elsewhere.heard(report.instance, queued)
         self._pump()
 
     def _server_gone(self, server: BackendServer) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -11,6 +11,7 @@
 
 from .event_log import EventLog
 from .loads import Work
+from .waiting_elsewhere import Queued, Standing
 
 REPORT_DELAY_SECONDS = 0.002
 """Changes within this time go in one report."""
@@ -31,9 +32,10 @@
 
     ``run`` is random for each start of the instance, ``sequence`` grows within
     a run, which began ``age`` seconds ago. ``work`` is by backend server;
-    ``usage`` is by account, in units admitted in this run. ``waiting`` counts
-    calls in queues by service, and ``changing`` names engines that were just
-    ordered to another stage.
+    ``usage`` is by account, in units admitted in this run. ``waiting`` tells by
+    service how many calls wait, and of the first of them whether it is late, its
+    priority, its account's load and for how many seconds it has waited.
+    ``changing`` names engines that were just ordered to another stage.
     """
 
     instance: str
@@ -42,13 +44,20 @@
     age: float = 0.0
     work: dict[str, tuple[int, int]] = field(default_factory=dict)
     usage: dict[str, int] = field(default_factory=dict)
-    waiting: dict[str, int] = field(default_factory=dict)
+    waiting: dict[str, tuple[int, bool, int, int, float]] = field(default_factory=dict)
     changing: list[str] = field(default_factory=list)
 
     def work_by_server(self) -> dict[str, Work]:
         """Return the reported calls and tokens by backend server."""
         return {server: Work(*each) for server, each in self.work.items()}
 
+    def queued_by_service(self, now: float) -> dict[str, Queued]:
+        """Return the reported queues by service, with instants of this instance."""
+        return {
+            service: Queued(count, Standing(late, priority, load, now - waited))
+            for service, (count, late, priority, load, waited) in self.waiting.items()
+        }
+
 
 def encode(report: Report) -> bytes:
     """Return a report as a CBOR array of its fields."""
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -31,6 +31,7 @@
 from pomeloglade.forwarding.sending import SendingParts
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.usage import SharedUsage
+from pomeloglade.forwarding.waiting_elsewhere import WaitingElsewhere
 from pomeloglade.state.key_digest import digest_key
 from pomeloglade.transport.http_exchange import AnswerHead, RequestHead
 from pomeloglade_platform.calls import PlatformCallCodec
@@ -295,6 +296,8 @@
             loads=self.loads,
             health=self.health,
             availability_zone="zone-a",
+            elsewhere=WaitingElsewhere(self.clock),
+            changed=lambda: None,
         )
         self.queue.pool = self.belief.deployment.services_by_name["llm"].engines
         parts = SendingParts(
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -10,6 +10,11 @@
 from pomeloglade.forwarding.engine_queue import EngineQueue, Need
 from pomeloglade.forwarding.loads import Loads, Work
 from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.waiting_elsewhere import (
+    Queued,
+    Standing,
+    WaitingElsewhere,
+)
 
 OBJECTIVE = 0.9
 
@@ -22,6 +27,7 @@
         self.clock.advance(50.0)
         self.loads = Loads(self.clock)
         self.health = ServerHealth(self.clock)
+        self.elsewhere = WaitingElsewhere(self.clock)
         self.backends = Backends(self.clock, lambda _: None)
         self.engines = [
             server(name, "llm", "decode", zone=zone, slots=8)
@@ -35,6 +41,8 @@
             loads=self.loads,
             health=self.health,
             availability_zone="zone-a",
+            elsewhere=self.elsewhere,
+            changed=lambda: None,
         )
         self.queue.pool = EnginePool(2, 25_000)
         for _ in range(50):
@@ -116,7 +124,8 @@
 
 def test_waiting_in_other_instances_counts_for_the_hopeless(pool):
     fill(pool)
-    pool.queue.waiting_elsewhere = lambda: 20
+    first = Standing(False, 1, 0, pool.clock.seconds())
+    pool.elsewhere.heard("other", {"llm": Queued(20, first)})
     assert isinstance(pool.place()[0][0], Refused)
 
 
@@ -198,3 +207,37 @@
     pool.end("a")
     assert usual == ["a"]
     assert not any(each == ["a"] for each in hot)
+
+
+def test_herd_of_instances_takes_one_free_place_one_after_the_other(pool):
+    fill(pool)
+    waiting, _ = pool.place(age=0.1)
+    earlier = Standing(False, 1, 0, pool.clock.seconds() - 0.2)
+    pool.elsewhere.heard("other", {"llm": Queued(1, earlier)})
+    pool.end("a")
+    assert waiting == []
+    # The other instance takes the place, and this one hears of it in its turn.
+    pool.loads.heard("other", {"a": Work(1, 5000)})
+    pool.elsewhere.heard("other", {})
+    pool.clock.advance(0.02)
+    assert waiting == []
+    pool.end("bb")
+    assert waiting == ["bb"]
+
+
+def test_new_call_does_not_overtake_an_older_one_of_another_instance(pool):
+    earlier = Standing(False, 1, 0, pool.clock.seconds() - 0.2)
+    pool.elsewhere.heard("other", {"llm": Queued(1, earlier)})
+    new, _ = pool.place()
+    assert new == []
+    pool.clock.advance(0.02)
+    assert new == ["a"]
+
+
+def test_instance_that_never_uses_its_turn_holds_nobody_up(pool):
+    earlier = Standing(False, 1, 0, pool.clock.seconds() - 0.2)
+    pool.elsewhere.heard("silent", {"llm": Queued(3, earlier)})
+    calls = [pool.place()[0] for _ in range(3)]
+    for _ in range(6):
+        pool.clock.advance(0.01)
+    assert all(calls)
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -26,6 +26,7 @@
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.stage_orders import wanted_prefill
+from pomeloglade.forwarding.waiting_elsewhere import Queued, Standing
 from pomeloglade.transport.text_pages import TextPages
 from pomeloglade_coordination.errors import KeyValueUnavailableError
 from pomeloglade_coordination.key_value import Entry, MemoryKeyValueStore
@@ -229,9 +230,12 @@
 
 
 def test_reports_survive_the_wire_and_strangers_are_told_apart():
-    report = Report("a", 1, 2, 3.5, {"s": (1, 20)}, {"club": 5}, {"llm": 2}, ["s"])
+    waiting = {"llm": (2, False, 1, 0, 0.25)}
+    report = Report("a", 1, 2, 3.5, {"s": (1, 20)}, {"club": 5}, waiting, ["s"])
     assert decode(encode(report)) == report
     assert report.work_by_server() == {"s": Work(1, 20)}
+    first = Standing(False, 1, 0, 9.75)
+    assert report.queued_by_service(10.0) == {"llm": Queued(2, first)}
     for data in (b"", b"\xff", b"\xa1\x61a\x01", encode(report)[:-3]):
         with pytest.raises(ValueError, match="not a report"):
             decode(data)
