Connect the decode engine before the prompt is read

Now the connection to the decode engine is opened first, and all beliefs are checked once more before its first byte, after the prompt was read.

The test of the unreachable engine fails before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -11,7 +11,7 @@
     BackendLostError,
     BackendUnreachableError,
 )
-from ..transport.http_exchange import AnswerHead, Exchange
+from ..transport.http_exchange import AnswerHead, Exchange, ServerConnection
 from ..transport.http_site import Responder
 from .backends import BackendServer
 from .call_state import CallState
@@ -161,23 +161,36 @@
         server: BackendServer,
         caches: list[KvCache],
     ) -> None:
-        """Send a call to a decode engine and pass its stream on."""
+        """Send a call to a decode engine and pass its stream on.
+
+        The engine is connected first: a prompt that is read for one that cannot
+        be reached may be read in vain.
+        """
         parts, prompt = self._parts, state.call.prompt
-        self._drop_lapsed(caches)
-        if not caches and prompt is not None:
-            pool = self._queue_for(state.service()).pool
-            cache = await self._prefills.read(state, server, pool.handle_seconds)
-            if cache is not None:
-                caches.append(cache)
         reading = _Reading(parts.clock, parts.loads, server.id)
-        if not caches and prompt is not None:
-            reading.begin(prompt.prompt_tokens)
-            parts.changed()
         exchange: Exchange | None = None
+        connection: ServerConnection | None = None
         try:
+            if prompt is not None and not caches and not self._prefill_free(state):
+                reading.begin(prompt.prompt_tokens)
+                parts.changed()
             connection = await parts.connect(state, server)
+            self._drop_lapsed(caches)
+            if not caches and prompt is not None:
+                pool = self._queue_for(state.service()).pool
+                cache = await self._prefills.read(state, server, pool.handle_seconds)
+                if cache is not None:
+                    caches.append(cache)
+                parts.check(state, server)
+            if caches:
+                reading.end()
+            elif prompt is not None:
+                reading.begin(prompt.prompt_tokens)
+                parts.changed()
+            if connection.closed:
+                text = f"connection to {server.address} closed before it was used"
+                raise BackendUnreachableError(text, step="connect", peer=server.id)
             if state.sendings and not parts.budget.take(state.service()):
-                parts.pool.release(connection)
                 raise state.given_up("resend_budget")
             source = None
             if caches:
@@ -206,6 +219,12 @@
             reading.end()
             if exchange is not None:
                 exchange.cancel()
+            elif connection is not None:
+                parts.pool.release(connection)
+
+    def _prefill_free(self, state: CallState) -> bool:
+        objective = state.resolved.route.objective.total_seconds()
+        return self._prefills.free(state.service(), objective)
 
     async def _forward(
         self,
@@ -275,8 +294,9 @@
         self._tokens: int | None = None
 
     def begin(self, tokens: int) -> None:
-        self._tokens = tokens
-        self._loads.begin_reading(self._server, tokens)
+        if self._tokens is None:
+            self._tokens = tokens
+            self._loads.begin_reading(self._server, tokens)
 
     def end(self) -> None:
         tokens, self._tokens = self._tokens, None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/sending.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/sending.py
@@ -39,21 +39,27 @@
     ) -> ServerConnection:
         """Return a connection on which the call may be sent now.
 
-        All beliefs are checked once more, as the last step before the first
-        byte. Raises ``Refused`` or ``BackendLeftError`` if they have changed, and
-        ``BackendUnreachableError`` if there is no connection.
+        Raises ``BackendUnreachableError`` if there is none, and what ``check``
+        raises.
         """
         connection = await self.pool.connection(
             server.address, max_idle_seconds=max_idle_seconds, timeout=CONNECT_SECONDS
         )
         try:
-            state.resolve()
-            self.backends.check(server, state.service())
+            self.check(state, server)
         except (Refused, BackendLeftError):
             self.pool.release(connection)
             raise
         return connection
 
+    def check(self, state: CallState, server: BackendServer) -> None:
+        """Check all beliefs once more, as the last step before the first byte.
+
+        Raises ``Refused`` or ``BackendLeftError`` if they have changed.
+        """
+        state.resolve()
+        self.backends.check(server, state.service())
+
 
 def silent(server: BackendServer, step: str) -> Callable[[object, float], None]:
     """Return what ``Deferred.addTimeout`` calls when a server was silent too long."""
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -140,6 +140,7 @@
 
     def __init__(self):
         self.sendings = []
+        self.opened = []
         self.down = set()
         self.slow = {}
         self.idle_bounds = []
@@ -152,7 +153,8 @@
         if address in self.slow:
             self.slow[address] = Deferred()
             return self.slow[address]
-        return succeed(FakeConnection(self, address))
+        self.opened.append(FakeConnection(self, address))
+        return succeed(self.opened[-1])
 
     def connect(self, address):
         self.slow[address].callback(FakeConnection(self, address))
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -175,6 +175,24 @@
     assert run.header("X-Pomeloglade-Kv-Source") is None
 
 
+def test_no_prompt_is_read_for_an_engine_that_cannot_be_reached(world, decodes):
+    for decode in decodes:
+        world.network.down.add(decode.address)
+    world.model_call()
+    assert world.network.sendings == []
+
+
+def test_connection_that_closes_while_the_prompt_is_read_is_not_used(world, decodes):
+    world.model_call()
+    opened = world.network.opened[0]
+    opened.closed = True
+    world.network.sendings[0].answer_prefill("h7")
+    run = world.network.sendings[1]
+    assert run.connection is not opened
+    assert run.address != opened.address
+    assert run.header("X-Pomeloglade-Kv-Source").endswith(b"/h7")
+
+
 def test_dark_engine_of_a_resumable_stream_is_given_up_before_the_caller_leaves(world):
     world.model_call("/reports/1")
     world.network.sendings[0].answer_prefill()
