--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -10,6 +10,7 @@
 from .calls import Refused
 from .deployment import EnginePool
 from .loads import Loads
+from .server_choice import ServerChoice
 from .server_health import ServerHealth
 from .waiting_elsewhere import Queued, Standing, WaitingElsewhere
 
@@ -110,6 +111,7 @@
         loads: Loads,
         health: ServerHealth,
         availability_zone: str,
+        server_choice: ServerChoice,
         elsewhere: WaitingElsewhere,
         changed: Callable[[], None],
     ) -> None:
@@ -119,6 +121,7 @@
         self._loads = loads
         self._health = health
         self._availability_zone = availability_zone
+        self._server_choice = server_choice
         self._elsewhere = elsewhere
         self._changed = changed
         self._waiters: list[Waiter] = []
@@ -284,7 +287,7 @@
         reads = need.prompt_tokens and not need.cached
         if reads and not self.prefill_free():
             free = [server for server in free if self._may_read(server, need)]
-        return min(free, key=self._cost, default=None)
+        return self._server_choice(free, self._cost) if free else None
 
     def _may_read(self, server: BackendServer, need: Need) -> bool:
         """Whether a decode engine can read a prompt without harm to its streams."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -30,8 +30,9 @@
 from .registration import Registration
 from .resend_budget import ResendBudget, ResendLimit
 from .sending import SendingParts
+from .server_choice import ChoiceName, server_choice
 from .server_health import ServerHealth
-from .stage_orders import StageOrders
+from .stage_orders import PREFILL_SHARE, StageOrders
 from .store_follower import StoreFollower
 from .usage import SharedUsage
 from .waiting_elsewhere import WaitingElsewhere
@@ -76,6 +77,8 @@
     resend_limit: ResendLimit
     usage_window: float
     usage_start: float
+    server_choice: ChoiceName = ChoiceName.LEAST_WORK
+    prefill_share: float = PREFILL_SHARE
 
 
 class ForwardingInstance:
@@ -104,6 +107,7 @@
         self._store = store
         self._log = log
         self._run = random.getrandbits(RUN_BITS)
+        self._server_choice = server_choice(settings.server_choice, random)
         self._started = reactor.seconds()
         self._key = layout.instances_prefix + settings.instance
         self._pool = ConnectionPool(reactor)
@@ -153,7 +157,9 @@
             belief=self.belief,
             usage=self._usage,
             budget=self._budget,
-            plain_calls=PlainCalls(parts, random, settings.availability_zone),
+            plain_calls=PlainCalls(
+                parts, random, settings.availability_zone, self._server_choice
+            ),
             model_calls=ModelCalls(parts, self._prefills, self._queue),
             log=log,
             metrics=metrics,
@@ -164,6 +170,7 @@
             holder=settings.instance,
             key=layout.orders_key,
             silence=settings.order_silence,
+            prefill_share=settings.prefill_share,
             codec=codec,
             pool=self._pool,
             belief=self.belief,
@@ -244,6 +251,7 @@
                 loads=self._loads,
                 health=self._health,
                 availability_zone=self._settings.availability_zone,
+                server_choice=self._server_choice,
                 elsewhere=self._elsewhere,
                 changed=self._reports.changed,
             )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -17,6 +17,7 @@
 from .calls import AnswerFacts, Dispatch, ForwardedCall, Refused
 from .deployment import CallKind, Route
 from .sending import SendingParts, silent
+from .server_choice import ServerChoice
 
 PATIENCE = 0.5
 """Part of a route's objective after which a safe call is tried elsewhere; the rest
@@ -49,7 +50,11 @@
     """
 
     def __init__(
-        self, parts: SendingParts, random: Random, availability_zone: str
+        self,
+        parts: SendingParts,
+        random: Random,
+        availability_zone: str,
+        server_choice: ServerChoice,
     ) -> None:
         self._parts = parts
         self._clock = parts.clock
@@ -60,6 +65,7 @@
         self._health = parts.health
         self._budget = parts.budget
         self._availability_zone = availability_zone
+        self._server_choice = server_choice
 
     async def run(self, state: CallState) -> WholeAnswer:
         """Return the answer to pass on, or raise ``Refused``."""
@@ -122,19 +128,19 @@
         servers = [s for s in self._backends.serving(service) if s.id not in without]
         reachable = [s for s in servers if not self._health.avoided(s.id)]
         candidates = [
-            (self._cost(server), self._random.random(), server)
+            server
             for server in reachable or servers
             if self._loads.calls(server.id, TOLD_LOAD_SECONDS)
             < QUEUE_FACTOR * server.slots
         ]
-        return min(candidates, key=lambda each: each[:2])[2] if candidates else None
+        return self._server_choice(candidates, self._cost) if candidates else None
 
-    def _cost(self, server: BackendServer) -> float:
+    def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, TOLD_LOAD_SECONDS)
         cost = (calls + 1) / server.slots * self._health.penalty(server.id)
         near = server.availability_zone == self._availability_zone
         # Half a call's worth of preference: zones are half a millisecond apart.
-        return cost - (0.5 / server.slots if near else 0.0)
+        return cost - (0.5 / server.slots if near else 0.0), self._random.random()
 
     def _worth_repeating(
         self, route: Route, service: str, server: BackendServer
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_choice.py
@@ -0,0 +1,31 @@
+"""Ways to choose one of the backend servers that could take a call."""
+
+import enum
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any
+
+from .backends import BackendServer
+
+Cost = Callable[[BackendServer], Any]
+ServerChoice = Callable[[Sequence[BackendServer], Cost], BackendServer]
+
+
+class ChoiceName(enum.Enum):
+    """The ways, as they are named in settings."""
+
+    LEAST_WORK = "least-work"
+    UNIFORM = "uniform"
+
+
+def server_choice(name: ChoiceName, random: Random) -> ServerChoice:
+    """Return a way to choose; ``UNIFORM`` is the baseline to measure others by.
+
+    >>> from random import Random
+    >>> choose = server_choice(ChoiceName.LEAST_WORK, Random(1))
+    >>> choose(("a", "bb"), len)
+    'a'
+    """
+    if name is ChoiceName.UNIFORM:
+        return lambda servers, cost: random.choice(servers)
+    return lambda servers, cost: min(servers, key=cost)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -62,6 +62,8 @@
         Called with each engine that is about to be ordered.
     silence : float
         Seconds that must pass between orders of two holders.
+    prefill_share : float
+        Part of a service's engines that read prompts.
     """
 
     def __init__(
@@ -72,6 +74,7 @@
         holder: str,
         key: str,
         silence: float,
+        prefill_share: float,
         codec: CallCodec,
         pool: ConnectionPool,
         belief: Belief,
@@ -85,6 +88,7 @@
         self._clock = clock
         self._holder = holder
         self._silence = silence
+        self._prefill_share = prefill_share
         self._codec = codec
         self._pool = pool
         self._belief = belief
@@ -171,7 +175,8 @@
     def _choose(self, service: str) -> tuple[BackendServer, str] | None:
         """Return an engine to be changed and its new stage, or ``None``."""
         prefill, decode = self._stages(service)
-        wanted = wanted_prefill(len(prefill) + len(decode))
+        engines = len(prefill) + len(decode)
+        wanted = wanted_prefill(engines, self._prefill_share)
         if len(prefill) == wanted:
             self._wrong_since_by_service.pop(service, None)
             return None
@@ -263,12 +268,14 @@
         )
 
 
-def wanted_prefill(engines: int) -> int:
+def wanted_prefill(engines: int, share: float = PREFILL_SHARE) -> int:
     """Return how many of a service's engines should read prompts.
 
+    A ``share`` of 0 has all prompts read by the engines that answer them.
+
     >>> [wanted_prefill(count) for count in (2, 3, 4, 11, 14)]
     [0, 1, 1, 3, 3]
     """
-    if engines < LEAST_ENGINES:
+    if engines < LEAST_ENGINES or share <= 0:
         return 0
-    return max(1, round(PREFILL_SHARE * engines))
+    return max(1, round(share * engines))
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -29,6 +29,7 @@
 from pomeloglade.forwarding.prefills import Prefills
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.sending import SendingParts
+from pomeloglade.forwarding.server_choice import ChoiceName, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade.forwarding.waiting_elsewhere import WaitingElsewhere
@@ -298,6 +299,7 @@
             loads=self.loads,
             health=self.health,
             availability_zone="zone-a",
+            server_choice=server_choice(ChoiceName.LEAST_WORK, Random(1)),
             elsewhere=WaitingElsewhere(self.clock),
             changed=lambda: None,
         )
@@ -322,7 +324,12 @@
             belief=self.belief,
             usage=self.usage,
             budget=self.budget,
-            plain_calls=PlainCalls(parts, Random(1), "zone-a"),
+            plain_calls=PlainCalls(
+                parts,
+                Random(1),
+                "zone-a",
+                server_choice(ChoiceName.LEAST_WORK, Random(1)),
+            ),
             model_calls=ModelCalls(parts, self.prefills, lambda _: self.queue),
             log=self.log,
             metrics=ForwardingMetrics(),
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -1,5 +1,7 @@
 """Who waits for an engine, who is refused, and where work goes."""
 
+from random import Random
+
 import pytest
 from tests.forwarding_fakes import server
 from twisted.internet.task import Clock
@@ -9,6 +11,7 @@
 from pomeloglade.forwarding.deployment import EnginePool
 from pomeloglade.forwarding.engine_queue import EngineQueue, Need
 from pomeloglade.forwarding.loads import Loads, Work
+from pomeloglade.forwarding.server_choice import ChoiceName, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.waiting_elsewhere import (
     Queued,
@@ -41,6 +44,7 @@
             loads=self.loads,
             health=self.health,
             availability_zone="zone-a",
+            server_choice=server_choice(ChoiceName.LEAST_WORK, Random(1)),
             elsewhere=self.elsewhere,
             changed=lambda: None,
         )
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -10,7 +10,7 @@
 from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.belief import Belief, StoreLayout
 from pomeloglade.forwarding.loads import Loads
-from pomeloglade.forwarding.stage_orders import StageOrders
+from pomeloglade.forwarding.stage_orders import PREFILL_SHARE, StageOrders
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
 from pomeloglade_platform.calls import PlatformCallCodec
 
@@ -20,7 +20,7 @@
 class Fleet:
     """Instances that seek the right to give orders, on one store."""
 
-    def __init__(self, *engines, instances=2):
+    def __init__(self, *engines, instances=2, prefill_share=PREFILL_SHARE):
         self.clock = Clock()
         self.clock.advance(100.0)
         self.store = MemoryKeyValueStore(self.clock)
@@ -31,9 +31,9 @@
         self.networks = []
         self.orders = []
         for number in range(instances):
-            self.add(f"entry-{number}")
+            self.add(f"entry-{number}", prefill_share)
 
-    def add(self, name):
+    def add(self, name, prefill_share=PREFILL_SHARE):
         layout = StoreLayout("op/config", "servers/", "i/", "orders", None, None)
         belief = Belief(
             layout=layout,
@@ -52,6 +52,7 @@
             holder=name,
             key="orders",
             silence=SILENCE,
+            prefill_share=prefill_share,
             codec=PlatformCallCodec(),
             pool=network,
             belief=belief,
@@ -170,6 +171,13 @@
     assert [order["stage"] for _, _, _, order in fleet.orders] == ["decode"]
 
 
+def test_without_a_prefill_share_all_engines_answer(engines):
+    fleet = Fleet(*engines[:2], prefill_share=0.0)
+    fleet.advance(30.0)
+    assert {order["stage"] for _, _, _, order in fleet.orders} == {"decode"}
+    assert len({address for _, _, address, _ in fleet.orders}) == 2
+
+
 def test_instances_without_the_right_make_no_calls_for_it(engines):
     fleet = Fleet(*engines, instances=5)
     fleet.advance(10.0)
