--- a/Makefile
+++ b/Makefile
@@ -25,12 +25,12 @@
 	$(BIN)/python -m pytest $$($(BIN)/python scripts/known_red.py)
 
 lint: setup
-	$(BIN)/ruff format --check packages platform tests bench scripts
-	$(BIN)/ruff check packages platform tests bench scripts
+	$(BIN)/ruff format --check packages platform tests bench scripts soak
+	$(BIN)/ruff check packages platform tests bench scripts soak
 
 format: setup
-	$(BIN)/ruff format packages platform tests bench scripts
-	$(BIN)/ruff check --fix packages platform tests bench scripts
+	$(BIN)/ruff format packages platform tests bench scripts soak
+	$(BIN)/ruff check --fix packages platform tests bench scripts soak
 
 bench: setup
 	$(BIN)/python -m bench
--- /dev/null
+++ b/tests/test_platform_process.py
@@ -0,0 +1,60 @@
+"""The platform's program as a process: its arguments, and starts that fail."""
+
+import os
+import socket
+import subprocess
+import sys
+
+import pytest
+from soak.fleet import settings_text
+
+HOST = "127.0.0.1"
+START_SECONDS = 30
+
+
+@pytest.fixture
+def settings(tmp_path):
+    path = tmp_path / "settings.toml"
+    path.write_text(
+        settings_text(
+            name="entry-1", host=HOST, zone="zone-a", base_port=1, store=f"{HOST}:1"
+        )
+    )
+    return path
+
+
+def start(settings, *arguments):
+    return subprocess.run(
+        [sys.executable, "-m", "pomeloglade_platform", *arguments],
+        env={**os.environ, "POMELOGLADE_BOOT": str(settings)},
+        capture_output=True,
+        text=True,
+        timeout=START_SECONDS,
+        check=False,
+    )
+
+
+def test_instance_that_cannot_listen_tells_why_and_ends_as_failed(settings):
+    with socket.create_server((HOST, 0)) as taken:
+        port = taken.getsockname()[1]
+        settings.write_text(settings.read_text().replace(f"{HOST}:2", f"{HOST}:{port}"))
+        ended = start(settings)
+    assert ended.returncode == 1
+    assert "not_started" in ended.stdout
+    assert str(port) in ended.stdout
+
+
+def test_settings_that_cannot_be_read_are_named(tmp_path):
+    ended = start(tmp_path / "missing.toml")
+    assert ended.returncode == 1
+    assert "missing.toml" in ended.stderr
+
+
+@pytest.mark.parametrize(
+    "arguments",
+    [("--prefill-share", "1.5"), ("--prefill-share", "x"), ("--server-choice", "best")],
+)
+def test_bad_arguments_are_refused(settings, arguments):
+    ended = start(settings, *arguments)
+    assert ended.returncode == 2
+    assert arguments[0] in ended.stderr
