--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 export PYTHONPATH := $(subst $(space),:,$(SOURCES)):$(CURDIR)/platform:$(CURDIR)
 export PIP_DISABLE_PIP_VERSION_CHECK := 1
 
-.PHONY: setup demo test lint format bench fuzz clean
+.PHONY: setup demo test lint format bench soak mutations fuzz clean
 
 setup: $(VENV)/.installed
 
@@ -35,6 +35,12 @@
 bench: setup
 	$(BIN)/python -m bench
 
+soak: setup
+	$(BIN)/python -m soak $(SOAK)
+
+mutations: setup
+	$(BIN)/python -m scripts.mutations
+
 fuzz: setup
 	$(BIN)/python -m scripts.fuzz $(SEED)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -6,6 +6,9 @@
 from .calls import ForwardedCall, Refused
 from .deployment import Account, Route
 
+GIVEN_UP_SECONDS = 0.1
+"""Time after which another instance may have a server or a resend left."""
+
 USUAL_SPREAD = 0.16
 """Part by which the time limits of callers' first calls differ on one route."""
 
@@ -124,14 +127,9 @@
         milliseconds = round((self._now() - self.call.arrived) * 1000)
         self.notes.append(f"{milliseconds} {outcome} {server} {detail}".rstrip())
 
-    def refusal(
-        self, status: int, reason: str, *, retry_after: float | None = None
-    ) -> Refused:
-        """Return an own answer that is true whatever may have run."""
-        if self.may_have_run:
-            return Refused(502, reason)
-        return Refused(status, reason, retry_after=retry_after)
-
     def given_up(self, reason: str) -> Refused:
-        """Return the own answer of a call that nothing more is tried for."""
-        return self.refusal(503, reason, retry_after=0.1)
+        """Return the own answer of a call that nothing more is tried for.
+
+        ``Forwarder`` answers otherwise if a backend server may have run the call.
+        """
+        return Refused(503, reason, retry_after=GIVEN_UP_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -15,7 +15,7 @@
 from ..transport.http_site import Responder
 from .backends import BackendServer
 from .call_state import CallState
-from .calls import Dispatch, Refused, answer_headers
+from .calls import Dispatch, answer_headers
 from .engine_queue import EngineQueue, Need
 from .event_stream import EventStream
 from .loads import Loads
@@ -139,10 +139,6 @@
                 objective=resolved.route.objective.total_seconds(),
                 account_part=state.account_part,
             )
-        except Refused as refused:
-            if not state.may_have_run:
-                raise
-            raise Refused(502, refused.reason, inputs=refused.inputs) from refused
         finally:
             self._parts.changed()
 
@@ -277,6 +273,9 @@
         now = self._parts.clock.seconds()
         if stream.passed_on:
             pause = now - stream.passed_on_at
+            allowed = state.resolved.route.longest_pause.total_seconds()
+            if state.longest_pause <= allowed < pause:
+                state.note("", "paused", f"{pause:.3f} s")
             state.longest_pause = max(state.longest_pause, pause)
         else:
             state.note("", "first")
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -82,7 +82,7 @@
             if server is None:
                 if best is not None:
                     return best
-                raise self._nowhere(state, service)
+                raise self._nowhere(service)
             if state.sendings and not self._budget.take(service):
                 if best is not None:
                     return best
@@ -157,12 +157,10 @@
         usual = sum(rates) / len(rates)
         return self._health.failure_rate(server.id) > usual + FAULTY_EXCESS
 
-    def _nowhere(self, state: CallState, service: str) -> Refused:
-        if state.sendings and state.may_have_run:
-            return state.given_up("no_server")
+    def _nowhere(self, service: str) -> Refused:
         known = len(self._backends.serving(service))
         reason = "servers_full" if known else "no_server"
-        return state.refusal(503, reason, retry_after=0.1 if known else 0.5)
+        return Refused(503, reason, retry_after=0.1 if known else 0.5)
 
     async def _send(
         self, state: CallState, server: BackendServer, again: bool
--- /dev/null
+++ b/scripts/mutations.py
@@ -0,0 +1,280 @@
+"""Disables one mechanism at a time on a copy of the sources; its tests must fail.
+
+    make mutations
+
+Each line that is printed names the rule, the change and the first test that failed.
+"""
+
+import os
+import shutil
+import subprocess
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+COPIED = ("packages", "platform", "soak", "scripts", "tests", "pyproject.toml")
+FORWARDING = "packages/pomeloglade/src/pomeloglade/forwarding/"
+TRANSPORT = "packages/pomeloglade/src/pomeloglade/transport/"
+CODEC = "platform/pomeloglade_platform/calls.py"
+
+
+@dataclass(frozen=True, slots=True)
+class Mutation:
+    """A change of one file that breaks a rule, and the tests that must see it."""
+
+    rule: str
+    what: str
+    path: str
+    old: str
+    new: str
+    tests: tuple[str, ...]
+
+
+CALLS = ("tests/test_plain_calls.py", "tests/test_model_calls.py")
+PARTS = ("tests/test_forwarding_parts.py",)
+WIRE = ("tests/test_platform_codecs.py",)
+SITE = ("tests/test_http_site.py",)
+EXCHANGE = ("tests/test_http_exchange.py",)
+
+MUTATIONS = (
+    Mutation(
+        "MIXED, other answers",
+        "the echo of the call's id is not checked",
+        FORWARDING + "plain_calls.py",
+        "    if not facts.own:\n",
+        "    if False:\n",
+        CALLS,
+    ),
+    Mutation(
+        "MIXED, other answers",
+        "an answer without a seal is passed on",
+        FORWARDING + "plain_calls.py",
+        "    elif not facts.sealed:\n",
+        "    elif False:\n",
+        CALLS,
+    ),
+    Mutation(
+        "MIXED, cut answers",
+        "a reset counts as the end of an unframed answer",
+        TRANSPORT + "http_exchange.py",
+        "        if reason.check(ConnectionDone):\n",
+        "        if True:\n",
+        EXCHANGE,
+    ),
+    Mutation(
+        "MIXED, handles",
+        "a handle that was taken is kept",
+        FORWARDING + "model_calls.py",
+        "            caches.clear()\n            check_answer",
+        "            check_answer",
+        CALLS,
+    ),
+    Mutation(
+        "UNASKED",
+        "two framings at once are taken",
+        TRANSPORT + "http_site.py",
+        'elif b"transfer-encoding" in names and b"content-length" in names:',
+        "elif False:",
+        SITE,
+    ),
+    Mutation(
+        "UNASKED",
+        "headers of the router pass from a caller",
+        CODEC,
+        "                if each[0].lower() not in SET_BY_ROUTER\n",
+        "",
+        WIRE + CALLS,
+    ),
+    Mutation(
+        "TWICE",
+        "a lost call is sent again whatever its kind",
+        FORWARDING + "plain_calls.py",
+        "                if not resolved.route.idempotent:\n",
+        "                if False:\n",
+        CALLS,
+    ),
+    Mutation(
+        "TWICE",
+        "a lost stream is sent again whatever its kind",
+        FORWARDING + "model_calls.py",
+        "                    not resolved.route.resumable\n                    or len",
+        "                    len",
+        CALLS,
+    ),
+    Mutation(
+        "REFUSED",
+        "a call that may have run is refused as not run",
+        FORWARDING + "forwarder.py",
+        "            if status in NOT_RUN_STATUSES or status < 500:\n",
+        "            if False:\n",
+        CALLS,
+    ),
+    Mutation(
+        "DENIED",
+        "an old configuration denies routes and keys",
+        FORWARDING + "belief.py",
+        "return self.age() < self._longest_for_denials",
+        "return True",
+        CALLS + PARTS,
+    ),
+    Mutation(
+        "BUDGET, repeated sendings",
+        "the budget is never spent",
+        FORWARDING + "resend_budget.py",
+        "        if self.left(service) <= 0:\n",
+        "        if False:\n",
+        CALLS + PARTS,
+    ),
+    Mutation(
+        "BUDGET, time",
+        "sendings do not name the time left",
+        FORWARDING + "plain_calls.py",
+        "                seconds_left=state.seconds_left(),\n",
+        "                seconds_left=None,\n",
+        CALLS,
+    ),
+    Mutation(
+        "GONE",
+        "the caller's end leaves the sending alone",
+        FORWARDING + "plain_calls.py",
+        "                exchange.cancel()\n",
+        "                pass\n",
+        CALLS,
+    ),
+    Mutation(
+        "LOST",
+        "a draining site does not ask callers to leave",
+        FORWARDING + "forwarder.py",
+        "        return self._draining or not",
+        "        return not",
+        SITE + CALLS + PARTS,
+    ),
+    Mutation(
+        "CONFIG, in force",
+        "a sending goes by the configuration of the call's arrival",
+        FORWARDING + "sending.py",
+        "        state.resolve()\n        self.backends",
+        "        self.backends",
+        CALLS,
+    ),
+    Mutation(
+        "CONFIG, never back",
+        "an older version comes into force",
+        FORWARDING + "belief.py",
+        "deployment.version < self.deployment.version",
+        "False",
+        PARTS,
+    ),
+    Mutation(
+        "CONFIG, withdrawn keys",
+        "keys are served whatever the belief's age",
+        FORWARDING + "belief.py",
+        "return self.age() < self._longest_for_keys",
+        "return True",
+        CALLS + PARTS,
+    ),
+    Mutation(
+        "CONFIG, timeouts",
+        "the route's timeout is ignored",
+        FORWARDING + "call_state.py",
+        "            limit = min(limit, self.call.time_limit)\n",
+        "            limit = self.call.time_limit\n",
+        CALLS,
+    ),
+    Mutation(
+        "DRAIN",
+        "a draining server is still used",
+        FORWARDING + "backends.py",
+        "                not known.draining\n                and known",
+        "                known",
+        CALLS + PARTS,
+    ),
+    Mutation(
+        "ROUTE",
+        "the expected server is not named",
+        CODEC,
+        "        headers.append((EXPECTED_SERVER, dispatch.server.encode()))\n",
+        "",
+        WIRE + CALLS,
+    ),
+    Mutation(
+        "QUOTA",
+        "silent instances are forgotten",
+        FORWARDING + "usage.py",
+        "        return sum(used.values()) + kept\n",
+        "        return sum(used.values())\n",
+        ("tests/test_usage.py",),
+    ),
+    Mutation(
+        "ORDER",
+        "a partial event of a broken stream is passed on",
+        FORWARDING + "event_stream.py",
+        "        if not self.resumable:\n            return data\n",
+        "        return data\n",
+        CALLS,
+    ),
+    Mutation(
+        "ONE",
+        "a new holder orders at once",
+        FORWARDING + "stage_orders.py",
+        "        return self._lease.valid() and since > self._silence\n",
+        "        return self._lease.valid()\n",
+        ("tests/test_stage_orders.py",),
+    ),
+)
+
+
+def failing_test(root: Path, tests: tuple[str, ...]) -> str | None:
+    """Return the first test that fails in a tree, or ``None``."""
+    sources = [str(each) for each in sorted((root / "packages").glob("*/src"))]
+    paths = [*sources, str(root / "platform"), str(root)]
+    ended = subprocess.run(
+        [sys.executable, "-m", "pytest", "-x", "-q", "-p", "no:cacheprovider", *tests],
+        cwd=root,
+        env={**os.environ, "PYTHONPATH": os.pathsep.join(paths)},
+        capture_output=True,
+        text=True,
+        check=False,
+    )
+    if ended.returncode == 0:
+        return None
+    failed = [line for line in ended.stdout.splitlines() if line.startswith("FAILED")]
+    return failed[0].split(" - ")[0].removeprefix("FAILED ") if failed else ended.stdout
+
+
+def seen(mutation: Mutation) -> str | None:
+    """Apply a mutation to a copy and return the test that saw it."""
+    with tempfile.TemporaryDirectory() as folder:
+        root = Path(folder)
+        for name in COPIED:
+            source = ROOT / name
+            if source.is_dir():
+                shutil.copytree(
+                    source, root / name, ignore=shutil.ignore_patterns("__pycache__")
+                )
+            else:
+                shutil.copy(source, root / name)
+        changed = root / mutation.path
+        text = changed.read_text()
+        if mutation.old not in text:
+            raise SystemExit(f"{mutation.path} has no {mutation.old!r}")
+        changed.write_text(text.replace(mutation.old, mutation.new))
+        return failing_test(root, mutation.tests)
+
+
+def main() -> None:
+    """Try all mutations; exit with 1 if one goes unseen."""
+    unseen = 0
+    for mutation in MUTATIONS:
+        test = seen(mutation)
+        unseen += test is None
+        sys.stdout.write(f"{mutation.rule}: {mutation.what}: {test or 'NOT SEEN'}\n")
+        sys.stdout.flush()
+    if unseen:
+        raise SystemExit(1)
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -233,9 +233,13 @@
     llm = {"timeout": timedelta(seconds=14), "objective": timedelta(seconds=0.9)}
     found = {
         "lookups": route("lookups", "/lookups/", CallKind.SAFE, "api", max_servers=2),
-        "bookings": route("bookings", "/bookings/", CallKind.UNSAFE, "api"),
+        "bookings": route(
+            "bookings", "/bookings/", CallKind.UNSAFE, "api", max_servers=2
+        ),
         "public": route("public", "/public/", CallKind.SAFE, "api", public=True),
-        "digests": route("digests", "/digests/", CallKind.STREAMING, "llm", **llm),
+        "digests": route(
+            "digests", "/digests/", CallKind.STREAMING, "llm", max_servers=2, **llm
+        ),
         "reports": route(
             "reports",
             "/reports/",
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -261,3 +261,9 @@
     responder, _ = world.call("/lookups/1", method=b"GET")
     assert responder.status == 502
     assert len(world.network.sendings) == 2
+
+
+def test_draining_instance_asks_callers_to_leave(world):
+    assert not world.forwarder.closing()
+    world.forwarder.begin_drain()
+    assert world.forwarder.closing()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,6 +6,10 @@
 from types import SimpleNamespace
 
 import pytest
+from soak.callers import Sent
+from soak.fleet import KEYS_BY_ACCOUNT, REVOKE_SECONDS
+from soak.promises import broken_promises
+
 from pomeloglade_platform_standin.backend import (
     Ledger,
     Run,
@@ -13,9 +17,6 @@
     events_of,
     plain_answer,
 )
-from soak.callers import Sent
-from soak.fleet import KEYS_BY_ACCOUNT, REVOKE_SECONDS
-from soak.promises import broken_promises
 
 SHORT_RUN_SECONDS = 120
 
