Sum up the peers' work once a report, not once a question

Now sums are kept by server and changed with each report: 0.9 us. Old reports are dropped four times a second.

Ruled out: decoding a report, 14 us, some 440 a second and instance.

The new test compares the sums with a recount; it found the first version wrong for work of zero calls.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -10,6 +10,9 @@
 """Age at which a silent instance's calls are taken to be over; most calls last
 less, and an instance with calls in work reports more often than that."""
 
+EXPIRY_CHECK_SECONDS = 0.25
+"""How often reports are looked through for old ones."""
+
 READING = "reading/"
 """Prefix of the keys under which prompts read at decode engines are counted, so
 that they are reported together with calls."""
@@ -26,6 +29,10 @@
         """Return the sum of both."""
         return Work(self.calls + other.calls, self.tokens + other.tokens)
 
+    def minus(self, other: "Work") -> "Work":
+        """Return the difference."""
+        return Work(self.calls - other.calls, self.tokens - other.tokens)
+
 
 NO_WORK = Work()
 
@@ -45,6 +52,10 @@
         self._clock = clock
         self._own_by_server: dict[str, Work] = {}
         self._peers_by_instance: dict[str, tuple[float, dict[str, Work]]] = {}
+        # The sums over all peers; adding them up for each question takes longer
+        # than the question is worth in a fleet of many instances.
+        self._peers_by_server: dict[str, Work] = {}
+        self._expired_at = clock.seconds()
         self._told_by_server: dict[str, tuple[float, ServerLoad]] = {}
 
     def begin(self, server: str, tokens: int) -> None:
@@ -66,11 +77,20 @@
 
     def heard(self, instance: str, work_by_server: dict[str, Work]) -> None:
         """Take another instance's calls by backend server."""
+        self.forget(instance)
         self._peers_by_instance[instance] = (self._clock.seconds(), work_by_server)
+        for server, work in work_by_server.items():
+            known = self._peers_by_server.get(server, NO_WORK)
+            self._peers_by_server[server] = known.plus(work)
 
     def forget(self, instance: str) -> None:
         """Drop what an instance that is gone reported."""
-        self._peers_by_instance.pop(instance, None)
+        _, work_by_server = self._peers_by_instance.pop(instance, (0.0, {}))
+        for server, work in work_by_server.items():
+            known = self._peers_by_server.pop(server, NO_WORK)
+            left = known.minus(work)
+            if left != NO_WORK:
+                self._peers_by_server[server] = left
 
     def told(self, server: str, load: ServerLoad) -> None:
         """Take the load that a backend server tells with an answer."""
@@ -78,12 +98,20 @@
 
     def work(self, server: str) -> Work:
         """Return the calls of all instances at a backend server."""
-        total = self._own_by_server.get(server, NO_WORK)
-        oldest = self._clock.seconds() - PEER_LOAD_SECONDS
-        for heard_at, work_by_server in self._peers_by_instance.values():
-            if heard_at >= oldest:
-                total = total.plus(work_by_server.get(server, NO_WORK))
-        return total
+        self._expire()
+        own = self._own_by_server.get(server, NO_WORK)
+        return own.plus(self._peers_by_server.get(server, NO_WORK))
+
+    def _expire(self) -> None:
+        """Drop the reports of instances that have been silent for long."""
+        now = self._clock.seconds()
+        if now - self._expired_at < EXPIRY_CHECK_SECONDS:
+            return
+        self._expired_at = now
+        oldest = now - PEER_LOAD_SECONDS
+        for instance, (heard_at, _) in list(self._peers_by_instance.items()):
+            if heard_at < oldest:
+                self.forget(instance)
 
     def begin_reading(self, server: str, tokens: int) -> None:
         """Count a prompt that a decode engine begins to read itself."""
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -4,6 +4,8 @@
 import os
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from tests.forwarding_fakes import ListLog, deployment, server
 from twisted.internet.defer import succeed
 from twisted.internet.task import Clock
@@ -21,7 +23,12 @@
     decode,
     encode,
 )
-from pomeloglade.forwarding.loads import PEER_LOAD_SECONDS, Loads, Work
+from pomeloglade.forwarding.loads import (
+    EXPIRY_CHECK_SECONDS,
+    PEER_LOAD_SECONDS,
+    Loads,
+    Work,
+)
 from pomeloglade.forwarding.registration import LEASE_SECONDS, Registration
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.server_health import ServerHealth
@@ -148,6 +155,42 @@
     assert loads.work("a") == Work()
 
 
+@given(
+    st.lists(
+        st.one_of(
+            st.tuples(
+                st.sampled_from("pqr"),
+                st.dictionaries(st.sampled_from("ab"), st.integers(0, 5)),
+            ),
+            st.tuples(st.sampled_from("pqr"), st.none()),
+            st.floats(0.1, 2.0),
+        ),
+        max_size=20,
+    )
+)
+def test_load_is_the_sum_of_all_instances_newest_reports(steps):
+    clock = Clock()
+    loads = Loads(clock)
+    heard = {}
+    for step in steps:
+        if isinstance(step, float):
+            clock.advance(step)
+        elif step[1] is None:
+            loads.forget(step[0])
+            heard.pop(step[0], None)
+        else:
+            work = {name: Work(count, 10 * count) for name, count in step[1].items()}
+            loads.heard(step[0], work)
+            heard[step[0]] = (clock.seconds(), work)
+    clock.advance(EXPIRY_CHECK_SECONDS)
+    fresh = [
+        work for at, work in heard.values() if clock.seconds() - at <= PEER_LOAD_SECONDS
+    ]
+    for name in "ab":
+        calls = sum(work.get(name, Work()).calls for work in fresh)
+        assert loads.work(name) == Work(calls, 10 * calls)
+
+
 def test_servers_own_word_counts_for_a_short_time(clock):
     loads = Loads(clock)
     loads.told("a", ServerLoad(5, 2, 6))
