--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -340,7 +340,16 @@
         )
         self.calls = 0
 
-    def call(self, target, *, key=KEY, limit_ms=14_000, headers=(), method=b"POST"):
+    def call(
+        self,
+        target,
+        *,
+        key=KEY,
+        limit_ms=14_000,
+        headers=(),
+        method=b"POST",
+        responder=None,
+    ):
         """Begin a call and return its responder and its task."""
         self.calls += 1
         given = [
@@ -351,7 +360,7 @@
         ]
         if key is not None:
             given.append((b"Authorization", b"Bearer " + key.encode()))
-        responder = FakeResponder()
+        responder = responder or FakeResponder()
         head = RequestHead(method, target.encode(), tuple(given))
         task = self.forwarder.handle(head, b"body", responder)
         return responder, task
