--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -99,9 +99,8 @@
             failed += bool(broken)
             for line in broken[:20]:
                 sys.stdout.write(f"  {line}\n")
-        sys.stdout.write(
-            f"{seeds - failed} of {seeds} seeds kept all; logs in {kept}\n"
-        )
+        good = len(numbers) - failed
+        sys.stdout.write(f"{good} of {len(numbers)} seeds kept all; logs in {kept}\n")
         if failed:
             raise SystemExit(1)
 
