--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,10 +20,11 @@
 """Part of the callers that leave before their answer."""
 
 HOT_PART = 0.4
+"""Part of the callers that use the account whose limit is low."""
+
 OLD_KEY_PART = 0.2
 """Part of the callers that use a withdrawn key, once there is one."""
 
-PAUSE_SECONDS = 0.01
 SEAL = "X-Pomeloglade-Server-Seal"
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -26,7 +26,11 @@
 BUDGET_RATIO, BUDGET_WINDOW_SECONDS, BUDGET_SLACK = 0.2, 10.0, 60
 KEYS_BY_ACCOUNT = {"club": "club-key", "league": "league-key", "hot": "hot-key"}
 HOT_RATE, HOT_BURST = 6_000.0, 6_000.0
+"""Tokens; the account hot asks for some four times as much."""
+
 LEAVE_SECONDS = 2.0
+"""How long a crashed backend server is away, and half of a draining one's service."""
+
 LISTING_LAG_SECONDS = 3.0
 """How long a crashed backend server's registration outlives it."""
 
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -25,7 +25,11 @@
 busy machine with all these processes adds."""
 
 CALM_SECONDS = 3.0
+"""Time without a disturbance after which the platform's bounds hold again."""
+
 SERVED_PART = 0.9
+"""Part of the requests with valid keys that must be served once the faults are over."""
+
 SERVICE_BY_ROUTE = {
     "lookups": "api",
     "bookings": "api",
