Keep the platform's names out of the soak, and build the tests' queue once

The soak wrote settings files, configurations and callers' headers itself, with the platform's names. They stand in platform/pomeloglade_platform_standin now (deployment, caller), where headers and keys come from the adapter's own constants instead of being spelled again. The queue of the tests was built in two places; both call one function.

Behaviour is as it was; no check or bound changed, the tests keep their assertions. Looked at and left: ModelCalls asks whether a prefill engine is free by the call's own route, the queue by the shortest objective of all routes, so the two are not one.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.web.client import Agent, HTTPConnectionPool
 
+from pomeloglade_platform_standin.caller import SEAL, request_headers
+
 from .fleet import Fleet, InstanceProcess
 
 LIMIT_MS_BY_ROUTE = {
@@ -25,8 +27,6 @@
 OLD_KEY_PART = 0.2
 """Part of the callers that use a withdrawn key, once there is one."""
 
-SEAL = "X-Pomeloglade-Server-Seal"
-
 
 @dataclass(slots=True)
 class Sent:
@@ -106,18 +106,13 @@
             tokens=prompt + output if streams else 0,
         )
         self.sent.append(sent)
-        headers = {
-            "Host": "api.example",
-            "Authorization": f"Bearer {sent.key}",
-            "X-Pomeloglade-Attempt-Id": attempt,
-            "X-Pomeloglade-Deadline-Ms": str(limit_ms),
-            # Both are the router's to set; what a caller sends must not pass.
-            "X-Pomeloglade-Tenant": "somebody-else",
-            "X-Pomeloglade-Kv-Source": "10.0.0.1:1/h1",
-        }
-        if streams:
-            headers["X-Pomeloglade-Model"] = "m"
-            headers["X-Pomeloglade-Token-Counts"] = f"{prompt},{output}"
+        headers = request_headers(
+            key=key,
+            attempt=attempt,
+            limit_ms=limit_ms,
+            tokens=(prompt, output) if streams else None,
+        )
+        headers["Host"] = "api.example"
         answered = Deferred.fromCoroutine(self._answered(sent, headers))
         if random.random() < LEAVE_PART:
             fleet.reactor.callLater(
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -5,9 +5,10 @@
 from random import Random
 
 from pomeloglade_platform_standin.backend import BackendFaults
+from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
 
-from .fleet import REVOKE_SECONDS, Fleet
+from .fleet import Fleet
 from .proxy import Link, Proxy
 
 MOST_SECONDS = 4.0
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,6 +1,5 @@
 """The processes under test and the stand-ins around them."""
 
-import json
 import os
 import signal
 import sys
@@ -12,131 +11,23 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.web.server import Site
 
+from pomeloglade_platform import configuration as wire_configuration
+from pomeloglade_platform import servers
 from pomeloglade_platform_standin.backend import BackendStandIn, Ledger
+from pomeloglade_platform_standin.deployment import configuration, settings_text
 from pomeloglade_platform_standin.store import StoreStandIn
 
 from .proxy import Proxy
 
 HOST = "127.0.0.1"
 ZONES = ("zone-a", "zone-b")
-REVOKE_SECONDS = 5.0
-GRACE_SECONDS = 4.0
-USAGE_WINDOW_SECONDS = 8.0
-USAGE_SLACK = 15_000
-BUDGET_RATIO, BUDGET_WINDOW_SECONDS, BUDGET_SLACK = 0.2, 10.0, 60
 KEYS_BY_ACCOUNT = {"club": "club-key", "league": "league-key", "hot": "hot-key"}
-HOT_RATE, HOT_BURST = 6_000.0, 6_000.0
-"""Tokens; the account hot asks for some four times as much."""
-
 LEAVE_SECONDS = 2.0
 """How long a crashed backend server is away, and half of a draining one's service."""
 
 LISTING_LAG_SECONDS = 3.0
 """How long a crashed backend server's registration outlives it."""
 
-SETTINGS = """\
-nodeName = "{name}"
-ip = "{host}"
-zone = "{zone}"
-internalPorts = [{peer}, {peer}]
-listen = {{ front = "{host}:{front}", ready = "{host}:{ready}" }}
-platform = {{ address = "{store}" }}
-
-[bounds]
-drainMs = 2000
-graceS = {grace}
-configApplyMs = 2000
-revokeMs = {revoke}
-strictRevoke = true
-retryBudgetRatio = {ratio}
-budgetWindowS = {window}
-budgetSlack = {slack}
-quotaWindowS = {usage_window}
-quotaSlack = {usage_slack}
-transitMs = 100
-leaseMs = 1000
-"""
-
-
-def settings_text(
-    *, name: str, host: str, zone: str, base_port: int, store: str
-) -> str:
-    """Return an instance's settings file; it uses three ports from ``base_port`` on."""
-    return SETTINGS.format(
-        name=name,
-        host=host,
-        zone=zone,
-        front=base_port,
-        ready=base_port + 1,
-        peer=base_port + 2,
-        store=store,
-        grace=GRACE_SECONDS,
-        revoke=int(REVOKE_SECONDS * 1000),
-        ratio=BUDGET_RATIO,
-        window=int(BUDGET_WINDOW_SECONDS),
-        slack=BUDGET_SLACK,
-        usage_window=int(USAGE_WINDOW_SECONDS),
-        usage_slack=USAGE_SLACK,
-    )
-
-
-def configuration(version: int, keys_by_account: dict[str, str]) -> bytes:
-    """Return the operator's configuration with these keys in force."""
-    routes = [
-        ("lookups", "/lookups/", "safe", "api", {"maxAttempts": 2}),
-        ("bookings", "/bookings/", "unsafe", "api", {"maxAttempts": 2}),
-        ("digests", "/digests/", "streaming", "llm", {}),
-        (
-            "reports",
-            "/reports/",
-            "streaming",
-            "llm",
-            {"maxAttempts": 2, "resumable": True},
-        ),
-    ]
-    limits = {"hot": {"ratePerS": HOT_RATE, "burst": HOT_BURST}}
-    return json.dumps(
-        {
-            "version": version,
-            "routes": [
-                {
-                    "name": name,
-                    "host": "api.example",
-                    "prefix": prefix,
-                    "kind": kind,
-                    "service": service,
-                    "timeoutMs": 4000,
-                    "targetLatencyMs": 600,
-                    "gapAimMs": 300,
-                    **options,
-                }
-                for name, prefix, kind, service, options in routes
-            ],
-            "services": [
-                {"name": "api", "maxConns": 100},
-                {
-                    "name": "llm",
-                    "maxConns": 100,
-                    "engine": {
-                        "slots": 8,
-                        "kvCapacityTokens": 100_000,
-                        "handleTtlS": 0.5,
-                    },
-                },
-            ],
-            "tenants": [
-                {
-                    "name": account,
-                    "apiKeys": [key] if key else [],
-                    "unit": "tokens",
-                    "plainTokens": 200,
-                    **limits.get(account, {}),
-                }
-                for account, key in keys_by_account.items()
-            ],
-        }
-    ).encode()
-
 
 class InstanceProcess(ProcessProtocol):
     """One instance as a real process.
@@ -275,11 +166,11 @@
         """Write a backend server's registration."""
         zone = ZONES[self.backends.index(backend) % len(ZONES)]
         entry = backend.entry(zone, draining=draining)
-        self.store.items.put(f"servers/{backend.id}", entry)
+        self.store.items.put(servers.PREFIX + backend.id, entry)
 
     def unregister(self, server: str) -> None:
         """Remove a registration."""
-        self.store.items.delete(f"servers/{server}")
+        self.store.items.delete(servers.PREFIX + server)
 
     def crash(self, backend: BackendStandIn) -> None:
         """Restart a backend server; its old registration stays for a while."""
@@ -303,7 +194,7 @@
         """Write the next version of the configuration."""
         self.version += 1
         value = configuration(self.version, self.keys_by_account)
-        self.store.items.put("op/config", value)
+        self.store.items.put(wire_configuration.KEY, value)
 
     def revoke(self, account: str) -> None:
         """Take an account's key away and give it a new one."""
--- a/soak/promises.py
+++ b/soak/promises.py
@@ -4,9 +4,7 @@
 from collections import Counter, defaultdict
 
 from pomeloglade_platform_standin.backend import Run, event, events_of, plain_answer
-
-from .callers import Sent
-from .fleet import (
+from pomeloglade_platform_standin.deployment import (
     BUDGET_RATIO,
     BUDGET_SLACK,
     BUDGET_WINDOW_SECONDS,
@@ -15,9 +13,11 @@
     REVOKE_SECONDS,
     USAGE_SLACK,
     USAGE_WINDOW_SECONDS,
-    Fleet,
 )
 
+from .callers import Sent
+from .fleet import Fleet
+
 NOT_RUN = frozenset((408, 421, 429, 503))
 USAGE_OVERRUN = 0.1
 HELD_SECONDS = 0.6
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -271,6 +271,21 @@
     )
 
 
+def engine_queue(clock, backends, loads, health, elsewhere):
+    """Return the queue of the service llm in zone-a."""
+    return EngineQueue(
+        "llm",
+        clock=clock,
+        backends=backends,
+        loads=loads,
+        health=health,
+        availability_zone="zone-a",
+        server_choice=server_choice(ChoiceName.LEAST_WORK, Random(1)),
+        elsewhere=elsewhere,
+        changed=lambda: None,
+    )
+
+
 class World:
     """One instance's request path on a virtual clock, with scripted servers."""
 
@@ -296,16 +311,12 @@
         self.age = 0.0
         self.belief.age = lambda: self.age
         self.belief.deployment = found or deployment()
-        self.queue = EngineQueue(
-            "llm",
-            clock=self.clock,
-            backends=self.backends,
-            loads=self.loads,
-            health=self.health,
-            availability_zone="zone-a",
-            server_choice=server_choice(ChoiceName.LEAST_WORK, Random(1)),
-            elsewhere=WaitingElsewhere(self.clock),
-            changed=lambda: None,
+        self.queue = engine_queue(
+            self.clock,
+            self.backends,
+            self.loads,
+            self.health,
+            WaitingElsewhere(self.clock),
         )
         self.queue.pool = self.belief.deployment.services_by_name["llm"].engines
         parts = SendingParts(
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -1,17 +1,14 @@
 """Who waits for an engine, who is refused, and where work goes."""
 
-from random import Random
-
 import pytest
-from tests.forwarding_fakes import server
+from tests.forwarding_fakes import engine_queue, server
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.calls import Refused
 from pomeloglade.forwarding.deployment import EnginePool
-from pomeloglade.forwarding.engine_queue import EngineQueue, Need
+from pomeloglade.forwarding.engine_queue import Need
 from pomeloglade.forwarding.loads import Loads, Work
-from pomeloglade.forwarding.server_choice import ChoiceName, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.waiting_elsewhere import (
     Queued,
@@ -37,16 +34,8 @@
             for name, zone in (("a", "zone-a"), ("bb", "zone-b"))
         ]
         self.backends.replace_all(self.engines, lenient=False)
-        self.queue = EngineQueue(
-            "llm",
-            clock=self.clock,
-            backends=self.backends,
-            loads=self.loads,
-            health=self.health,
-            availability_zone="zone-a",
-            server_choice=server_choice(ChoiceName.LEAST_WORK, Random(1)),
-            elsewhere=self.elsewhere,
-            changed=lambda: None,
+        self.queue = engine_queue(
+            self.clock, self.backends, self.loads, self.health, self.elsewhere
         )
         self.queue.pool = EnginePool(2, 25_000)
         for _ in range(50):
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -7,7 +7,8 @@
 import sys
 
 import pytest
-from soak.fleet import settings_text
+
+from pomeloglade_platform_standin.deployment import settings_text
 
 HOST = "127.0.0.1"
 START_SECONDS = 30
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,7 +7,7 @@
 
 import pytest
 from soak.callers import Sent
-from soak.fleet import KEYS_BY_ACCOUNT, REVOKE_SECONDS
+from soak.fleet import KEYS_BY_ACCOUNT
 from soak.promises import broken_promises
 
 from pomeloglade_platform_standin.backend import (
@@ -17,6 +17,7 @@
     events_of,
     plain_answer,
 )
+from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 
 SHORT_RUN_SECONDS = 120
 
