--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/claim_log.py
@@ -147,6 +147,9 @@
         is_claim = record.state is ClaimState.CLAIMED
         if is_claim and self._failed_since is not None:
             return fail(_unavailable("key-value store does not answer"))
+        if is_claim and len(self._stored_by_digest) >= MAX_RECORDS:
+            # A log that refuses all claims starts no commit, which would purge it.
+            self._purge()
         if is_claim and len(self._stored_by_digest) >= MAX_RECORDS:
             return fail(_unavailable(f"claim log is full: {MAX_RECORDS} records"))
         self._pending.append(pending)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -209,9 +209,15 @@
             exchange = Exchange(request, state.call.body)
             state.record_send(server.id)
             exchange.start(connection, context.pool.release)
-            head = await self._with_silence_timeout(
-                stream, server, exchange.read_head()
-            )
+            try:
+                head = await self._with_silence_timeout(
+                    stream, server, exchange.read_head()
+                )
+            except BackendError:
+                # The engine may have fetched the KV cache before it failed.
+                while caches:
+                    self._prefills.discard(caches.pop())
+                raise
             metadata = context.codec.parse_answer(state.call, head)
             if metadata.not_run:
                 state.record_not_run(server.id)
--- a/packages/pomeloglade/src/pomeloglade/transport/engines.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/engines.py
@@ -287,7 +287,7 @@
         self._peer = peer
         self._stream = stream
         self._on_token = on_token
-        self.done: Deferred[None] = Deferred(lambda _: self._abort())
+        self.done: Deferred[None] = Deferred(lambda _: self._cancel())
         self._idle_timer = clock.callLater(
             STREAM_IDLE_TIMEOUT.total_seconds(), self._abort
         )
@@ -307,9 +307,17 @@
         self._finish(None)
 
     def _abort(self) -> None:
+        self._close()
+        self._finish(None)
+
+    def _cancel(self) -> None:
+        # A success would look like a broken stream, which is resumed.
+        self._finish(Failure(CancelledError()))
+        self._close()
+
+    def _close(self) -> None:
         if self.transport is not None:
             self.transport.loseConnection()
-        self._finish(None)
 
     def _finish(self, result: Failure | None) -> None:
         if self._idle_timer.active():
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -50,6 +50,20 @@
     assert len(harness.network.requests_to(prefill.address)) == 1
 
 
+def test_kv_cache_is_not_offered_again_after_an_engine_may_have_fetched_it(
+    harness, prefill
+):
+    harness.model_call("/reports/1")
+    harness.network.requests[0].answer_prefill("h7")
+    harness.network.requests[1].reset()
+    freed, second_prefill = harness.network.requests[2:]
+    assert freed.head.target == b"/v1/kv-handle/h7"
+    assert second_prefill.prefill
+    second_prefill.answer_prefill("h8")
+    again = harness.network.requests[-1]
+    assert again.header("X-Pomeloglade-Kv-Source").endswith(b"/h8")
+
+
 def test_expired_kv_cache_is_not_offered_again(harness, prefill):
     harness.model_call()
     harness.network.requests[0].answer_prefill("h7")
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -10,7 +10,9 @@
 
 from pomeloglade_platform_standin.deployment import settings_text
 
-HOST = "127.0.0.1"
+HOST = f"127.{1 + os.getpid() % 250}.1.1"
+"""An address of this test run alone: the metrics port is the same for all instances."""
+
 START_SECONDS = 30
 
 
@@ -66,8 +68,8 @@
         lines.append(line)
         if '"started"' in line or '"draining"' in line:
             process.send_signal(signal.SIGTERM)
-    assert process.wait(START_SECONDS) == 0
     output = "".join(lines)
+    assert process.wait(START_SECONDS) == 0, output
     assert "Traceback" not in output
     assert '"stopped"' in output
 
