Take no call into a shutdown that may cut it off

An instance then took any call, whatever was left of the grace period.

A draining site now closes a connection at the end of its response, and calls that arrive when the load balancer must have noticed the drain are refused as not run if their deadline is later than the instance's stop; the retry reaches another instance. Plain calls, whose deadlines are within seconds, are still served.

Two tests fail on the code before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -25,6 +25,9 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise the caller that the call has not run."""
 
+STOPPING_RETRY_AFTER_SECONDS = 0.05
+"""Retry delay given by an instance that stops: the retry reaches another instance."""
+
 MAX_TRACKED_ROUTES = 2_000
 """Limit on the routes whose longest time limit is kept; at it, all are cleared."""
 
@@ -65,12 +68,20 @@
         self._log = log
         self._metrics = metrics
         self._draining = False
+        self._last_long_call_at = float("inf")
+        self._stops_at = float("inf")
         self._longest_time_limit_by_route: dict[str, float] = {}
         self.open_calls = 0
 
-    def begin_drain(self) -> None:
-        """Start to close each caller's connection with its next answer."""
+    def begin_drain(self, *, last_long_call_at: float, stops_at: float) -> None:
+        """Start to close each caller's connection with its next answer.
+
+        Calls that arrive after ``last_long_call_at`` are refused if their deadline is
+        later than ``stops_at``, when the instance stops: they might be cut off.
+        """
         self._draining = True
+        self._last_long_call_at = last_long_call_at
+        self._stops_at = stops_at
 
     def limits(self) -> ConnectionLimits:
         """Return the connection limits in force."""
@@ -108,6 +119,7 @@
                 call, self._resolve, self._choose_service, self._clock.seconds
             )
             state.longest_time_limit = self._longest_time_limit(state)
+            self._refuse_if_stopping(state)
             await self._run_within_limits(state, responder)
             self._log_call(call, state, started, "answered", responder.status)
         except BadRequestError as error:
@@ -117,6 +129,12 @@
         except CancelledError:
             self._log_call(call, state, started, "caller_left", 0)
 
+    def _refuse_if_stopping(self, state: CallState) -> None:
+        if self._clock.seconds() <= self._last_long_call_at:
+            return
+        if state.deadline() > self._stops_at:
+            raise Refused(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
+
     def _longest_time_limit(self, state: CallState) -> float:
         """Return the longest time limit on the call's route, this call included."""
         name = state.resolved.route.name
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -354,10 +354,12 @@
         self._log.event("draining", open_calls=self.forwarder.open_calls)
         self._draining = True
         self._stage_orders.stop()
-        self.forwarder.begin_drain()
+        until = started + self._settings.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
+        self.forwarder.begin_drain(
+            last_long_call_at=started + READINESS_PROPAGATION_SECONDS, stops_at=until
+        )
         await deferLater(self._reactor, READINESS_PROPAGATION_SECONDS)
         await self._listener.stopListening()
-        until = started + self._settings.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
         while self._reactor.seconds() < until:
             self._site.close_idle()
             if not self.forwarder.open_calls and not self._site.connections:
--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -170,7 +170,9 @@
         if self._closing:
             return
         self._send(h11.EndOfMessage())
-        if self._h11.our_state is not h11.DONE or self._h11.their_state is not h11.DONE:
+        reusable = self._h11.our_state is self._h11.their_state is h11.DONE
+        # The head of a long response may have been sent before the drain began.
+        if not reusable or self._site.handler.is_draining():
             self.close()
             return
         self._h11.start_next_cycle()
--- a/tests/test_http_site.py
+++ b/tests/test_http_site.py
@@ -252,6 +252,22 @@
     assert busy_transport.disconnecting
 
 
+def test_connection_whose_response_began_before_the_drain_is_closed_at_its_end(
+    connect, handler
+):
+    connection, transport = connect()
+    connection.dataReceived(get())
+    responder = handler.requests[0][2]
+    responder.write_head(200, ())
+    handler.draining = True
+    responder.write(b"last")
+    assert not transport.disconnecting
+    responder.end()
+    assert transport.disconnecting
+    connection.dataReceived(get())
+    assert len(handler.requests) == 1
+
+
 def test_wait_writable_waits_while_the_transport_is_paused(connect, handler):
     connection, _ = connect()
     connection.dataReceived(get())
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -273,3 +273,19 @@
     run.reset()
     assert harness.network.requests[-1].prefill
     assert not responder.done
+
+
+def test_stopping_instance_takes_only_calls_that_end_before_it_stops(harness):
+    """A stream on a connection kept open was cut off 2 s after it had been taken."""
+    now = harness.clock.seconds()
+    harness.forwarder.begin_drain(last_long_call_at=now + 2.5, stops_at=now + 7.3)
+    harness.advance(2.4)
+    harness.model_call()
+    assert len(harness.network.requests) == 1
+    harness.advance(0.2)
+    late, _ = harness.model_call()
+    assert late.status == 503
+    assert late.reason == "stopping"
+    assert late.headers[b"retry-after"] == b"0.050"
+    short, _ = harness.model_call(limit_ms=4_000)
+    assert not short.done
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -267,5 +267,6 @@
 
 def test_draining_instance_asks_callers_to_close_their_connections(harness):
     assert not harness.forwarder.is_draining()
-    harness.forwarder.begin_drain()
+    now = harness.clock.seconds()
+    harness.forwarder.begin_drain(last_long_call_at=now, stops_at=now)
     assert harness.forwarder.is_draining()
