Heed what backend servers say about themselves in their answers

* Server-Leaving: 1, in any answer.
That run of the server counts as leaving from then on, whatever its registration says, until it registers as another run: it gets no new calls, calls placed there are placed again, its running answers go on, and a KV cache that it holds is still fetched.
Peers learn of it by the reports.
* Retry-After of a 503.
The server gets nothing from this instance for that time, also no orders and no frees, and no server is a last resort then.
It is not marked as failing, and the call may come back to it after the pause.
While all servers of a service pause, plain calls are refused with the soonest end; model calls wait for it if they can still be on time, and are refused at once with that time otherwise.

Every answer's head passes through SendContext.record_notice: plain answers, streams, prefills, frees, reports and orders of engines. StageOrders now takes the context in place of five of its parts.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -25,9 +25,17 @@
     started_ms: int = 0
 
 
+MAX_LEAVING_SERVERS = 1_000
+"""Limit on the remembered runs of servers that announced their leaving."""
+
+
 class Backends:
     """Index of the backend servers by id and by service.
 
+    What a server said in its answers goes before its registration, which may be older:
+    a run that announced its leaving gets no more calls, and one that asked for a pause
+    gets none until the pause has ended.
+
     Parameters
     ----------
     clock : IReactorTime
@@ -51,6 +59,8 @@
         self._on_unusable = on_unusable
         self._servers_by_id: dict[str, BackendServer] = {}
         self._lapsed_by_id: dict[str, tuple[BackendServer, float]] = {}
+        self._leaving_runs: dict[tuple[str, int], None] = {}
+        self._paused_until_by_run: dict[tuple[str, int], float] = {}
 
     def replace_all(self, servers: Iterable[BackendServer], *, lenient: bool) -> None:
         """Replace all servers; with ``lenient``, missing ones get a grace period."""
@@ -88,16 +98,65 @@
         """Return the newest entry of a server, or ``None``."""
         return self._servers_by_id.get(server_id)
 
+    def mark_leaving(self, server_id: str, started_ms: int) -> bool:
+        """Record that a run of a server leaves; return ``False`` if that was known."""
+        run = (server_id, started_ms)
+        if run in self._leaving_runs:
+            return False
+        if len(self._leaving_runs) >= MAX_LEAVING_SERVERS:
+            del self._leaving_runs[next(iter(self._leaving_runs))]
+        self._leaving_runs[run] = None
+        known = self._servers_by_id.get(server_id)
+        if known is not None and _run(known) == run:
+            self._on_unusable(known)
+        return True
+
+    def leaving(self) -> list[tuple[str, int]]:
+        """Return the registered servers whose runs announced their leaving.
+
+        Each is given by its id and the start of its run.
+        """
+        return [
+            _run(each)
+            for each in self._servers_by_id.values()
+            if _run(each) in self._leaving_runs
+        ]
+
+    def pause(self, server: BackendServer, seconds: float) -> None:
+        """Send no calls to a run of a server for ``seconds``, as it asked."""
+        now = self._clock.seconds()
+        for run, until in list(self._paused_until_by_run.items()):
+            if until <= now:
+                del self._paused_until_by_run[run]
+        until = max(self._paused_until_by_run.get(_run(server), now), now + seconds)
+        self._paused_until_by_run[_run(server)] = until
+
+    def paused_for(self, server: BackendServer) -> float:
+        """Return the seconds for which a server still wants no calls."""
+        until = self._paused_until_by_run.get(_run(server), 0.0)
+        return max(0.0, until - self._clock.seconds())
+
+    def soonest_resumption(self, service: str) -> float | None:
+        """Return the seconds until a paused server of a service wants calls again.
+
+        Returns ``None`` if the service has no paused servers.
+        """
+        pauses = [self.paused_for(each) for each in self.registered(service)]
+        return min((pause for pause in pauses if pause > 0), default=None)
+
     def usable(self, server: BackendServer) -> bool:
         """Return whether a call may still be sent to ``server``, an entry read earlier.
 
-        It may not once the server drains or has left, or has registered with another
-        address, service or stage.
+        It may not once the server drains or has left, asked for a pause, or has
+        registered with another address, service or stage.
         """
+        if _run(server) in self._leaving_runs or self.paused_for(server) > 0:
+            return False
         known = self._servers_by_id.get(server.id)
         if known is not None:
             return (
                 not known.draining
+                and _run(known) == _run(server)
                 and known.address == server.address
                 and known.service == server.service
                 and known.stage == server.stage
@@ -112,27 +171,35 @@
             raise BackendNotServingError(text, step="connect", peer=server.id)
 
     def serving(self, service: str, stage: str | None = None) -> list[BackendServer]:
-        """Return the servers of a service that may receive calls.
+        """Return the servers of a service that may receive calls now."""
+        servers = self.registered(service, stage)
+        if self._paused_until_by_run:
+            servers = [each for each in servers if not self.paused_for(each)]
+        return servers
+
+    def registered(self, service: str, stage: str | None = None) -> list[BackendServer]:
+        """Return the servers of a service that don't leave, also the paused ones.
 
         Servers in their grace period are returned only if there are no others.
         """
-        registered = [
-            each
-            for each in self._servers_by_id.values()
-            if each.service == service
-            and not each.draining
-            and (stage is None or each.stage == stage)
-        ]
-        if registered:
-            return registered
         now = self._clock.seconds()
-        return [
-            each
-            for each, until in self._lapsed_by_id.values()
-            if each.service == service
-            and now < until
-            and (stage is None or each.stage == stage)
-        ]
+        lapsed = (each for each, until in self._lapsed_by_id.values() if now < until)
+        for servers in (self._servers_by_id.values(), lapsed):
+            found = [
+                each
+                for each in servers
+                if each.service == service
+                and not each.draining
+                and (stage is None or each.stage == stage)
+                and _run(each) not in self._leaving_runs
+            ]
+            if found:
+                return found
+        return []
 
     def __len__(self) -> int:
         return len(self._servers_by_id)
+
+
+def _run(server: BackendServer) -> tuple[str, int]:
+    return server.id, server.started_ms
--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -156,6 +156,19 @@
         return 200 <= self.status < 300
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What the headers of any answer say about the backend server itself.
+
+    ``leaving`` is set by a server that is about to leave. ``pause`` is the time in
+    seconds for which a server that turned a request away wants no more from this
+    instance, or 0.
+    """
+
+    leaving: bool = False
+    pause: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class PrefillResult:
     """A KV cache that a prefill server holds until a decode server fetches it."""
@@ -210,6 +223,10 @@
     def parse_answer(self, call: ForwardedCall, head: ResponseHead) -> AnswerMetadata:
         """Parse the headers of a backend server's answer to ``call``."""
 
+    @abc.abstractmethod
+    def parse_notice(self, head: ResponseHead) -> ServerNotice:
+        """Parse what an answer's headers say about the server that sent it."""
+
     @abc.abstractmethod
     def parse_prefill_result(self, body: bytes) -> PrefillResult:
         """Parse a prefill answer's body, or raise ``InvalidBackendResponseError``."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -173,7 +173,7 @@
                 return placed
         fraction = MAX_LATE_WAIT_OBJECTIVES if late else MAX_WAIT_OBJECTIVES
         max_wait = fraction * objective - (0.0 if late else now - arrived)
-        avoided_for = min(self._health.avoided_for(s.id) for s in self._engines())
+        avoided_for = min(map(self._unavailable_for, self._engines()))
         self._last_sequence += 1
         waiter = Waiter(
             uncached=not requirements.cached,
@@ -282,9 +282,18 @@
         )
 
     def _engines(self) -> list[BackendServer]:
-        """Return the decode engines, or those without a stage if there are none."""
-        return self._backends.serving(self._service, "decode") or (
-            self._backends.serving(self._service, "")
+        """Return the decode engines, or those without a stage if there are none.
+
+        Engines that asked for a pause are among them.
+        """
+        return self._backends.registered(self._service, "decode") or (
+            self._backends.registered(self._service, "")
+        )
+
+    def _unavailable_for(self, server: BackendServer) -> float:
+        """Return the seconds for which an engine is avoided or asked for a pause."""
+        return max(
+            self._health.avoided_for(server.id), self._backends.paused_for(server)
         )
 
     def _choose(self, requirements: EngineRequirements) -> BackendServer | None:
@@ -292,7 +301,7 @@
             server
             for server in self._engines()
             if server.id not in requirements.excluded
-            and not self._health.avoided(server.id)
+            and not self._unavailable_for(server)
             and self.has_room(server, requirements.tokens)
         ]
         needs_prefill = requirements.prompt_tokens and not requirements.cached
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -151,6 +151,7 @@
             loads=self._loads,
             health=self._health,
             budget=self._budget,
+            log=log,
             on_load_changed=self._reports.schedule_report,
         )
         self._prefills = Prefills(context, log)
@@ -175,12 +176,8 @@
             key=layout.order_lease_key,
             pause_seconds=settings.order_pause_seconds,
             prefill_share=settings.prefill_share,
-            codec=codec,
-            pool=self._pool,
+            context=context,
             store_view=self.store_view,
-            backends=self._backends,
-            loads=self._loads,
-            log=log,
             random=random,
             on_order=self._stage_ordered,
         )
@@ -301,6 +298,7 @@
             usage=self._usage.totals(),
             waiting=self._waiting(),
             changing=changing,
+            leaving=self._backends.leaving(),
         )
 
     def _waiting(self) -> dict[str, tuple[int, bool, int, int, float]]:
@@ -326,6 +324,9 @@
     def _apply_report(self, report: Report) -> None:
         for server in report.changing:
             self._health.avoid(server, STAGE_CHANGE_AVOID_SECONDS)
+        for server, started_ms in report.leaving:
+            if self._backends.mark_leaving(server, started_ms):
+                self._log.event("server_leaving", server=server, source=report.instance)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance, report.run, report.usage, age=report.age
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -35,7 +35,8 @@
     numbers of calls and tokens, ``usage`` maps accounts to units admitted in this run.
     ``waiting`` maps services to the number of waiting calls and the rank of the first:
     whether it is late, its priority, its account's usage step, and the seconds that it
-    has waited. ``changing`` lists engines that were recently ordered to another stage.
+    has waited. ``changing`` lists engines that were recently ordered to another stage,
+    ``leaving`` the servers, each with the start of its run, that said that they leave.
     """
 
     instance: str
@@ -46,6 +47,7 @@
     usage: dict[str, int] = field(default_factory=dict)
     waiting: dict[str, tuple[int, bool, int, int, float]] = field(default_factory=dict)
     changing: list[str] = field(default_factory=list)
+    leaving: list[tuple[str, int]] = field(default_factory=list)
 
     def calls_by_server(self) -> dict[str, ServerCalls]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -94,8 +94,10 @@
                 continue
             except _RejectedError as error:
                 state.record_step(server.id, "rejected", str(error))
-                health.record_rejection(server.id)
-                excluded.add(server.id)
+                # A paused engine is chosen again only after its pause.
+                if not self._context.backends.paused_for(server):
+                    health.record_rejection(server.id)
+                    excluded.add(server.id)
             except BackendNotServingError as error:
                 state.record_step(server.id, "left", str(error))
                 excluded.add(server.id)
@@ -150,9 +152,10 @@
 
     def _drop_expired(self, caches: list[KvCache]) -> None:
         now = self._context.clock.seconds()
+        # A server that leaves or is paused still passes on the caches that it holds.
         if caches and not (
             now < caches[0].expires_at
-            and self._context.backends.usable(caches[0].server)
+            and self._context.backends.get(caches[0].server.id)
         ):
             caches.clear()
 
@@ -218,6 +221,7 @@
                 while caches:
                     self._prefills.discard(caches.pop())
                 raise
+            context.record_notice(server, head)
             metadata = context.codec.parse_answer(state.call, head)
             if metadata.not_run:
                 state.record_not_run(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -160,9 +160,12 @@
         return self._health.failure_rate(server.id) > average + FAULTY_EXCESS_RATE
 
     def _no_server_refusal(self, service: str) -> Refused:
-        known = len(self._backends.serving(service))
-        reason = "servers_full" if known else "no_server"
-        return Refused(503, reason, retry_after=0.1 if known else 0.5)
+        if self._backends.serving(service):
+            return Refused(503, "servers_full", retry_after=0.1)
+        pause = self._backends.soonest_resumption(service)
+        if pause is not None:
+            return Refused(503, "servers_paused", retry_after=pause)
+        return Refused(503, "no_server", retry_after=0.5)
 
     async def _send(
         self, state: CallState, server: BackendServer, is_retry: bool
@@ -219,7 +222,9 @@
     async def _receive_answer(
         self, call: ForwardedCall, exchange: Exchange, server: BackendServer
     ) -> CompleteAnswer:
-        head, body = await exchange.read_response()
+        head = await exchange.read_head()
+        self._context.record_notice(server, head)
+        body = await exchange.read_body()
         metadata = self._codec.parse_answer(call, head)
         validate_answer(metadata, server.id)
         return CompleteAnswer(head, metadata, body)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -130,7 +130,12 @@
             context.on_load_changed()
 
     def discard(self, cache: KvCache) -> None:
-        """Free a KV cache that will not be fetched, before it expires by itself."""
+        """Free a KV cache that will not be fetched, before it expires by itself.
+
+        A server that leaves or is paused gets no request for it.
+        """
+        if not self._context.backends.usable(cache.server):
+            return
         freed = Deferred.fromCoroutine(self._send_free(cache))
         freed.addTimeout(FREE_TIMEOUT_SECONDS, self._context.clock)
         freed.addErrback(
@@ -167,12 +172,15 @@
     async def _receive_handle(
         self, state: CallState, exchange: Exchange, server: BackendServer
     ) -> str:
-        head, body = await exchange.read_response()
+        head = await exchange.read_head()
+        self._context.record_notice(server, head)
+        body = await exchange.read_body()
         metadata = self._context.codec.parse_answer(state.call, head)
         if metadata.not_run or not metadata.success:
             # A rejected prefill counts against the retry budget.
             self._context.budget.try_spend(state.service())
-            self._context.health.record_rejection(server.id)
+            if not self._context.backends.paused_for(server):
+                self._context.health.record_rejection(server.id)
             state.record_step(server.id, "prefill_rejected", str(metadata.status))
             raise PrefillFailedError(f"status {metadata.status}")
         return self._context.codec.parse_prefill_result(body).handle
@@ -193,6 +201,7 @@
         )
         exchange.start(connection, context.pool.release)
         try:
+            context.record_notice(cache.server, await exchange.read_head())
             await exchange.read_body()
         finally:
             exchange.cancel()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -6,10 +6,11 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import BackendLostError, BackendNotServingError
-from ..transport.http_exchange import ConnectionPool, ServerConnection
+from ..transport.http_exchange import ConnectionPool, ResponseHead, ServerConnection
 from .backends import Backends, BackendServer
 from .call_state import CallState
 from .calls import CallCodec, Refused
+from .event_log import EventLog
 from .loads import Loads
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
@@ -34,6 +35,7 @@
     loads: Loads
     health: ServerHealth
     budget: ResendBudget
+    log: EventLog
     on_load_changed: Callable[[], None]
 
     async def connect(
@@ -65,6 +67,19 @@
         state.resolve()
         self.backends.ensure_serves(server, state.service())
 
+    def record_notice(self, server: BackendServer, head: ResponseHead) -> None:
+        """Record what the head of an answer says about its server.
+
+        This must be called with the head of every answer of a backend server.
+        """
+        notice = self.codec.parse_notice(head)
+        if notice.leaving and self.backends.mark_leaving(server.id, server.started_ms):
+            self.log.event("server_leaving", server=server.id, source="answer")
+            self.on_load_changed()
+        if notice.pause > 0:
+            self.backends.pause(server, notice.pause)
+            self.log.event("server_paused", server=server.id, seconds=notice.pause)
+
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
     """Return an ``addTimeout`` callback that raises ``BackendLostError``."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -12,16 +12,10 @@
 from pomeloglade_coordination.lease import LeaseHolder
 
 from ..errors import BackendError
-from ..transport.http_exchange import (
-    ConnectionPool,
-    Exchange,
-    RequestHead,
-    ResponseHead,
-)
-from .backends import Backends, BackendServer
-from .calls import CallCodec, StageOrder
-from .event_log import EventLog
-from .loads import Loads
+from ..transport.http_exchange import Exchange, RequestHead, ResponseHead
+from .backends import BackendServer
+from .calls import StageOrder
+from .send_context import SendContext
 from .store_view import StoreView
 
 PREFILL_SHARE = 0.24
@@ -83,12 +77,8 @@
         key: str,
         pause_seconds: float,
         prefill_share: float,
-        codec: CallCodec,
-        pool: ConnectionPool,
+        context: SendContext,
         store_view: StoreView,
-        backends: Backends,
-        loads: Loads,
-        log: EventLog,
         random: Random,
         on_order: Callable[[str], None],
     ) -> None:
@@ -97,12 +87,13 @@
         self._holder = holder
         self._pause_seconds = pause_seconds
         self._prefill_share = prefill_share
-        self._codec = codec
-        self._pool = pool
+        self._context = context
+        self._codec = context.codec
+        self._pool = context.pool
         self._store_view = store_view
-        self._backends = backends
-        self._loads = loads
-        self._log = log
+        self._backends = context.backends
+        self._loads = context.loads
+        self._log = context.log
         self._lease = LeaseHolder(
             clock=clock,
             store=store,
@@ -200,7 +191,11 @@
         else:
             return None
         changing = set(self.changing())
-        candidates = [each for each in candidates if each.id not in changing]
+        candidates = [
+            each
+            for each in candidates
+            if each.id not in changing and not self._backends.paused_for(each)
+        ]
         if not candidates:
             return None
         calls = sum(self._loads.total(each.id).calls for each in prefill + decode)
@@ -217,7 +212,7 @@
         prefill: list[BackendServer] = []
         decode: list[BackendServer] = []
         for stage, engines in (("prefill", prefill), ("decode", decode)):
-            for server in self._backends.serving(service, stage):
+            for server in self._backends.registered(service, stage):
                 if server.id not in changing:
                     engines.append(server)
                 elif self._ordered_by_server[server.id][0] == "prefill":
@@ -272,7 +267,9 @@
         answer = Deferred.fromCoroutine(exchange.read_response())
         answer.addTimeout(CALL_TIMEOUT_SECONDS, self._clock)
         try:
-            return await answer
+            head, content = await answer
+            self._context.record_notice(server, head)
+            return head, content
         finally:
             exchange.cancel()
 
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -91,17 +91,18 @@
             self.exchange.receive_body(body)
         self.exchange.receive_end(self.connection)
 
-    def reject(self, status=503):
+    def reject(self, status=503, **headers):
         self.answer(
             status,
             b"",
             x_pomeloglade_not_executed=b"1",
             x_pomeloglade_server_seal=None,
+            **headers,
         )
 
-    def answer_prefill(self, handle="h1"):
+    def answer_prefill(self, handle="h1", **headers):
         body = json.dumps({"kvHandle": handle, "tokens": 10, "version": 1}).encode()
-        self.answer(200, body)
+        self.answer(200, body, **headers)
 
     def event(self, number, data="x"):
         self.exchange.receive_body(f"id: {number}\ndata: {data}\n\n".encode())
@@ -215,10 +216,14 @@
         return json.loads(self.body)["reason"]
 
 
-def server(name, service="api", stage="", slots=2, zone="zone-a", draining=False):
+def server(
+    name, service="api", stage="", slots=2, zone="zone-a", draining=False, started_ms=0
+):
     number = sum(name.encode()) % 250
     address = f"10.0.0.{number}:{8000 + len(name)}"
-    return BackendServer(name, service, address, zone, slots, draining, stage)
+    return BackendServer(
+        name, service, address, zone, slots, draining, stage, started_ms
+    )
 
 
 def route(name, prefix, kind, service, **options):
@@ -327,6 +332,7 @@
             loads=self.loads,
             health=self.health,
             budget=self.budget,
+            log=self.log,
             on_load_changed=lambda: None,
         )
         self.prefills = Prefills(context, self.log)
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -9,6 +9,9 @@
 
 from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.loads import Loads
+from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
+from pomeloglade.forwarding.send_context import SendContext
+from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.stage_orders import PREFILL_SHARE, StageOrders
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
@@ -46,6 +49,17 @@
         store_view.deployment = deployment()
         network = FakeNetwork()
         network.on_request = lambda request: self.answer(name, request)
+        context = SendContext(
+            clock=self.clock,
+            codec=PlatformCallCodec(),
+            pool=network,
+            backends=self.backends,
+            loads=self.loads,
+            health=ServerHealth(self.clock),
+            budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
+            log=self.log,
+            on_load_changed=lambda: None,
+        )
         stage_orders = StageOrders(
             clock=self.clock,
             store=self.store,
@@ -53,12 +67,8 @@
             key="orders",
             pause_seconds=PAUSE_SECONDS,
             prefill_share=prefill_share,
-            codec=PlatformCallCodec(),
-            pool=network,
+            context=context,
             store_view=store_view,
-            backends=self.backends,
-            loads=self.loads,
-            log=self.log,
             random=Random(name),
             on_order=lambda _: None,
         )
