Follow a store that returns from an older copy

The users' store may lose its last seconds in a drill, leases too, and then gives revisions out again; the header Store-Era rises by one. The follower relied on 410 and on revisions that only grow, so once the history had grown past its own revision again it missed changes for good, and a lease or an expected revision of before could match one that the store had given to somebody else.

* Era and revision are one position now (coordination.store_era): one number, which never goes back and never repeats.
Fencing tokens are positions, so they rise across eras.
* A new era seen by any call ends the watch, which is then read anew; removals are lenient for two seconds, as after an outage.
A configuration that is older than the one in force stays ignored.
A run of a server that drained stays drained, and one that was removed less than 30 s ago comes back only by its next change.
* The instance registers again within half a second.
A lease holder gives its key up, and stage orders pause for a lease's time more, as a holder that does not know of the new era may still trust its lease.

The stateful test (random writes, copies, returns, cut instances) found a fault older than this: if the store granted the registration's lease and then failed the write, the lease was renewed for ever and the instance never registered. The write is repeated now; that test fails on the code before.

Not done: the product's own store client (treq) and its stand-in have no eras, and the claim log does not write lost records again.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/key_value.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/key_value.py
@@ -1,13 +1,18 @@
 """Interface of the platform's key-value service, and an in-memory implementation."""
 
 import abc
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from datetime import timedelta
 
 from twisted.internet.defer import Deferred, fail, succeed
 
 from .clock import Clock
-from .errors import LeaseNotFoundError, RevisionConflictError
+from .errors import (
+    HistoryCompactedError,
+    LeaseNotFoundError,
+    RevisionConflictError,
+)
+from .store_era import StoreEra, era_of, position, revision_of
 
 ABSENT = 0
 """The revision of a key that does not exist."""
@@ -41,8 +46,21 @@
     Every method returns a Deferred. It fails with ``KeyValueUnavailableError`` when
     nothing was applied, with ``KeyValueOutcomeUnknownError`` when the response was
     lost, and with ``RevisionConflictError`` when a comparison failed.
+
+    A store that returns from an older copy has lost its latest changes, leases too, and
+    enters a new era. Revisions are positions of ``store_era``, so that none of an
+    earlier era equals a later one, and leases of an earlier era are not found.
     """
 
+    _era: StoreEra | None = None
+
+    @property
+    def era(self) -> StoreEra:
+        """The newest era that the store's answers had."""
+        if self._era is None:
+            self._era = StoreEra()
+        return self._era
+
     @abc.abstractmethod
     def get(self, key: str) -> "Deferred[Entry | None]":
         """Return the entry of ``key``, or ``None``."""
@@ -109,6 +127,18 @@
     return Snapshot(entries, max(newest, minimum))
 
 
+@dataclass(frozen=True, slots=True)
+class _Watch:
+    prefix: str
+    after: int
+    result: "Deferred[tuple[Entry, ...]]"
+
+
+def _other_era(after: int) -> HistoryCompactedError:
+    text = f"the store has returned from an older copy since position {after}"
+    return HistoryCompactedError(text, step="watch")
+
+
 @dataclass(slots=True)
 class _Lease:
     time_to_live: float
@@ -116,10 +146,13 @@
 
 
 @dataclass(frozen=True, slots=True)
-class _Watch:
-    prefix: str
-    after: int
-    result: "Deferred[tuple[Entry, ...]]"
+class StoreCopy:
+    """The entries and leases of a store at one time, and its revision then."""
+
+    entries: tuple[Entry, ...]
+    revision: int
+    lease_by_key: dict[str, str]
+    leases_by_id: dict[str, _Lease]
 
 
 class MemoryKeyValueStore(KeyValueStore):
@@ -136,6 +169,8 @@
     def __init__(self, clock: Clock) -> None:
         self._clock = clock
         self._revision = 0
+        self.era.observe(era_of(self._revision))
+        self._granted_leases = 0
         self._entries_by_key: dict[str, Entry] = {}
         self._lease_by_key: dict[str, str] = {}
         self._leases_by_id: dict[str, _Lease] = {}
@@ -152,12 +187,17 @@
         self._expire_leases()
         return succeed(self._matching(prefix, after=-1))
 
+    def snapshot(self, prefix: str) -> "Deferred[Snapshot]":
+        """Return the entries under ``prefix`` and the store's revision."""
+        self._expire_leases()
+        return succeed(Snapshot(self._matching(prefix, after=-1), self._revision))
+
     def put(
         self, key: str, value: bytes, *, expected: int | None = None, lease: str = ""
     ) -> "Deferred[int]":
         """Store ``value`` and return its revision."""
         self._expire_leases()
-        if lease and lease not in self._leases_by_id:
+        if lease and self._granted(lease) is None:
             return fail(
                 LeaseNotFoundError(f"lease {lease!r} does not exist", step="put")
             )
@@ -188,6 +228,8 @@
     ) -> "Deferred[tuple[Entry, ...]]":
         """Wait for entries under ``prefix`` newer than revision ``after``."""
         self._expire_leases()
+        if era_of(after) != era_of(self._revision):
+            return fail(_other_era(after))
         entries = self._matching(prefix, after, deleted=True)
         if entries:
             return succeed(entries)
@@ -200,7 +242,8 @@
     def grant_lease(self, time_to_live: timedelta) -> "Deferred[str]":
         """Create a lease and return its id."""
         self._revision += 1
-        lease = f"lease-{self._revision}"
+        self._granted_leases += 1
+        lease = f"lease-{era_of(self._revision)}-{self._granted_leases}"
         seconds = time_to_live.total_seconds()
         self._leases_by_id[lease] = _Lease(seconds, self._clock.seconds() + seconds)
         self._clock.callLater(seconds, self._expire_leases)
@@ -209,7 +252,7 @@
     def renew_lease(self, lease: str) -> "Deferred[None]":
         """Extend a lease by its time to live; ``LeaseNotFoundError`` if it expired."""
         self._expire_leases()
-        granted = self._leases_by_id.get(lease)
+        granted = self._granted(lease)
         if granted is None:
             return fail(
                 LeaseNotFoundError(f"lease {lease!r} does not exist", step="renew")
@@ -218,6 +261,52 @@
         self._clock.callLater(granted.time_to_live, self._expire_leases)
         return succeed(None)
 
+    def _granted(self, lease: str) -> _Lease | None:
+        """Return a lease that was granted in this era and has not expired."""
+        if not lease.startswith(f"lease-{era_of(self._revision)}-"):
+            return None
+        return self._leases_by_id.get(lease)
+
+    @property
+    def revision(self) -> int:
+        """The position of the newest change."""
+        return self._revision
+
+    def copy(self) -> "StoreCopy":
+        """Return a copy of the entries and leases, from which the store may return."""
+        self._expire_leases()
+        return StoreCopy(
+            tuple(self._entries_by_key.values()),
+            self._revision,
+            dict(self._lease_by_key),
+            {name: replace(each) for name, each in self._leases_by_id.items()},
+        )
+
+    def restore(self, copy: "StoreCopy") -> None:
+        """Return from an earlier copy in a new era: later changes and leases are lost.
+
+        Revisions are assigned again from that of the copy on. Pending watches fail.
+        Keys of the copy with a lease are deleted when it expires, as nobody renews it.
+        """
+        era = era_of(self._revision) + 1
+        self._revision = position(era, revision_of(copy.revision))
+        self._entries_by_key = {
+            each.key: replace(each, revision=position(era, revision_of(each.revision)))
+            for each in copy.entries
+        }
+        self._lease_by_key = dict(copy.lease_by_key)
+        self._leases_by_id = {
+            name: replace(each) for name, each in copy.leases_by_id.items()
+        }
+        for each in self._leases_by_id.values():
+            each.expires = self._clock.seconds() + each.time_to_live
+            self._clock.callLater(each.time_to_live, self._expire_leases)
+        self._deleted_by_key.clear()
+        watches, self._watches = self._watches, []
+        self.era.observe(era)
+        for watch in watches:
+            watch.result.errback(_other_era(watch.after))
+
     def _conflict(self, key: str, expected: int | None) -> RevisionConflictError | None:
         entry = self._entries_by_key.get(key)
         actual = entry.revision if entry else ABSENT
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/lease.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/lease.py
@@ -18,6 +18,7 @@
     RevisionConflictError,
 )
 from .key_value import ABSENT, Entry, KeyValueStore
+from .store_era import era_of
 
 LEASE_TIME_TO_LIVE = timedelta(seconds=5)
 CLOCK_RATE_MARGIN = 0.01
@@ -82,13 +83,14 @@
         self._valid_until = 0.0
         self._timer: Any = None
         self._running = False
+        store.era.subscribe(self._era_changed)
 
     @property
     def fencing_token(self) -> int:
-        """The fencing token: the revision at which the key was acquired.
+        """The fencing token: the position at which the key was acquired.
 
-        It grows with each holder. It is 0 before the key is acquired, and after its
-        loss was detected.
+        It grows with each holder, also when the store returns from an older copy. It is
+        0 before the key is acquired, and after its loss was detected.
         """
         return self._fencing_token
 
@@ -175,7 +177,7 @@
             if entry is None or entry.value != value:
                 return
             revision = entry.revision
-        if self._running:
+        if self._running and era_of(revision) == self._store.era.current:
             self._record_acquired(lease, revision, sent_at)
 
     def _record_acquired(self, lease: str, revision: int, sent_at: float) -> None:
@@ -188,6 +190,11 @@
     def _extend(self, sent_at: float) -> None:
         self._valid_until = sent_at + self._ttl_seconds * (1.0 - CLOCK_RATE_MARGIN)
 
+    def _era_changed(self) -> None:
+        """Give the key up: its lease was of an earlier era of the store."""
+        if era_of(self._fencing_token) != self._store.era.current:
+            self._record_lost()
+
     def _record_lost(self) -> None:
         if self._fencing_token:
             self._fencing_token = 0
--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -25,6 +25,9 @@
     started_ms: int = 0
 
 
+MAX_COPY_AGE_SECONDS = 30.0
+"""Age that a copy has at most from which the store returns after an outage."""
+
 MAX_LEAVING_SERVERS = 1_000
 """Limit on the remembered runs of servers that announced their leaving."""
 
@@ -60,11 +63,26 @@
         self._servers_by_id: dict[str, BackendServer] = {}
         self._lapsed_by_id: dict[str, tuple[BackendServer, float]] = {}
         self._leaving_runs: dict[tuple[str, int], None] = {}
+        self._removed_at_by_run: dict[tuple[str, int], float] = {}
         self._paused_until_by_run: dict[tuple[str, int], float] = {}
 
-    def replace_all(self, servers: Iterable[BackendServer], *, lenient: bool) -> None:
-        """Replace all servers; with ``lenient``, missing ones get a grace period."""
-        listed = {each.id: each for each in servers}
+    def replace_all(
+        self,
+        servers: Iterable[BackendServer],
+        *,
+        lenient: bool,
+        restored: bool = False,
+    ) -> None:
+        """Replace all servers; with ``lenient``, missing ones get a grace period.
+
+        Of ``restored`` servers, which may be of an older copy, those are ignored that
+        were removed a short time ago. A live one is put by its next change.
+        """
+        listed = {
+            each.id: each
+            for each in servers
+            if not (restored and self._removed_recently(each))
+        }
         for each in list(self._servers_by_id.values()):
             if each.id not in listed:
                 self.remove(each.id, lenient=lenient)
@@ -76,6 +94,10 @@
         known = self._servers_by_id.get(server.id)
         if known == server:
             return
+        self._removed_at_by_run.pop(_run(server), None)
+        if server.draining:
+            # An older copy of the store may list this run as serving again.
+            self._remember_leaving(_run(server))
         self._lapsed_by_id.pop(server.id, None)
         self._servers_by_id[server.id] = server
         if known is not None and (
@@ -92,8 +114,17 @@
             until = self._clock.seconds() + self._grace
             self._lapsed_by_id[server_id] = (server, until)
         else:
+            now = self._clock.seconds()
+            for run, removed_at in list(self._removed_at_by_run.items()):
+                if now - removed_at > MAX_COPY_AGE_SECONDS:
+                    del self._removed_at_by_run[run]
+            self._removed_at_by_run[_run(server)] = now
             self._on_unusable(server)
 
+    def _removed_recently(self, server: BackendServer) -> bool:
+        removed_at = self._removed_at_by_run.get(_run(server), float("-inf"))
+        return self._clock.seconds() - removed_at <= MAX_COPY_AGE_SECONDS
+
     def get(self, server_id: str) -> BackendServer | None:
         """Return the newest entry of a server, or ``None``."""
         return self._servers_by_id.get(server_id)
@@ -103,14 +134,17 @@
         run = (server_id, started_ms)
         if run in self._leaving_runs:
             return False
-        if len(self._leaving_runs) >= MAX_LEAVING_SERVERS:
-            del self._leaving_runs[next(iter(self._leaving_runs))]
-        self._leaving_runs[run] = None
+        self._remember_leaving(run)
         known = self._servers_by_id.get(server_id)
         if known is not None and _run(known) == run:
             self._on_unusable(known)
         return True
 
+    def _remember_leaving(self, run: tuple[str, int]) -> None:
+        if len(self._leaving_runs) >= MAX_LEAVING_SERVERS:
+            del self._leaving_runs[next(iter(self._leaving_runs))]
+        self._leaving_runs[run] = None
+
     def leaving(self) -> list[tuple[str, int]]:
         """Return the registered servers whose runs announced their leaving.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
@@ -5,7 +5,6 @@
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
-from twisted.internet.task import deferLater
 
 from pomeloglade_coordination.errors import KeyValueError, LeaseNotFoundError
 from pomeloglade_coordination.key_value import KeyValueStore
@@ -43,28 +42,45 @@
         self._key = key
         self._value = value
         self._log = log
+        self._pause: Deferred[None] | None = None
+        store.era.subscribe(self._register_again)
 
     def start(self) -> "Deferred[None]":
         """Keep the key registered until the result is cancelled."""
         return Deferred.fromCoroutine(self._run())
 
+    def _register_again(self) -> None:
+        """End the pause: the store has returned from an older copy."""
+        pause, self._pause = self._pause, None
+        if pause is not None:
+            self._clock.callLater(0, pause.callback, None)
+
+    async def _wait(self, seconds: float) -> None:
+        pause = self._pause = Deferred()
+        timer = self._clock.callLater(seconds, pause.callback, None)
+        await pause
+        self._pause = None
+        if timer.active():
+            timer.cancel()
+
     async def _run(self) -> None:
         lease = None
         while True:
             try:
                 if lease is None:
-                    lease = await self._store.grant_lease(
+                    granted = await self._store.grant_lease(
                         timedelta(seconds=LEASE_SECONDS)
                     )
-                    await self._store.put(self._key, self._value(), lease=lease)
+                    await self._store.put(self._key, self._value(), lease=granted)
+                    lease = granted
                     self._log.event("instance_registered", key=self._key)
                 else:
                     await self._store.renew_lease(lease)
-                await deferLater(self._clock, RENEW_SECONDS)
+                await self._wait(RENEW_SECONDS)
             except LeaseNotFoundError as error:
                 self._log.event("instance_lapsed", reason=str(error))
                 lease = None
-                await deferLater(self._clock, RETRY_SECONDS)
+                await self._wait(RETRY_SECONDS)
             except KeyValueError as error:
                 self._log.event("instance_not_renewed", reason=str(error))
-                await deferLater(self._clock, RETRY_SECONDS)
+                await self._wait(RETRY_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -107,6 +107,8 @@
         self._acquire_at: float | None = None
         self._acquiring = False
         self._held_since = 0.0
+        self._era_changed_at = float("-inf")
+        store.era.subscribe(self._era_changed)
         self._imbalanced_since_by_service: dict[str, float] = {}
         self._ordered_by_server: dict[str, tuple[str, float]] = {}
         self._timer: Any = None
@@ -156,8 +158,19 @@
         )
 
     def _may_order(self) -> bool:
-        since = self._clock.seconds() - self._held_since
-        return self._lease.valid() and since > self._pause_seconds
+        """Return whether no earlier holder can give orders any more."""
+        if not self._lease.valid():
+            return False
+        now = self._clock.seconds()
+        # A holder that does not yet know of a new era of the store may still trust a
+        # lease of the previous one.
+        since_era = now - self._era_changed_at
+        return now - self._held_since > self._pause_seconds and (
+            since_era > LEASE_SECONDS + self._pause_seconds
+        )
+
+    def _era_changed(self) -> None:
+        self._era_changed_at = self._clock.seconds()
 
     def _check(self) -> None:
         self._timer = self._clock.callLater(CHECK_INTERVAL_SECONDS, self._check)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -4,12 +4,13 @@
 from random import Random
 from typing import Protocol
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
 from pomeloglade_coordination.errors import HistoryCompactedError, KeyValueError
-from pomeloglade_coordination.key_value import Entry, KeyValueStore
+from pomeloglade_coordination.key_value import Entry, KeyValueStore, Snapshot
+from pomeloglade_coordination.store_era import era_of
 
 from .event_log import EventLog
 
@@ -35,8 +36,13 @@
     def urgent(self, entry: Entry) -> bool:
         """Return whether changes of this entry must be applied without delay."""
 
-    def replace_all(self, entries: tuple[Entry, ...], *, lenient: bool) -> None:
-        """Replace all entries by those of a full read."""
+    def replace_all(
+        self, entries: tuple[Entry, ...], *, lenient: bool, restored: bool
+    ) -> None:
+        """Replace all entries by those of a full read.
+
+        ``restored`` entries come from a copy that may be older than the last ones.
+        """
 
     def apply_change(self, entry: Entry, *, lenient: bool) -> None:
         """Apply one changed or deleted entry."""
@@ -48,7 +54,8 @@
     A read or watch confirms the copy as of the time at which it was sent. A watch that
     times out without changes confirms it up to its time-out, since the store would
     have answered earlier otherwise. Changes are passed on as ``lenient`` during and
-    shortly after a store outage, when entries of live servers may have lapsed.
+    shortly after a store outage, when entries of live servers may have lapsed. When the
+    store returns from an older copy, all is read again.
 
     Parameters
     ----------
@@ -76,10 +83,13 @@
         self._log = log
         self._random = random
         self._revision: int | None = None
+        self._era: int | None = None
+        self._watch: Deferred[Snapshot] | None = None
         self._confirmed_at: float | None = None
         self._failures = 0
         self._recovered_at = clock.seconds()
         self.calls = 0
+        store.era.subscribe(lambda: clock.callLater(0, self._end_watch))
 
     @property
     def revision(self) -> int | None:
@@ -103,6 +113,10 @@
             except HistoryCompactedError as error:
                 self._log.event("store_history_lost", reason=str(error))
                 self._revision = None
+            except CancelledError:
+                if self._era == self._store.era.current:
+                    raise
+                self._revision = None
             except KeyValueError as error:
                 await self._failed(error)
 
@@ -112,7 +126,15 @@
         if self._revision is None:
             result = await self._store.snapshot(self._prefix)
             self._succeeded()
-            self._listener.replace_all(result.entries, lenient=self._lenient())
+            era = era_of(result.revision)
+            restored = self._era is not None and era != self._era
+            if restored:
+                self._recovered_at = self._clock.seconds()
+                self._log.event("store_restored", era=era, previous=self._era)
+            self._era = era
+            self._listener.replace_all(
+                result.entries, lenient=self._lenient(), restored=restored
+            )
             self._revision = result.revision
             self._confirm(sent_at)
             return
@@ -120,9 +142,13 @@
         wait = max(MIN_WATCH_SECONDS, MAX_WATCH_SECONDS - age)
         if self._failures:
             wait = MIN_WATCH_SECONDS
-        result = await self._store.changes(
+        self._watch = self._store.changes(
             self._prefix, self._revision, timedelta(seconds=wait)
         )
+        try:
+            result = await self._watch
+        finally:
+            self._watch = None
         self._succeeded()
         for entry in result.entries:
             self._listener.apply_change(entry, lenient=self._lenient())
@@ -134,6 +160,11 @@
             # each registration would end the watches of all the others.
             await deferLater(self._clock, BATCH_SECONDS)
 
+    def _end_watch(self) -> None:
+        """End a watch of an earlier era, which may never be answered."""
+        if self._watch is not None and self._era != self._store.era.current:
+            self._watch.cancel()
+
     def _confirm(self, instant: float) -> None:
         if self._confirmed_at is None or instant > self._confirmed_at:
             self._confirmed_at = instant
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -102,8 +102,14 @@
             (layout.instances_prefix, layout.order_lease_key)
         )
 
-    def replace_all(self, entries: tuple[Entry, ...], *, lenient: bool) -> None:
-        """Replace the view by a full read of the store."""
+    def replace_all(
+        self, entries: tuple[Entry, ...], *, lenient: bool, restored: bool = False
+    ) -> None:
+        """Replace the view by a full read of the store.
+
+        A ``restored`` store may be older than the view: configurations older than the
+        one in force are ignored, and so are servers that have left since.
+        """
         layout = self._layout
         servers = []
         instances = {}
@@ -116,7 +122,7 @@
                     servers.append(server)
             elif entry.key.startswith(layout.instances_prefix):
                 instances[entry.key.removeprefix(layout.instances_prefix)] = entry.value
-        self._backends.replace_all(servers, lenient=lenient)
+        self._backends.replace_all(servers, lenient=lenient, restored=restored)
         self.instances = instances
         self.order_lease_held = any(e.key == layout.order_lease_key for e in entries)
         self.on_instances_changed()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -15,6 +15,9 @@
 STORE_CUT_SECONDS = REVOKE_SECONDS + 3.0
 """Longer than the time in which a revoked key must stop working."""
 
+DRILL_SECONDS = 0.5
+"""How long the store is away in a drill."""
+
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENCE, LinkMode.ONE_WAY, LinkMode.RESET)
 
 
@@ -32,6 +35,7 @@
         self.inject_by_name = {
             "store": self._fail_store,
             "store compaction": self._compact_store,
+            "store drill": self._drill_store,
             "store link": self._break_store_link,
             "front link": self._break_front_link,
             "backend link": self._break_backend_link,
@@ -88,6 +92,22 @@
         self._fleet.store.compact()
         return ""
 
+    def _drill_store(self, seconds: float) -> str:
+        """Let the store be away for a moment and return from an older copy."""
+        fleet = self._fleet
+        copy = fleet.store.key_values.copy()
+
+        def go_away() -> None:
+            fleet.store.faults = StoreFaults(down=True)
+            self._call_later(DRILL_SECONDS, come_back)
+
+        def come_back() -> None:
+            fleet.restore_store(copy)
+            fleet.store.faults = StoreFaults()
+
+        self._call_later(seconds, go_away)
+        return f"from a copy {seconds + DRILL_SECONDS:.1f} s old"
+
     def _break_link(self, proxy: Proxy, seconds: float) -> str:
         mode = self._random.choice(LINK_FAULTS)
         proxy.set_mode(mode)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.web.server import Site
 
+from pomeloglade_coordination.key_value import StoreCopy
 from pomeloglade_platform import configuration as wire_configuration
 from pomeloglade_platform import servers
 from pomeloglade_platform_standin.backend import BackendStandIn, Ledger
@@ -127,6 +128,7 @@
         self.backend_proxies: dict[BackendStandIn, Proxy] = {}
         self.instances: list[InstanceProcess] = []
         self.closing = False
+        self._written: dict[str, bytes] = {}
         self._instance_count = instances
         self._listeners: list[Any] = []
 
@@ -170,11 +172,32 @@
         """Write a backend server's registration."""
         zone = ZONES[self.backends.index(backend) % len(ZONES)]
         registration = backend.registration(zone, draining=draining)
-        self.store.key_values.put(servers.PREFIX + backend.id, registration)
+        self._write(servers.PREFIX + backend.id, registration)
 
     def unregister(self, server: str) -> None:
         """Remove a registration."""
-        self.store.key_values.delete(servers.PREFIX + server)
+        key = servers.PREFIX + server
+        self._written.pop(key, None)
+        self.store.key_values.delete(key)
+
+    def restore_store(self, copy: StoreCopy) -> None:
+        """Return the store from a copy; operator and servers write theirs again.
+
+        Registrations of servers that have left since lapse a short time later.
+        """
+        self.store.key_values.restore(copy)
+        for key, value in self._written.items():
+            self.store.key_values.put(key, value)
+        for entry in copy.entries:
+            if entry.key.startswith(servers.PREFIX) and entry.key not in self._written:
+                server = entry.key.removeprefix(servers.PREFIX)
+                self.reactor.callLater(
+                    STALE_REGISTRATION_SECONDS, self.unregister, server
+                )
+
+    def _write(self, key: str, value: bytes) -> None:
+        self._written[key] = value
+        self.store.key_values.put(key, value)
 
     def crash(self, backend: BackendStandIn) -> None:
         """Restart a backend server; its old registration is removed only later."""
@@ -198,7 +221,7 @@
         """Write the next version of the configuration."""
         self.version += 1
         value = configuration(self.version, self.keys_by_account)
-        self.store.key_values.put(wire_configuration.KEY, value)
+        self._write(wire_configuration.KEY, value)
 
     def revoke(self, account: str) -> None:
         """Replace an account's key by a new one."""
--- a/tests/faulty_fleet.py
+++ b/tests/faulty_fleet.py
@@ -85,6 +85,7 @@
         self._process = process
         self._shared = shared
         self.fault = StoreFault.NONE
+        self.era = shared.era
 
     def __getattr__(self, name):
         method = getattr(self._shared, name)
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 from tests.forwarding_fakes import ListLog, deployment, server
-from twisted.internet.defer import succeed
+from twisted.internet.defer import fail, succeed
 from twisted.internet.task import Clock
 from twisted.internet.testing import StringTransport
 
@@ -91,6 +91,27 @@
     assert backends.serving("api") == []
 
 
+def test_drained_run_does_not_come_back_with_an_older_copy_of_the_store(backends):
+    backends.put(server("a"))
+    backends.put(server("a", draining=True))
+    backends.replace_all([server("a")], lenient=True, restored=True)
+    assert backends.serving("api") == []
+    backends.put(server("a", started_ms=5))
+    assert [each.started_ms for each in backends.serving("api")] == [5]
+
+
+def test_removed_run_comes_back_from_an_older_copy_only_by_its_next_change(
+    backends, clock
+):
+    backends.put(server("a"))
+    backends.remove("a", lenient=False)
+    clock.advance(5.0)
+    backends.replace_all([server("a"), server("bb")], lenient=True, restored=True)
+    assert [each.id for each in backends.serving("api")] == ["bb"]
+    backends.put(server("a"))
+    assert {each.id for each in backends.serving("api")} == {"a", "bb"}
+
+
 def test_new_stage_makes_a_server_unusable_for_the_old_one(backends):
     entry = server("a", "llm", "decode")
     backends.put(entry)
@@ -367,6 +388,17 @@
     assert store.list("i/").result[0].value == b"here"
 
 
+def test_registration_is_written_again_if_only_its_lease_was_granted(clock, log):
+    store = MemoryKeyValueStore(clock)
+    put = store.put
+    store.put = lambda *_, **__: fail(KeyValueUnavailableError("down"))
+    Registration(clock, store, "i/a", lambda: b"here", log).start()
+    clock.advance(0.3)
+    store.put = put
+    clock.advance(0.3)
+    assert store.list("i/").result[0].value == b"here"
+
+
 def test_log_lines_are_json_and_limited_per_second(clock):
     reader, writer = os.pipe()
     log = EventLog(clock, writer, instance="a")
