Count engines' errors, and prefill only what can be sent again

* An error of an engine counts as a failure.
A resumable call is retried at another one if this one fails more often than the others, the rule that plain calls have.
* The retry of a call is taken from the budget before its prefill, not after.
* An idle prefill engine that fails no longer costs nothing in the comparison.

The check that a second prefill counts against the budget now expects two units: the other one is the retry itself, which is taken first.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -64,6 +64,11 @@
         """Whether a backend server may have run the call."""
         return bool(self._unresolved_sends_by_server)
 
+    @property
+    def run_count(self) -> int:
+        """The number of backend servers that may have run the call."""
+        return len(self._unresolved_sends_by_server)
+
     @property
     def account_name(self) -> str | None:
         """The name of the caller's account, if it has one."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -27,6 +27,12 @@
 """Pause between two local prefills at a decode engine, in which its streams produce an
 event. Without it, the pauses of successive prefills would add up."""
 
+SERVER_ERROR = 500
+"""Lowest status of an error of the server."""
+
+RETRY_COST = 2
+"""Requests that a retry takes from the retry budget: a prefill and the call."""
+
 STREAM_SILENCE_SECONDS = 2.0
 """Silence after which a resumable stream is resumed at another engine. Callers give up
 after twice that time; events usually follow each other within a tenth of a second."""
@@ -85,9 +91,14 @@
             tokens = state.call.prompt.mean_kv_tokens if state.call.prompt else 0
             try:
                 await self._send(state, responder, stream, server, caches)
-                health.record_success(server.id)
-                queue.record_duration(clock.seconds() - started)
+                if responder.status < SERVER_ERROR:
+                    health.record_success(server.id)
+                    queue.record_duration(clock.seconds() - started)
                 return
+            except _FaultyEngineError as error:
+                state.record_step(server.id, "faulty", str(error))
+                failed_servers.add(server.id)
+                excluded.add(server.id)
             except PrefillFailedError:
                 # The engine still has room, but it was not chosen for a local
                 # prefill, which would delay its streams.
@@ -181,6 +192,9 @@
                 local_prefill.begin(prompt.prompt_tokens)
                 context.on_load_changed()
             connection = await context.connect(state, server)
+            if state.send_count and not context.budget.try_spend(state.service()):
+                # Before the prefill, which would be wasted.
+                raise state.give_up_refusal("resend_budget")
             self._drop_expired(caches)
             if not caches and prompt is not None:
                 pool = self._queue_for(state.service()).pool
@@ -196,8 +210,6 @@
             if connection.closed:
                 text = f"connection to {server.address} closed before it was used"
                 raise BackendUnreachableError(text, step="connect", peer=server.id)
-            if state.send_count and not context.budget.try_spend(state.service()):
-                raise state.give_up_refusal("resend_budget")
             source = None
             if caches:
                 source = (caches[0].server.address, caches[0].handle)
@@ -253,6 +265,10 @@
         """Forward events as they arrive, or an error answer as a whole."""
         if not 200 <= head.status < 300:
             body = await exchange.read_body()
+            if head.status >= SERVER_ERROR:
+                self._context.health.record_failure(server.id)
+                if self._should_retry_error(state, server):
+                    raise _FaultyEngineError(f"status {head.status}")
             if stream.begun:
                 text = f"resumed stream was answered with {head.status}"
                 raise BackendLostError(text, step="resume", peer=server.id)
@@ -279,6 +295,25 @@
             responder.write(rest)
         responder.end()
 
+    def _should_retry_error(self, state: CallState, server: BackendServer) -> bool:
+        """Return whether to retry a call elsewhere that an engine answered by an error.
+
+        The error is taken to be the call's own unless this engine fails more often
+        than the others. The retry may need a prefill, which counts as another one.
+        """
+        service, route = state.service(), state.resolved.route
+        others = [
+            each.id
+            for each in self._context.backends.serving(service, server.stage)
+            if each.id != server.id
+        ]
+        return (
+            route.resumable
+            and state.run_count < route.max_servers
+            and self._context.budget.remaining(service) >= RETRY_COST
+            and self._context.health.fails_more_than(server.id, others)
+        )
+
     async def _with_silence_timeout(
         self, stream: EventStream, server: BackendServer, receiving: object
     ) -> object:
@@ -331,5 +366,9 @@
             )
 
 
+class _FaultyEngineError(Exception):
+    """An engine that fails often answered a call by an error."""
+
+
 class _RejectedError(Exception):
     """An engine rejected the call and promised not to have run it."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -23,9 +23,6 @@
 """Fraction of the objective after which a safe call is retried at another server; the
 rest of it is left for the second server."""
 
-FAULTY_EXCESS_RATE = 0.25
-"""A server is faulty if its failure rate exceeds the others' average by more."""
-
 MAX_IDLE_SECONDS = 4.0
 REPORTED_LOAD_MAX_AGE_SECONDS = 0.2
 MAX_CALLS_PER_SLOT = 4
@@ -152,12 +149,12 @@
         The error is taken to be the call's own unless this server fails more often
         than the others.
         """
-        others = [s for s in self._backends.serving(service) if s.id != server.id]
-        if route.kind is not CallKind.SAFE or not others:
-            return False
-        rates = [self._health.failure_rate(each.id) for each in others]
-        average = sum(rates) / len(rates)
-        return self._health.failure_rate(server.id) > average + FAULTY_EXCESS_RATE
+        others = [
+            each.id for each in self._backends.serving(service) if each.id != server.id
+        ]
+        return route.kind is CallKind.SAFE and self._health.fails_more_than(
+            server.id, others
+        )
 
     def _no_server_refusal(self, service: str) -> Refused:
         if self._backends.serving(service):
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -31,6 +31,9 @@
 """Queued tokens added to the cost of a prefill engine outside the decode engine's
 zone: a KV transfer between zones takes twice as long."""
 
+IDLE_COST_TOKENS = 1_000
+"""Queued tokens added to the cost of each prefill engine."""
+
 HANDLE_LIFETIME_FRACTION = 0.8
 """Fraction of a handle's lifetime within which it is offered to a decode engine; the
 rest is for the request's transit and the transfer's queue."""
@@ -161,9 +164,9 @@
         def cost(server: BackendServer) -> float:
             queued = context.loads.total(server.id).tokens
             far = server.availability_zone != zone
-            return queued * context.health.penalty(server.id) + (
-                CROSS_ZONE_PENALTY_TOKENS if far else 0
-            )
+            # Without the constant, an idle engine that fails would cost nothing.
+            queued += IDLE_COST_TOKENS + (CROSS_ZONE_PENALTY_TOKENS if far else 0)
+            return queued * context.health.penalty(server.id)
 
         best = min(servers, key=cost)
         queue_seconds = context.loads.total(best.id).tokens / self._rate
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -1,7 +1,7 @@
 """Model calls under rejections, crashes and full engine pools."""
 
 import pytest
-from tests.forwarding_fakes import Harness, server
+from tests.forwarding_fakes import Harness, deployment, server
 
 
 @pytest.fixture
@@ -64,6 +64,55 @@
     assert again.header("X-Pomeloglade-Kv-Source").endswith(b"/h8")
 
 
+def test_prompt_is_not_prefilled_again_if_the_retry_budget_is_exhausted(
+    prefill, decodes
+):
+    """A prefill was spent on calls that could not be sent again."""
+    harness = Harness(prefill, *decodes, slack=1.0)
+    responder, _ = harness.model_call("/reports/1")
+    harness.network.requests[0].answer_prefill()
+    harness.network.requests[1].reset()
+    assert responder.status == 502
+    assert len(harness.network.requests_to(prefill.address)) == 1 + len(
+        [r for r in harness.network.requests if r.head.method == b"DELETE"]
+    )
+
+
+def fail_streams(harness, engine, count):
+    """Let an engine answer calls by errors, and return the responders."""
+    responders = []
+    for _ in range(count):
+        responder, _ = harness.model_call("/reports/1")
+        harness.network.requests[-1].answer_prefill()
+        run = harness.network.requests[-1]
+        assert run.address == engine.address
+        run.answer(500, b"error")
+        responders.append(responder)
+    return responders
+
+
+def test_engine_that_answers_errors_is_penalized_and_its_calls_are_retried(prefill):
+    """An engine that failed all calls was the least loaded, and got most of them."""
+    decodes = [server(name, "llm", "decode", 8) for name in ("dec-a", "dec-bb")]
+    harness = Harness(prefill, *decodes, configuration=deployment(slots=8))
+    for _ in range(3):
+        harness.loads.begin(decodes[0].id, 0)
+    first, second = fail_streams(harness, decodes[1], 2)
+    assert (first.status, first.body) == (500, b"error")
+    assert not second.done
+    harness.network.requests[-1].answer_prefill()
+    again = harness.network.requests[-1]
+    assert again.address == decodes[0].address
+    again.begin_answer()
+    again.event(1)
+    again.end()
+    assert second.status == 200
+    harness.loads.end(decodes[0].id, 0)
+    harness.model_call()
+    harness.network.requests[-1].answer_prefill()
+    assert harness.network.requests[-1].address == decodes[0].address
+
+
 def test_expired_kv_cache_is_not_offered_again(harness, prefill):
     harness.model_call()
     harness.network.requests[0].answer_prefill("h7")
@@ -260,7 +309,8 @@
     harness.advance(0.45)
     harness.network.requests[1].reject()
     assert harness.network.requests[2].prefill
-    assert harness.budget.remaining("llm") == left - 1
+    # The retry of the call itself is taken first, so that no prefill is wasted.
+    assert harness.budget.remaining("llm") == left - 2
 
 
 def test_accepted_call_is_resumed_although_the_view_is_old(harness):
