Apply new servers together, without a watch for each

A new server, and a registration that says nothing new, may wait half a second like the instances' own; what may send a call wrongly (a configuration, a server that drains, has left or has changed its stage, service or address) is still applied at once.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -96,11 +96,24 @@
         )
 
     def urgent(self, entry: Entry) -> bool:
-        """Return whether changes of this entry must be applied without delay."""
+        """Return whether changes of this entry must be applied without delay.
+
+        A new server and a repeated registration may wait, as nothing is sent wrongly
+        meanwhile.
+        """
         layout = self._layout
-        return not entry.key.startswith(
-            (layout.instances_prefix, layout.order_lease_key)
-        )
+        if not entry.key.startswith(layout.servers_prefix):
+            return entry.key == layout.configuration_key
+        name = entry.key.removeprefix(layout.servers_prefix)
+        known = self._backends.get(name)
+        if not entry.value:
+            return known is not None
+        try:
+            server = layout.decode_server(entry.key, entry.value)
+        except BadRegistrationError:
+            # Logged when the entry is applied.
+            return False
+        return server.draining or (known is not None and known != server)
 
     def replace_all(
         self, entries: tuple[Entry, ...], *, lenient: bool, restored: bool = False
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -237,7 +237,9 @@
 def _decode_server(key, value):
     if value == b"bad":
         raise BadRegistrationError("bad")
-    return server(key.removeprefix("servers/"), service=value.decode())
+    service, _, state = value.decode().partition(" ")
+    name = key.removeprefix("servers/")
+    return server(name, service=service, draining=state == "left")
 
 
 @pytest.fixture
@@ -267,6 +269,21 @@
     return view
 
 
+def test_only_changes_that_could_send_a_call_wrongly_are_urgent(store_view, backends):
+    """Each urgent change costs every instance a call to the store."""
+    ready, draining = Entry("servers/a", b"api", 2), Entry("servers/a", b"api left", 3)
+    assert not store_view.urgent(ready)
+    assert store_view.urgent(draining)
+    store_view.apply_change(ready, lenient=False)
+    assert not store_view.urgent(Entry("servers/a", b"api", 4))
+    assert store_view.urgent(Entry("servers/a", b"llm", 4))
+    assert store_view.urgent(Entry("servers/a", b"", 4))
+    assert not store_view.urgent(Entry("servers/gone", b"", 4))
+    assert not store_view.urgent(Entry("servers/a", b"bad", 4))
+    assert not store_view.urgent(Entry("instances/x", b"1", 4))
+    assert store_view.urgent(Entry("op/config", b"8", 4))
+
+
 def test_older_configuration_is_not_applied(store_view, log):
     store_view.apply_change(Entry("op/config", b"7", 1), lenient=False)
     store_view.apply_change(Entry("op/config", b"5", 2), lenient=False)
