Use idle connections for prefills

Plain safe calls use idle ones; every prefill opened its own, though it may be repeated. Prefills now take a connection that was idle for at most 2 s; if the server had closed it unnoticed, the engine is not avoided for that, and the call is placed again. Decode engines still get new connections: between an instance and an engine there are some 6 s from call to call, and a lost one costs the prompt.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -5,7 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from ..errors import BackendError, BackendNotServingError
-from ..transport.http_exchange import Exchange
+from ..transport.http_exchange import Exchange, ServerConnection
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import SendParameters
@@ -38,6 +38,9 @@
 """Fraction of a handle's lifetime within which it is offered to a decode engine; the
 rest is for the request's transit and the transfer's queue."""
 
+MAX_IDLE_SECONDS = 2.0
+"""Idle time up to which a connection is used for a prefill, which may be repeated."""
+
 FREE_TIMEOUT_SECONDS = 1.0
 FREE_MAX_IDLE_SECONDS = 4.0
 
@@ -94,8 +97,11 @@
         context.loads.begin(server.id, tokens)
         context.on_load_changed()
         exchange: Exchange | None = None
+        connection: ServerConnection | None = None
         try:
-            connection = await context.connect(state, server)
+            connection = await context.connect(
+                state, server, max_idle_seconds=MAX_IDLE_SECONDS
+            )
             parameters = SendParameters(
                 server=server.id,
                 account=state.account_name,
@@ -124,7 +130,9 @@
             raise PrefillFailedError(str(error)) from error
         except BackendError as error:
             state.record_step(server.id, "prefill_lost", str(error))
-            context.health.record_unreachable(server.id)
+            # An idle connection may have been closed by the server unnoticed.
+            if connection is None or not connection.reused:
+                context.health.record_unreachable(server.id)
             raise PrefillFailedError(str(error)) from error
         finally:
             if exchange is not None:
--- a/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
@@ -61,7 +61,7 @@
 
     def __init__(self, address: str, on_idle_close: Callable[[Any], None]) -> None:
         self.address = address
-        self.idle_since = 0.0
+        self.idle_since: float | None = None
         self.keep_alive_seconds: float | None = None
         self.closed = False
         self._h11 = h11.Connection(
@@ -121,6 +121,11 @@
             f"connection to {self.address} was lost: {reason.value}", BackendLostError
         )
 
+    @property
+    def reused(self) -> bool:
+        """Whether the connection has carried an exchange before."""
+        return self.idle_since is not None
+
     def abort(self) -> None:
         """Reset the connection."""
         if not self.closed:
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -116,6 +116,7 @@
 
 class FakeConnection:
     closed = False
+    reused = False
 
     def __init__(self, network, address):
         self._network = network
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -3,6 +3,8 @@
 import pytest
 from tests.forwarding_fakes import Harness, deployment, server
 
+from pomeloglade.forwarding.prefills import MAX_IDLE_SECONDS
+
 
 @pytest.fixture
 def prefill():
@@ -64,6 +66,20 @@
     assert again.header("X-Pomeloglade-Kv-Source").endswith(b"/h8")
 
 
+def test_prefill_may_use_an_idle_connection_and_its_loss_is_not_the_engines_fault(
+    harness, prefill
+):
+    harness.model_call()
+    assert harness.network.idle_bounds[-1] == MAX_IDLE_SECONDS
+    harness.network.requests[0].connection.reused = True
+    harness.network.requests[0].reset()
+    assert not harness.health.avoided(prefill.id)
+    second = harness.network.requests[1]
+    assert second.prefill
+    second.reset()
+    assert harness.health.avoided(prefill.id)
+
+
 def test_prompt_is_not_prefilled_again_if_the_retry_budget_is_exhausted(
     prefill, decodes
 ):
