Try the new rules' mechanisms by mutations

Two went unseen at first and have tests now: a draining registration decoded as serving, which nothing checked, and a relayed proof that counts though urgent changes were not applied. The mutation of the draining check in Backends became unseen, as the run is remembered too; it moved to the decoder.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -17,6 +17,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 COPIED = ("packages", "platform", "soak", "scripts", "tests", "pyproject.toml")
 FORWARDING = "packages/pomeloglade/src/pomeloglade/forwarding/"
+COORDINATION = "packages/pomeloglade-coordination/src/pomeloglade_coordination/"
 TRANSPORT = "packages/pomeloglade/src/pomeloglade/transport/"
 CODEC = "platform/pomeloglade_platform/calls.py"
 
@@ -36,6 +37,7 @@
 CALLS = ("tests/test_plain_calls.py", "tests/test_model_calls.py")
 PARTS = ("tests/test_forwarding_parts.py",)
 WIRE = ("tests/test_platform_codecs.py",)
+NOTICES = ("tests/test_server_notices.py",)
 SITE = ("tests/test_http_site.py",)
 EXCHANGE = ("tests/test_http_exchange.py",)
 
@@ -187,10 +189,10 @@
     Mutation(
         "DRAIN",
         "a draining server is still used",
-        FORWARDING + "backends.py",
-        "                not known.draining\n                and known",
-        "                known",
-        CALLS + PARTS,
+        "platform/pomeloglade_platform/servers.py",
+        '        draining=entry.state == "draining",\n',
+        "        draining=False,\n",
+        WIRE,
     ),
     Mutation(
         "ROUTE",
@@ -220,10 +222,98 @@
         "ONE",
         "a new lease holder gives orders without waiting",
         FORWARDING + "stage_orders.py",
-        "        return self._lease.valid() and since > self._pause_seconds\n",
-        "        return self._lease.valid()\n",
+        "now - self._held_since > self._pause_seconds and (",
+        "True and (",
         ("tests/test_stage_orders.py",),
     ),
+    Mutation(
+        "DRAIN, said by the server",
+        "a server's word that it leaves is not remembered",
+        FORWARDING + "send_context.py",
+        "        if notice.leaving and ",
+        "        if False and ",
+        NOTICES,
+    ),
+    Mutation(
+        "DRAIN, said by the server",
+        "an older copy of the store lists a drained server as serving again",
+        FORWARDING + "backends.py",
+        "            self._remember_leaving(_run(server))\n",
+        "            pass\n",
+        PARTS,
+    ),
+    Mutation(
+        "BUDGET, pauses",
+        "a paused server still gets calls",
+        FORWARDING + "backends.py",
+        "servers = [each for each in servers if not self.paused_for(each)]",
+        "pass",
+        NOTICES,
+    ),
+    Mutation(
+        "BUDGET, pauses",
+        "the pause that a server asks for is ignored",
+        FORWARDING + "send_context.py",
+        "        if notice.pause > 0:\n",
+        "        if False:\n",
+        NOTICES,
+    ),
+    Mutation(
+        "LOST",
+        "a stopping instance takes calls that it will cut off",
+        FORWARDING + "forwarder.py",
+        "        if state.deadline() > self._stops_at:\n",
+        "        if False:\n",
+        CALLS,
+    ),
+    Mutation(
+        "LOST",
+        "a connection stays open after a response that began before the drain",
+        TRANSPORT + "http_site.py",
+        "        if not reusable or self._site.handler.is_draining():\n",
+        "        if not reusable:\n",
+        SITE,
+    ),
+    Mutation(
+        "Store era",
+        "a watch of an earlier era is believed",
+        "platform/pomeloglade_platform/store.py",
+        "if answer.status == 410 or answer.era != era_of(after):",
+        "if answer.status == 410:",
+        WIRE,
+    ),
+    Mutation(
+        "Store era, ONE",
+        "a lease of an earlier era is still held",
+        COORDINATION + "lease.py",
+        "        if era_of(self._fencing_token) != self._store.era.current:\n",
+        "        if False:\n",
+        ("tests/test_store_era.py",),
+    ),
+    Mutation(
+        "CONFIG, withdrawn keys",
+        "a relayed proof counts from its arrival",
+        FORWARDING + "report_relay.py",
+        "stamp - report.store.age",
+        "self._clock.seconds() - report.store.age",
+        ("tests/test_report_relay.py",),
+    ),
+    Mutation(
+        "CONFIG, withdrawn keys",
+        "a relayed proof counts though urgent changes were not applied",
+        FORWARDING + "store_follower.py",
+        "if proof.urgent_position <= self._revision:\n            self._confirm",
+        "if True:\n            self._confirm",
+        ("tests/test_report_relay.py", "tests/test_store_follower.py"),
+    ),
+    Mutation(
+        "QUOTA",
+        "instances that no fresh report covers are forgotten",
+        FORWARDING + "usage.py",
+        "        silent = instances - self.covered()\n",
+        "        silent = 0\n",
+        ("tests/test_report_relay.py",),
+    ),
 )
 
 
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -219,6 +219,11 @@
     )
 
 
+def test_registration_of_a_draining_server_says_so():
+    entry = json.dumps(SERVER | {"state": "draining"}).encode()
+    assert servers.decode("servers/i-1", entry).draining
+
+
 @pytest.mark.parametrize(
     "change",
     [
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -9,9 +9,11 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.store_follower import (
+    MAX_RELAYED_AGE_SECONDS,
     MAX_WATCH_SECONDS,
     RECOVERY_SECONDS,
     StoreFollower,
+    StoreProof,
 )
 from pomeloglade_coordination.errors import (
     HistoryCompactedError,
@@ -208,3 +210,28 @@
     removed = Entry("servers/x", b"", position(1, 6))
     store.watches[1][2].callback(Snapshot((removed,), position(1, 6)))
     assert recorder.lenient == [True]
+
+
+def test_relayed_proof_counts_only_if_the_urgent_changes_were_applied(
+    clock, store, follower
+):
+    clock.advance(2.0)
+    now = clock.seconds()
+    follower.apply_relayed(StoreProof(15, 11, 0.1), now - 0.2)
+    assert follower.age() == pytest.approx(2.0)
+    store.watches[0][2].callback(Snapshot((Entry("a", b"1", 11),), 11))
+    follower.apply_relayed(StoreProof(15, 11, 0.1), now - 0.2)
+    assert follower.age() == pytest.approx(0.2)
+    # The change that is not urgent may wait, so no watch follows.
+    assert len(store.watches) == 1
+
+
+def test_follower_asks_the_store_again_once_relayed_proofs_stop(clock, store, follower):
+    follower.apply_relayed(StoreProof(10, 10, 0.1), clock.seconds())
+    clock.advance(2.0)
+    store.watches[0][2].callback(Snapshot((), 10))
+    follower.apply_relayed(StoreProof(10, 10, 0.1), clock.seconds())
+    watches = len(store.watches)
+    for _ in range(int(MAX_RELAYED_AGE_SECONDS / 0.1) + 3):
+        clock.advance(0.1)
+    assert len(store.watches) == watches + 1
