Share the retry budget by what the fleet has used

Each instance may use its even part of the slack only, one or two retries in ten seconds, and the calls that need one are few and come to few instances.

Reports now carry the new calls and retries by service, as they do failures (tally).

Tests at 6, 40, 42 and 130 instances: a few that need retries, all at once, a zone cut off in the midst, each call counted once. Digests leave out the receiver's own part.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -155,6 +155,7 @@
             usage=self._usage,
             remote_queues=self._remote_queues,
             health=self._health,
+            budget=self._budget,
             follower=self._follower,
             log=log,
         )
@@ -255,7 +256,6 @@
             except (ValueError, KeyError, TypeError) as error:
                 self._log.event("instance_rejected", key=name, reason=str(error))
         self._relay.set_peers(peers)
-        self._budget.instances = len(peers) + 1
 
     def _queue_for(self, service: str) -> EngineQueue:
         queue = self._queues_by_service.get(service)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -12,8 +12,8 @@
 from .event_log import EventLog
 from .loads import ServerCalls
 from .remote_queues import QueueRank, QueueSummary
-from .server_health import Outcomes
 from .store_follower import StoreProof
+from .tally import Tally
 
 MAX_REPORT_BYTES = 60_000
 MAX_ENDED_RUNS = 1_000
@@ -48,9 +48,10 @@
     its priority, its account's usage step, and the seconds that it has waited) and the
     number of instances with waiting calls. ``changing`` lists engines that were
     recently ordered to another stage, ``leaving`` the servers, each with the start of
-    its run, that said that they leave. ``outcomes`` has the new outcomes of calls by
-    backend server. ``stamp`` is the time of the sender's clock; a digest echoes the run
-    and the stamp of the receiver's last report, and has the contact's ``store`` proof.
+    its run, that said that they leave. ``failures`` has the new failures among calls by
+    backend server, ``resends`` the new retries and calls by service. ``stamp`` is the
+    time of the sender's clock; a digest echoes the run and the stamp of the receiver's
+    last report, and has the contact's ``store`` proof.
     """
 
     instance: str
@@ -64,7 +65,8 @@
     waiting: dict[str, Waiting] = field(default_factory=dict)
     changing: list[str] = field(default_factory=list)
     leaving: list[tuple[str, int]] = field(default_factory=list)
-    outcomes: dict[str, Outcomes] = field(default_factory=dict)
+    failures: dict[str, Tally] = field(default_factory=dict)
+    resends: dict[str, Tally] = field(default_factory=dict)
     stamp: float = 0.0
     echo: tuple[int, float] | None = None
     store: StoreProof | None = None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -1,7 +1,7 @@
 """Passes reports between instances, through one contact of each group of them."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import replace
+from dataclasses import dataclass, field, replace
 from typing import Any
 
 from twisted.internet.interfaces import IReactorTime
@@ -11,8 +11,10 @@
 from .instance_reports import Report, ReportKind, waiting_from
 from .loads import Loads, ServerCalls
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
-from .server_health import Outcomes, ServerHealth, add_outcomes
+from .resend_budget import ResendBudget
+from .server_health import ServerHealth
 from .store_follower import StoreFollower
+from .tally import NO_CALLS, Tally, add_tallies
 from .usage import SharedUsage
 
 REPORT_DELAY_SECONDS = 0.002
@@ -86,6 +88,7 @@
         usage: SharedUsage,
         remote_queues: RemoteQueues,
         health: ServerHealth,
+        budget: ResendBudget,
         follower: StoreFollower,
         log: EventLog,
     ) -> None:
@@ -99,6 +102,8 @@
         self._usage = usage
         self._remote_queues = remote_queues
         self._health = health
+        self._budget = budget
+        budget.covers_all = lambda: usage.covered() >= usage.instances
         self._follower = follower
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
@@ -108,7 +113,8 @@
         self._digest_heard_at: dict[str, float] = {}
         self._members: dict[str, tuple[float, Report]] = {}
         self._contacts: dict[str, tuple[float, Report]] = {}
-        self._outcomes_by_kind: dict[ReportKind, dict[str, Outcomes]] = {}
+        self._news_by_kind: dict[ReportKind, _News] = {}
+        self._news_by_member: dict[str, _News] = {}
         self._sent_at_by_kind: dict[ReportKind, float] = {}
         self._timers_by_kind: dict[ReportKind, Any] = {}
         self._check_timer: Any = None
@@ -171,7 +177,9 @@
             if group != self._own_group:
                 return
             self._members[report.instance] = (now, report)
-            self._pass_on(report.outcomes, ReportKind.GROUP, ReportKind.DIGEST)
+            news = _News(report.failures, report.resends)
+            self._pass_on(news, ReportKind.GROUP, ReportKind.DIGEST)
+            self._news_by_member.setdefault(report.instance, _News()).add(news)
             self._schedule(ReportKind.GROUP)
             self._schedule(ReportKind.DIGEST)
         else:
@@ -179,7 +187,7 @@
             if known is not None and known[1].instance != report.instance:
                 self._forget(known[1].instance)
             self._contacts[group] = (now, report)
-            self._pass_on(report.outcomes, ReportKind.DIGEST)
+            self._pass_on(_News(report.failures, report.resends), ReportKind.DIGEST)
             self._schedule(ReportKind.DIGEST)
         self._apply(report)
 
@@ -195,7 +203,7 @@
         self._groups = InstanceGroups({**zones, self._instance: self._zone})
         self._own_group = self._groups.group_of(self._instance)
         self._ranking = self._groups.ranking(self._own_group)
-        self._usage.instances = len(zones) + 1
+        self._usage.instances = self._budget.instances = len(zones) + 1
         self._update_follower()
         for members in (self._members, self._contacts):
             for key, (_, report) in list(members.items()):
@@ -256,12 +264,14 @@
         if run == self._own_report().run:
             self._follower.apply_relayed(report.store, stamp - report.store.age)
 
-    def _pass_on(self, outcomes: dict[str, Outcomes], *kinds: ReportKind) -> None:
+    def _pass_on(self, news: "_News", *kinds: ReportKind) -> None:
+        """Add news to the next report of each kind that this instance sends."""
         for kind in set(kinds) & set(self._kinds()):
-            add_outcomes(self._outcomes_by_kind.setdefault(kind, {}), outcomes)
+            self._news_by_kind.setdefault(kind, _News()).add(news)
 
     def _apply(self, report: Report) -> None:
-        self._health.apply_outcomes(report.outcomes)
+        self._health.apply_outcomes(report.failures)
+        self._budget.apply_reported(report.resends)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance,
@@ -321,13 +331,16 @@
             return
         self._sent_at_by_kind[kind] = self._clock.seconds()
         self._sequence += 1
-        self._pass_on(self._health.take_unreported(), *ReportKind)
+        own_news = _News(self._health.take_unreported(), self._budget.take_unreported())
+        self._pass_on(own_news, *ReportKind)
+        news = self._news_by_kind.pop(kind, _News())
         own = replace(
             self._own_report(),
             sequence=self._sequence,
             kind=kind,
             stamp=self._clock.seconds(),
-            outcomes=self._outcomes_by_kind.pop(kind, {}),
+            failures=news.failures,
+            resends=news.resends,
         )
         if kind is ReportKind.MEMBER:
             self._send_to(own, self._contact)
@@ -372,11 +385,13 @@
         covers = 1 + len(members) + sum(each.covers for each in others)
         now = self._clock.seconds()
         store = self._follower.proof()
+        own_news_by_member, self._news_by_member = self._news_by_member, {}
         for name in self._ranking:
             if name == self._instance:
                 continue
             rest = _picked(queues, [each for each in queues if each != name])
             merged = merge_queues([self._own_queues(own), *rest])
+            own_news = own_news_by_member.get(name, _News())
             digest = replace(
                 own,
                 covers=covers - (name in self._members),
@@ -384,6 +399,8 @@
                 usage=self._usage.totals_without(name),
                 waiting=waiting_from(merged, now),
                 changing=changing,
+                failures=_without(own.failures, own_news.failures),
+                resends=_without(own.resends, own_news.resends),
                 echo=self._echo(name),
                 store=store,
             )
@@ -400,6 +417,29 @@
         return own.queues_by_service(self._clock.seconds())
 
 
+@dataclass(frozen=True, slots=True)
+class _News:
+    """What happened since the last report: failures by server, retries by service."""
+
+    failures: dict[str, Tally] = field(default_factory=dict)
+    resends: dict[str, Tally] = field(default_factory=dict)
+
+    def add(self, other: "_News") -> None:
+        add_tallies(self.failures, other.failures)
+        add_tallies(self.resends, other.resends)
+
+
+def _without(sums: dict[str, Tally], part: dict[str, Tally]) -> dict[str, Tally]:
+    """Return sums less a part of them, without those that are left with no calls."""
+    rest = {}
+    for key, tally in sums.items():
+        events, calls = part.get(key, NO_CALLS)
+        left = Tally(tally.events - events, tally.calls - calls)
+        if left != NO_CALLS:
+            rest[key] = left
+    return rest
+
+
 def _work(calls_by_server: dict[str, ServerCalls]) -> dict[str, tuple[int, int]]:
     return {
         server: (calls.calls, calls.tokens) for server, calls in calls_by_server.items()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
@@ -1,10 +1,11 @@
 """Passive health checks of backend servers, by the outcome of their calls."""
 
 from collections.abc import Mapping, Sequence
-from typing import NamedTuple
 
 from twisted.internet.interfaces import IReactorTime
 
+from .tally import Tally, add_tallies
+
 FAILURE_WEIGHT = 0.2
 """Weight of the newest outcome in a server's failure rate, which thus averages about
 five outcomes."""
@@ -28,13 +29,6 @@
 FAILURE_PENALTY = 8.0
 
 
-class Outcomes(NamedTuple):
-    """Numbers of failures and of all answers; no answer at all is a failure too."""
-
-    failures: int
-    answers: int
-
-
 class ServerHealth:
     """Tracks the outcomes of calls to each backend server.
 
@@ -55,7 +49,7 @@
         self._avoid_until_by_server: dict[str, float] = {}
         self._connect_failures_by_server: dict[str, int] = {}
         self._rejections_by_server: dict[str, int] = {}
-        self._unreported_by_server: dict[str, Outcomes] = {}
+        self._unreported_by_server: dict[str, Tally] = {}
 
     def record_success(self, server: str) -> None:
         """Record an answer, and stop avoiding the server."""
@@ -122,40 +116,26 @@
         self._connect_failures_by_server.pop(server, None)
         self._rejections_by_server.pop(server, None)
 
-    def take_unreported(self) -> dict[str, Outcomes]:
-        """Return this instance's outcomes by server since the last such call."""
+    def take_unreported(self) -> dict[str, Tally]:
+        """Return this instance's failures among its calls since the last such call.
+
+        A call without an answer is a failure too.
+        """
         unreported, self._unreported_by_server = self._unreported_by_server, {}
         return unreported
 
-    def apply_outcomes(self, outcomes_by_server: Mapping[str, Outcomes]) -> None:
+    def apply_outcomes(self, failures_by_server: Mapping[str, Tally]) -> None:
         """Add the outcomes of calls that other instances have sent."""
-        for server, outcomes in outcomes_by_server.items():
-            self._add(server, outcomes)
+        for server, failures in failures_by_server.items():
+            self._add(server, failures)
 
     def _record_outcome(self, server: str, outcome: float) -> None:
-        outcomes = Outcomes(int(outcome), 1)
-        self._add(server, outcomes)
-        add_outcomes(self._unreported_by_server, {server: outcomes})
+        tally = Tally(int(outcome), 1)
+        self._add(server, tally)
+        add_tallies(self._unreported_by_server, {server: tally})
 
-    def _add(self, server: str, outcomes: Outcomes) -> None:
-        mean = outcomes.failures / outcomes.answers
-        kept = (1.0 - FAILURE_WEIGHT) ** outcomes.answers
+    def _add(self, server: str, failures: Tally) -> None:
+        mean = failures.events / failures.calls
+        kept = (1.0 - FAILURE_WEIGHT) ** failures.calls
         rate = mean + (self.failure_rate(server) - mean) * kept
         self._rates_by_server[server] = (rate, self._clock.seconds())
-
-
-def add_outcomes(
-    sums_by_server: dict[str, Outcomes], outcomes_by_server: Mapping[str, Outcomes]
-) -> None:
-    """Add outcomes to sums by backend server.
-
-    >>> sums = {"a": Outcomes(1, 4)}
-    >>> add_outcomes(sums, {"a": Outcomes(0, 1), "b": Outcomes(1, 1)})
-    >>> sums["a"]
-    Outcomes(failures=1, answers=5)
-    """
-    for server, (failures, answers) in outcomes_by_server.items():
-        known = sums_by_server.get(server, Outcomes(0, 0))
-        sums_by_server[server] = Outcomes(
-            known.failures + failures, known.answers + answers
-        )
--- a/tests/test_report_relay.py
+++ b/tests/test_report_relay.py
@@ -27,6 +27,7 @@
 from pomeloglade.forwarding.loads import Loads
 from pomeloglade.forwarding.remote_queues import QueueRank, QueueSummary, RemoteQueues
 from pomeloglade.forwarding.report_relay import ReportRelay
+from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.store_follower import (
     CONTACT_WATCH_SECONDS,
@@ -38,6 +39,7 @@
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
 
+LIMIT = ResendLimit(ratio=0.2, slack=430.0, window=10.0)
 ZONES = ("zone-a", "zone-b", "zone-c")
 TRANSIT_SECONDS = 0.001
 SETTLED_SECONDS = 2.0
@@ -79,6 +81,7 @@
         self.waiting = {}
         self.log = ListLog()
         self.health = ServerHealth(fleet.clock)
+        self.budget = ResendBudget(fleet.clock, LIMIT)
         self.store = FaultyStore(fleet.clock, fleet.clock, fleet.store)
         self.view = View()
         self.follower = StoreFollower(
@@ -99,6 +102,7 @@
             usage=self.usage,
             remote_queues=self.queues,
             health=self.health,
+            budget=self.budget,
             follower=self.follower,
             log=self.log,
         )
@@ -436,6 +440,54 @@
     assert not fleet.instances[-1].health.avoided("engine-1")
 
 
+def spend(fleet, instances, attempts, seconds):
+    """Let some instances try to retry evenly, and return how often they could."""
+    spent = 0
+    for number in range(attempts):
+        instance = instances[number % len(instances)]
+        if instance.budget.try_spend("app"):
+            spent += 1
+            instance.relay.schedule_report()
+        fleet.run(seconds / attempts)
+    return spent
+
+
+@pytest.mark.parametrize("size", [6, 130])
+def test_instances_that_need_retries_use_what_the_others_leave(size):
+    """An even share of 430 retries is 2 of 130 instances, and one failing server's
+    callers come to few of them."""
+    fleet = Fleet(size)
+    spent = spend(fleet, fleet.instances[:3], 200, 4.0)
+    assert spent >= 0.25 * LIMIT.slack
+    assert spent <= 0.8 * LIMIT.slack
+
+
+@pytest.mark.parametrize("size", [6, 40, 130])
+def test_fleet_keeps_the_retry_budget_if_all_need_retries(size):
+    fleet = Fleet(size)
+    assert spend(fleet, fleet.instances, 2_000, 6.0) <= LIMIT.slack
+
+
+def test_fleet_keeps_the_retry_budget_if_a_zone_is_cut_off_in_the_midst():
+    fleet = Fleet(42)
+    spent = spend(fleet, fleet.instances[:6], 400, 3.0)
+    fleet.cut_zone = "zone-a"
+    spent += spend(fleet, fleet.instances, 1_000, 4.0)
+    assert spent <= LIMIT.slack
+
+
+def test_calls_and_retries_are_counted_once_by_every_instance():
+    fleet = Fleet(40)
+    for each in fleet.instances:
+        each.budget.record_call("app")
+        assert each.budget.try_spend("app")
+        each.relay.schedule_report()
+    fleet.run(1.0)
+    for each in fleet.instances:
+        others = each.budget._others_by_service["app"].sum
+        assert (others.events, others.calls) == (39, 39)
+
+
 def test_reports_of_unregistered_instances_and_other_addresses_are_dropped():
     fleet = Fleet(6)
     receiver = fleet.instances[0]
