Keep retries of slow calls within the even share

A safe call is sent to a second server when the first is silent for half its objective, and in overload the larger budget sends most of them twice.

Whether a call may be timed out for a second server now depends on what is left of the instance's even share; lost and failed calls may use the shared budget as before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -214,7 +214,7 @@
 
     def _can_retry_elsewhere(self, service: str, server: BackendServer) -> bool:
         others = [s for s in self._backends.serving(service) if s.id != server.id]
-        return bool(others) and self._budget.remaining(service) > 1
+        return bool(others) and self._budget.remaining_share(service) > 1
 
     async def _receive_answer(
         self, call: ForwardedCall, exchange: Exchange, server: BackendServer
--- a/packages/pomeloglade/src/pomeloglade/forwarding/resend_budget.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/resend_budget.py
@@ -85,21 +85,23 @@
 
     def remaining(self, service: str) -> int:
         """Return how many retries to a service are left."""
-        limit = self._limit
-        oldest = self._clock.seconds() - limit.window
-        own = self._own_by_service.get(service, _Window()).since(oldest)
-        others = self._others_by_service.get(service, _Window()).since(oldest)
-        share = limit.ratio * own.calls + limit.slack / max(1, self.instances)
+        own, others = self._recent(service)
         if not self.covers_all():
-            return int(UNCOVERED_FRACTION * share) - own.events
-        fleet = limit.ratio * (own.calls + others.calls) + limit.slack
+            return self._share_left(own)
+        fleet = self._limit.ratio * (own.calls + others.calls) + self._limit.slack
         used = own.events + others.events
-        left = max(
-            int(USABLE_FRACTION * share) - own.events,
-            int(POOLED_FRACTION * fleet) - used,
-        )
+        left = max(self._share_left(own), int(POOLED_FRACTION * fleet) - used)
         return min(left, int(USABLE_FRACTION * fleet) - used)
 
+    def remaining_share(self, service: str) -> int:
+        """Return how many of the retries left are within this instance's even share.
+
+        Retries of calls that may only be slow keep to it: when servers are overloaded,
+        more of them would add to the load.
+        """
+        own, _ = self._recent(service)
+        return min(self._share_left(own), self.remaining(service))
+
     def try_spend(self, service: str) -> bool:
         """Count a retry, or return ``False`` if the budget is exhausted."""
         if self.remaining(service) <= 0:
@@ -120,6 +122,19 @@
             window.add(now, Tally(*tally))
             window.since(now - self._limit.window)
 
+    def _recent(self, service: str) -> tuple[Tally, Tally]:
+        """Return this instance's and the others' tallies within the window."""
+        oldest = self._clock.seconds() - self._limit.window
+        own = self._own_by_service.get(service, _Window()).since(oldest)
+        others = self._others_by_service.get(service, _Window()).since(oldest)
+        return own, others
+
+    def _share_left(self, own: Tally) -> int:
+        share = self._limit.ratio * own.calls
+        share += self._limit.slack / max(1, self.instances)
+        usable = USABLE_FRACTION if self.covers_all() else UNCOVERED_FRACTION
+        return int(usable * share) - own.events
+
     def _record(self, service: str, tally: Tally) -> None:
         now = self._clock.seconds()
         window = self._own_by_service.setdefault(service, _Window())
--- a/tests/test_report_relay.py
+++ b/tests/test_report_relay.py
@@ -462,6 +462,18 @@
     assert spent <= 0.8 * LIMIT.slack
 
 
+def test_retries_of_slow_calls_keep_to_the_even_share():
+    """In overload, calls time out at every instance at once."""
+    fleet = Fleet(40)
+    share = int(0.8 * LIMIT.slack / 40)
+    instance = fleet.instances[0]
+    assert instance.budget.remaining_share("app") == share
+    assert instance.budget.remaining("app") > 5 * share
+    spend(fleet, [instance], share, 0.5)
+    assert instance.budget.remaining_share("app") == 0
+    assert instance.budget.remaining("app") > 0
+
+
 @pytest.mark.parametrize("size", [6, 40, 130])
 def test_fleet_keeps_the_retry_budget_if_all_need_retries(size):
     fleet = Fleet(size)
