Count a silent contact's group until its successor reports it

From reading the diff: what a contact had reported was dropped after 0.7 s of silence, so the calls of a frozen instance (of a whole group, in a large fleet) no longer held their slots at the other instances, and engines were offered to more calls than they have room for.

The relay also stops with the instance's shutdown.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -370,6 +370,7 @@
             if not self.forwarder.open_calls and not self._site.connections:
                 break
             await deferLater(self._reactor, 0.05)
+        self._relay.stop()
         self._log.event("stopped", open_calls=self.forwarder.open_calls)
         self._log.flush()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -9,7 +9,7 @@
 from .event_log import EventLog
 from .instance_groups import InstanceGroups, Peer
 from .instance_reports import Report, ReportKind, waiting_from
-from .loads import Loads, ServerCalls
+from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads, ServerCalls
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
@@ -36,8 +36,8 @@
 CHECK_INTERVAL_SECONDS = 0.1
 
 CONTACT_SILENCE_SECONDS = 0.7
-"""Silence after which a contact is replaced, and what it reported is dropped. It is
-longer than the interval of idle reports."""
+"""Silence after which a contact is replaced. It is longer than the interval of idle
+reports."""
 
 MEMBER_SILENCE_SECONDS = 1.2
 """Silence after which a member's calls are no longer counted by its contact."""
@@ -47,6 +47,10 @@
 receive within that time."""
 
 MAX_TAKEOVER_STEPS = 5
+TAKEOVER_PAUSE_SECONDS = 0.3
+"""Time in which a new contact gets its members' reports, before it reports their sum in
+place of the former contact's."""
+
 CANDIDATES_PER_GROUP = 2
 """Candidates of a group that get reports while its contact is not known."""
 
@@ -109,6 +113,7 @@
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
         self._contact: str | None = None
+        self._contact_since = float("-inf")
         self._waiting_since = clock.seconds()
         self._digest_heard_at: dict[str, float] = {}
         self._members: dict[str, tuple[float, Report]] = {}
@@ -235,6 +240,7 @@
         if contact == former:
             return
         self._contact = contact
+        self._contact_since = self._clock.seconds()
         self._update_follower()
         if former is not None:
             self._log.event("contact_changed", contact=contact, former=former)
@@ -291,7 +297,8 @@
         self._check_timer = self._clock.callLater(CHECK_INTERVAL_SECONDS, self._check)
         for reports, silence in (
             (self._members, MEMBER_SILENCE_SECONDS),
-            (self._contacts, CONTACT_SILENCE_SECONDS),
+            # Another contact may report the same calls before; until then they count.
+            (self._contacts, PEER_LOAD_MAX_AGE_SECONDS),
         ):
             for key, (heard_at, report) in list(reports.items()):
                 if now - heard_at > silence:
@@ -311,6 +318,8 @@
             return (ReportKind.MEMBER,)
         if len(self._ranking) == 1:
             return (ReportKind.GROUP,)
+        if self._clock.seconds() - self._contact_since < TAKEOVER_PAUSE_SECONDS:
+            return (ReportKind.DIGEST,)
         return (ReportKind.GROUP, ReportKind.DIGEST)
 
     def _schedule(self, kind: ReportKind) -> None:
@@ -370,16 +379,19 @@
         for group in self._groups.names():
             if group == self._own_group:
                 continue
-            known = self._contacts.get(group)
-            if known is not None:
-                self._send_to(report, known[1].instance)
+            heard_at, known = self._contacts.get(group, (float("-inf"), None))
+            if self._clock.seconds() - heard_at <= CONTACT_SILENCE_SECONDS:
+                self._send_to(report, known.instance)
                 continue
             for candidate in self._groups.ranking(group)[:CANDIDATES_PER_GROUP]:
                 self._send_to(report, candidate)
 
     def _send_digests(self, own: Report) -> None:
         members = [report for _, report in self._members.values()]
-        others = [report for _, report in self._contacts.values()]
+        oldest = self._clock.seconds() - CONTACT_SILENCE_SECONDS
+        others = [
+            report for heard_at, report in self._contacts.values() if heard_at >= oldest
+        ]
         queues = self._remote_queues.fresh_by_instance()
         changing = sorted({*own.changing, *_changing([*members, *others])})
         covers = 1 + len(members) + sum(each.covers for each in others)
