Hold the silent contact's test to the exact numbers

At six instances the bound allowed the fault that the test is for. Red now at 6 and at 40 if a silent contact's report is dropped after 0.7 s.

--- a/tests/test_report_relay.py
+++ b/tests/test_report_relay.py
@@ -283,8 +283,8 @@
         assert each.loads.total("engine-1").calls == 39
 
 
-@pytest.mark.parametrize("size", [6, 40])
-def test_calls_of_a_silent_contacts_group_count_until_another_reports_them(size):
+@pytest.mark.parametrize(("size", "least"), [(6, 6), (40, 39)])
+def test_calls_of_a_silent_contacts_group_count_until_another_reports_them(size, least):
     """A frozen instance's calls still hold their slots."""
     fleet = Fleet(size)
     contact = next(e for e in fleet.instances if e.relay.contact == e.name)
@@ -299,7 +299,7 @@
     fleet.kill(contact)
     for _ in range(20):
         fleet.run(0.1)
-        assert size - 1 <= watcher.loads.total("engine-1").calls <= size
+        assert least <= watcher.loads.total("engine-1").calls <= size
 
 
 def test_limit_is_kept_while_contacts_are_killed_and_come_back(account):
