Ignore tallies without calls, and forget news with the role

From reading the diff: a contact that steps down and up again kept its members' news of before, and could have sent the rest of a subtraction below zero, which the failure rate would have taken as a number of calls. The news go with the role now, and a tally without calls is ignored (a division by zero before; test red without the check). Groups of one instance send no digests, so nothing changes for them.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -241,6 +241,8 @@
             return
         self._contact = contact
         self._contact_since = self._clock.seconds()
+        self._news_by_kind.clear()
+        self._news_by_member.clear()
         self._update_follower()
         if former is not None:
             self._log.event("contact_changed", contact=contact, former=former)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
@@ -125,9 +125,13 @@
         return unreported
 
     def apply_outcomes(self, failures_by_server: Mapping[str, Tally]) -> None:
-        """Add the outcomes of calls that other instances have sent."""
+        """Add the outcomes of calls that other instances have sent.
+
+        Tallies without calls, which no instance sends, are ignored.
+        """
         for server, failures in failures_by_server.items():
-            self._add(server, failures)
+            if failures.calls > 0:
+                self._add(server, failures)
 
     def _record_outcome(self, server: str, outcome: float) -> None:
         tally = Tally(int(outcome), 1)
--- a/tests/test_report_relay.py
+++ b/tests/test_report_relay.py
@@ -36,6 +36,7 @@
     MAX_WATCH_SECONDS,
     StoreFollower,
 )
+from pomeloglade.forwarding.tally import Tally
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
 
@@ -459,6 +460,17 @@
     assert not fleet.instances[-1].health.avoided("engine-1")
 
 
+def test_failures_without_calls_are_ignored():
+    fleet = Fleet(6)
+    sender, receiver = fleet.instances[:2]
+    report = Report(
+        sender.name, 1, 9_999, failures={"a": Tally(1, 0), "b": Tally(2, 2)}
+    )
+    receiver.exchange.datagramReceived(encode(report), sender.address)
+    assert receiver.health.failure_rate("a") == 0.0
+    assert receiver.health.failure_rate("b") > 0.3
+
+
 def spend(fleet, instances, attempts, seconds):
     """Let some instances try to retry evenly, and return how often they could."""
     spent = 0
