Ask whether a change is urgent before it is applied

From the last reading of the diff: the follower asked after it had applied a change, and since a removal, or a change of stage or address, is urgent only while the server's former entry is known. So these passed as not urgent: the next watch began half a second later, and in a large fleet the members of a group, told by its contact that nothing urgent had changed, fetched a removal up to three seconds late. The changes are asked about once, before any is applied; they were asked about twice. The new test is red on the code before.

A contact's own queues are computed once for all its digests, not once for each.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -399,12 +399,13 @@
         covers = 1 + len(members) + sum(each.covers for each in others)
         now = self._clock.seconds()
         store = self._follower.proof()
+        own_queues = self._own_queues(own)
         own_news_by_member, self._news_by_member = self._news_by_member, {}
         for name in self._ranking:
             if name == self._instance:
                 continue
             rest = _picked(queues, [each for each in queues if each != name])
-            merged = merge_queues([self._own_queues(own), *rest])
+            merged = merge_queues([own_queues, *rest])
             own_news = own_news_by_member.get(name, _News())
             digest = replace(
                 own,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -232,15 +232,17 @@
         finally:
             self._watch = None
         self._succeeded()
+        # Before they are applied: a removal is urgent only while the server is known.
+        urgent = [each for each in result.entries if self._listener.urgent(each)]
         for entry in result.entries:
             self._listener.apply_change(entry, lenient=self._lenient())
-            if self._listener.urgent(entry):
-                self._urgent_position = max(self._urgent_position, entry.revision)
+        newest = max((each.revision for each in urgent), default=0)
+        self._urgent_position = max(self._urgent_position, newest)
         self._revision = max(self._revision, result.revision)
         self._behind_since = None
         timed_out = self._clock.seconds() - sent_at >= wait
         self._confirm(sent_at + wait if timed_out and not result.entries else sent_at)
-        if result.entries and not any(map(self._listener.urgent, result.entries)):
+        if result.entries and not urgent:
             # The instances of a fleet register at the same time; without the pause
             # each registration would end the watches of all the others.
             await deferLater(self._clock, BATCH_SECONDS)
--- a/tests/test_store_follower.py
+++ b/tests/test_store_follower.py
@@ -235,3 +235,12 @@
     for _ in range(int(MAX_RELAYED_AGE_SECONDS / 0.1) + 3):
         clock.advance(0.1)
     assert len(store.watches) == watches + 1
+
+
+def test_removal_of_a_known_entry_is_urgent(clock, store, follower, recorder):
+    """It was asked after the removal, when the entry was not known any more."""
+    recorder.entries = {"servers/a": b"1"}
+    recorder.urgent = lambda entry: entry.key in recorder.entries
+    store.watches[0][2].callback(Snapshot((Entry("servers/a", b"", 11),), 11))
+    assert follower.proof().urgent_position == 11
+    assert len(store.watches) == 2
