Log what ended the body of each stream

The log of a call could not tell an answer that ended with its connection from one that was ended by its last chunk, nor whether the end came inside an event. The step 'end' now says both. Events are delimited by an empty line of any of the three line ends of server-sent events; only a pair of line feeds was known. What callers get is unchanged, but that resumable streams with other line ends are no longer withheld to their end.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -1,11 +1,17 @@
 """A server-sent event stream that is forwarded to a caller."""
 
+import re
+
+END_OF_EVENT = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
+"""An empty line ends an event; each of the three line ends is allowed."""
+
 
 class EventStream:
     """Withholds partial events of resumable streams.
 
     If the backend server fails within an event, another one resumes the stream
     after the last whole event, so the caller must not receive a part of the next one.
+    Partial events of other streams are forwarded and remembered.
 
     Parameters
     ----------
@@ -34,24 +40,39 @@
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the part that may be forwarded."""
+        received = self._partial + data
+        end = 0
+        for match in END_OF_EVENT.finditer(received):
+            end = match.end()
+        whole, self._partial = received[:end], received[end:]
         if not self.resumable:
             return data
-        data = self._partial + data
-        end = data.rfind(b"\n\n")
-        if end < 0:
-            self._partial = data
-            return b""
-        whole, self._partial = data[: end + 2], data[end + 2 :]
-        for line in whole.split(b"\n"):
+        for line in whole.splitlines():
             if line.startswith(b"id:"):
                 self.last_id = line[3:].strip()
         return whole
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether a field of an event was received, but not the event's end.
+
+        >>> stream = EventStream(resumable=False)
+        >>> stream.feed(b"data: a\\n\\n: a comment\\n")
+        b'data: a\\n\\n: a comment\\n'
+        >>> stream.inside_event
+        False
+        >>> _ = stream.feed(b"da")
+        >>> stream.inside_event
+        True
+        """
+        lines = self._partial.splitlines()
+        return any(line and not line.startswith(b":") for line in lines)
+
     def finish(self) -> bytes:
         """Return the withheld data at the regular end of the stream."""
         rest, self._partial = self._partial, b""
-        return rest
+        return rest if self.resumable else b""
 
     def discard_partial(self) -> None:
-        """Drop the withheld partial event after the stream broke."""
+        """Drop the partial event after the stream broke."""
         self._partial = b""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -290,6 +290,8 @@
         except BackendError:
             stream.discard_partial()
             raise
+        place = "inside an event" if stream.inside_event else "after an event"
+        state.record_step(server.id, "end", f"{head.framing.value}, {place}")
         rest = stream.finish()
         if rest:
             responder.write(rest)
--- a/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
@@ -3,6 +3,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import Any
 
 import h11
@@ -26,6 +27,8 @@
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
 
+BODILESS_STATUSES = frozenset((204, 304))
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 
@@ -38,6 +41,14 @@
     headers: Headers
 
 
+class BodyFraming(Enum):
+    """What ends the body of a response (RFC 9112, 6.3)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 @dataclass(frozen=True, slots=True)
 class ResponseHead:
     """Status and headers of a response; header names are in lower case."""
@@ -50,6 +61,19 @@
         """Return the value of the header ``name``, given in lower case."""
         return self.by_name.get(name)
 
+    @property
+    def framing(self) -> BodyFraming:
+        """What ends the body.
+
+        >>> ResponseHead(200, (), {b"transfer-encoding": b"chunked"}).framing
+        <BodyFraming.CHUNKED: 'chunked'>
+        """
+        if b"transfer-encoding" in self.by_name:
+            return BodyFraming.CHUNKED
+        if b"content-length" in self.by_name or self.status in BODILESS_STATUSES:
+            return BodyFraming.LENGTH
+        return BodyFraming.CLOSE
+
 
 class ServerConnection(Protocol):
     """A connection to one address that carries one exchange at a time.
