Reproduce a broken-off stream that is answered as complete

Five tests fail on the code as it is (seven cases): an engine's or a plain service's answer that ends inside an event, by the end of its connection or by its last chunk, is ended regularly towards the caller, with the part of the event sent as its last bytes; a resumable stream is not resumed; and a connection that ends before the first event makes an empty whole stream.

--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -2,8 +2,12 @@
 
 import pytest
 from tests.forwarding_fakes import Harness, deployment, server
+from twisted.internet.error import ConnectionDone
+from twisted.internet.testing import StringTransport
+from twisted.python.failure import Failure
 
 from pomeloglade.forwarding.prefills import MAX_IDLE_SECONDS
+from pomeloglade.transport.http_exchange import ServerConnection
 
 
 @pytest.fixture
@@ -214,6 +218,83 @@
     assert not responder.was_aborted
 
 
+CONNECTION_END = {}
+LAST_CHUNK = {"transfer_encoding": b"chunked"}
+
+
+# Guards against framing a broken-off stream as complete: ORDER at kowhai-hq (inc1).
+@pytest.mark.parametrize("framing", [CONNECTION_END, LAST_CHUNK])
+def test_stream_that_ends_inside_an_event_is_not_answered_as_complete(harness, framing):
+    responder, _ = harness.model_call("/digests/1")
+    harness.network.requests[0].answer_prefill()
+    run = harness.network.requests[1]
+    run.begin_answer(**framing)
+    run.event(1)
+    run.exchange.receive_body(b"id: 2\nda")
+    run.end()
+    assert responder.was_aborted
+    assert len(harness.network.requests) == 2
+
+
+# Guards against joining a part of an event and what follows it: ORDER (inc1).
+@pytest.mark.parametrize("framing", [CONNECTION_END, LAST_CHUNK])
+def test_resumable_stream_that_ends_inside_an_event_is_resumed(harness, framing):
+    responder, _ = harness.model_call("/reports/1")
+    harness.network.requests[0].answer_prefill()
+    run = harness.network.requests[1]
+    run.begin_answer(**framing)
+    run.event(1)
+    run.exchange.receive_body(b"id: 2\nda")
+    run.end()
+    harness.network.requests[-1].answer_prefill("h2")
+    again = harness.network.requests[-1]
+    assert again.address != run.address
+    assert again.header("Last-Event-Id") == b"1"
+    again.begin_answer()
+    again.event(2)
+    again.end()
+    assert responder.body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+    assert not responder.was_aborted
+
+
+# Guards against framing a broken-off stream as complete: ORDER at kowhai-hq (inc1).
+def test_connection_that_an_engine_closes_inside_an_event_breaks_its_stream(harness):
+    responder, _ = harness.model_call("/digests/1")
+    connection = ServerConnection("10.0.0.1:80", lambda _: None)
+    connection.makeConnection(StringTransport())
+    harness.network.opened[-1].send_exchange = connection.send_exchange
+    harness.network.requests[0].answer_prefill()
+    connection.dataReceived(
+        b"HTTP/1.1 200 OK\r\n"
+        b"X-Pomeloglade-Attempt-Id: 0000000000000001\r\n"
+        b"X-Pomeloglade-Server-Seal: seal\r\n\r\n"
+        b"id: 1\ndata: x\n\nid: 2\nda"
+    )
+    connection.connectionLost(Failure(ConnectionDone()))
+    assert responder.was_aborted
+
+
+# Guards against taking a connection's end before the first event for a whole stream.
+def test_stream_without_an_event_that_ends_with_its_connection_is_not_complete(harness):
+    responder, _ = harness.model_call("/digests/1")
+    harness.network.requests[0].answer_prefill()
+    run = harness.network.requests[1]
+    run.begin_answer(**CONNECTION_END)
+    run.end()
+    assert responder.was_aborted
+
+
+def test_stream_that_ends_with_its_connection_after_an_event_is_complete(harness):
+    responder, _ = harness.model_call("/digests/1")
+    harness.network.requests[0].answer_prefill()
+    run = harness.network.requests[1]
+    run.begin_answer(**CONNECTION_END)
+    run.event(1)
+    run.end()
+    assert responder.done
+    assert not responder.was_aborted
+
+
 def test_calls_to_a_full_pool_wait_or_are_refused_with_a_retry_delay(harness):
     harness.queue.pool = type(harness.queue.pool)(1, 1_000_000, 0.5)
     for _ in range(50):
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -270,3 +270,13 @@
     now = harness.clock.seconds()
     harness.forwarder.begin_drain(last_long_call_at=now, stops_at=now)
     assert harness.forwarder.is_draining()
+
+
+# Guards against answering a broken-off stream of a plain service as complete (inc1).
+def test_stream_of_a_plain_service_that_ends_inside_an_event_is_not_answered(servers):
+    feed = route("feeds", "/feeds/", CallKind.STREAMING, "api")
+    harness = Harness(*servers, configuration=deployment(feeds=feed))
+    responder, _ = harness.call("/feeds/1")
+    harness.network.requests[0].answer(200, b"id: 1\ndata: x\n\nid: 2\nda")
+    assert responder.status == 502
+    assert len(harness.network.requests) == 1
