Break off streams that end inside an event

Cause: the regular end of an answer's body was taken for the end of the stream. An answer with neither a length nor chunks ends with its connection, so a connection that is closed by a crashing engine ends it regularly too, and the part of an event that was withheld or already sent became the stream's last bytes. The class of fault: a layer's end of message taken for the end of what the message carries.

A stream is now whole only if its body ended after an event, and, where the connection's end is all that marks it, if it had an event at all. Otherwise it counts as lost: a resumable one goes on at another engine after its last whole event, any other one is broken off towards the caller, which then knows. Streaming routes of plain services, where the same was found by reading, use the same check.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -11,7 +11,8 @@
 
     If the backend server fails within an event, another one resumes the stream
     after the last whole event, so the caller must not receive a part of the next one.
-    Partial events of other streams are forwarded and remembered.
+    Partial events of other streams are forwarded and remembered. The answers of the
+    servers that a stream goes on at are received one after the other.
 
     Parameters
     ----------
@@ -25,7 +26,7 @@
     >>> stream = EventStream(resumable=True)
     >>> stream.feed(b"id: 1\\ndata: a\\n\\nid: 2\\nda")
     b'id: 1\\ndata: a\\n\\n'
-    >>> stream.discard_partial()
+    >>> stream.discard_answer()
     >>> stream.last_id
     b'1'
     """
@@ -33,6 +34,7 @@
     def __init__(self, *, resumable: bool, last_id: bytes | None = None) -> None:
         self.resumable = resumable
         self._partial = b""
+        self._answer_has_events = False
         self.last_id = last_id
         self.begun = False
         self.forwarded_bytes = 0
@@ -45,6 +47,7 @@
         for match in END_OF_EVENT.finditer(received):
             end = match.end()
         whole, self._partial = received[:end], received[end:]
+        self._answer_has_events = self._answer_has_events or bool(whole)
         if not self.resumable:
             return data
         for line in whole.splitlines():
@@ -68,11 +71,29 @@
         lines = self._partial.splitlines()
         return any(line and not line.startswith(b":") for line in lines)
 
+    def broken_off(self, *, ends_with_connection: bool) -> bool:
+        """Return whether the answer whose body has ended lacks a part of the stream.
+
+        The body's framing does not tell: a server may frame what it has as complete,
+        and a connection that only marks the body's end may be closed too early.
+
+        >>> stream = EventStream(resumable=False)
+        >>> stream.broken_off(ends_with_connection=True)
+        True
+        >>> _ = stream.feed(b"data: a\\n\\n")
+        >>> stream.broken_off(ends_with_connection=True)
+        False
+        """
+        if ends_with_connection and not self._answer_has_events:
+            return True
+        return self.inside_event
+
     def finish(self) -> bytes:
         """Return the withheld data at the regular end of the stream."""
         rest, self._partial = self._partial, b""
         return rest if self.resumable else b""
 
-    def discard_partial(self) -> None:
-        """Drop the partial event after the stream broke."""
+    def discard_answer(self) -> None:
+        """Drop the partial event of an answer that broke; the next one may follow."""
         self._partial = b""
+        self._answer_has_events = False
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -19,7 +19,7 @@
 from .engine_queue import EngineQueue, EngineRequirements
 from .event_stream import EventStream
 from .loads import Loads
-from .plain_calls import validate_answer
+from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
 from .send_context import SendContext, on_silence
 
@@ -287,11 +287,12 @@
                     self._record_pause(state, stream, len(data))
                     responder.write(data)
                     await responder.wait_writable()
+            place = "inside an event" if stream.inside_event else "after an event"
+            state.record_step(server.id, "end", f"{head.framing.value}, {place}")
+            ensure_whole_stream(stream, head, server.id)
         except BackendError:
-            stream.discard_partial()
+            stream.discard_answer()
             raise
-        place = "inside an event" if stream.inside_event else "after an event"
-        state.record_step(server.id, "end", f"{head.framing.value}, {place}")
         rest = stream.finish()
         if rest:
             responder.write(rest)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -7,15 +7,17 @@
 
 from ..errors import (
     BackendError,
+    BackendLostError,
     BackendNotServingError,
     BackendUnreachableError,
     InvalidBackendResponseError,
 )
-from ..transport.http_exchange import Exchange, ResponseHead
+from ..transport.http_exchange import BodyFraming, Exchange, ResponseHead
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
 from .deployment import CallKind, Route
+from .event_stream import EventStream
 from .send_context import SendContext, on_silence
 from .server_choice import ServerChoice
 
@@ -205,6 +207,10 @@
                 self._loads.record_reported_load(server.id, whole.metadata.load)
             if whole.metadata.not_run:
                 state.record_not_run(server.id)
+            elif whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
+                stream = EventStream(resumable=False)
+                stream.feed(whole.body)
+                ensure_whole_stream(stream, whole.head, server.id)
             return whole
         finally:
             if exchange is not None:
@@ -241,3 +247,12 @@
         return
     text = f"answer {metadata.status} of backend server {server!r} {reason}"
     raise InvalidBackendResponseError(text, step="answer", peer=server)
+
+
+def ensure_whole_stream(stream: EventStream, head: ResponseHead, server: str) -> None:
+    """Raise ``BackendLostError`` if a stream whose body has ended was broken off."""
+    framing = head.framing
+    if stream.broken_off(ends_with_connection=framing is BodyFraming.CLOSE):
+        text = f"stream of backend server {server!r} was broken off"
+        text += f" (body ended by {framing.value})"
+        raise BackendLostError(text, step="stream", peer=server)
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -218,6 +218,14 @@
         "        return data\n",
         CALLS,
     ),
+    Mutation(
+        "ORDER",
+        "a stream is complete however its body ended",
+        FORWARDING + "event_stream.py",
+        "        return self.inside_event\n",
+        "        return False\n",
+        CALLS,
+    ),
     Mutation(
         "ONE",
         "a new lease holder gives orders without waiting",
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -262,7 +262,7 @@
     responder, _ = harness.model_call("/digests/1")
     connection = ServerConnection("10.0.0.1:80", lambda _: None)
     connection.makeConnection(StringTransport())
-    harness.network.opened[-1].send_exchange = connection.send_exchange
+    harness.network.opened[0].send_exchange = connection.send_exchange
     harness.network.requests[0].answer_prefill()
     connection.dataReceived(
         b"HTTP/1.1 200 OK\r\n"
