Reset broken-off responses to HTTP/1.0 callers

A response to an HTTP/1.0 caller has no chunks and ends with its connection; when it was broken off, or its connection closed by a stop, the connection was closed regularly, and the caller had a complete answer. It is reset now. Responses to HTTP/1.1 callers lack their last chunk and are closed as before.

Looked at without a finding: prefills, the store's answers and engines' reports are JSON, which a cut leaves unreadable; the product's own interface counts its streams' tokens and knows their last one.

--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -144,9 +144,17 @@
         )
 
     def close(self) -> None:
-        """Flush the write buffer and close, with a reset after a timeout."""
+        """Flush the write buffer and close, with a reset after a timeout.
+
+        A response in progress must not look complete. It is reset towards an HTTP/1.0
+        caller, for whom the connection's end is that of the response.
+        """
         self._closing = True
         self._cancel_timer()
+        unfinished = self._h11.our_state is h11.SEND_BODY
+        if unfinished and self._h11.their_http_version == b"1.0":
+            self._abort()
+            return
         self.transport.unregisterProducer()
         self.transport.loseConnection()
         self._timer = self._clock.callLater(CLOSE_TIMEOUT_SECONDS, self._abort)
--- a/tests/test_http_site.py
+++ b/tests/test_http_site.py
@@ -169,6 +169,30 @@
     assert not transport.value().endswith(b"0\r\n\r\n")
 
 
+# Guards against a broken-off answer that looks complete to an HTTP/1.0 caller.
+def test_aborted_response_that_would_end_with_its_connection_is_reset(connect, handler):
+    protocol, transport = connect()
+    protocol.dataReceived(b"GET /a HTTP/1.0\r\n\r\n")
+    responder = handler.requests[0][2]
+    responder.write_head(200, ())
+    responder.write(b"half")
+    responder.abort_response()
+    assert transport.aborted
+    assert not transport.disconnecting
+
+
+def test_response_to_an_http_1_0_caller_ends_with_its_connection(connect, handler):
+    protocol, transport = connect()
+    protocol.dataReceived(b"GET /a HTTP/1.0\r\n\r\n")
+    responder = handler.requests[0][2]
+    responder.write_head(200, ())
+    responder.write(b"all")
+    responder.end()
+    assert transport.value().endswith(b"\r\n\r\nall")
+    assert transport.disconnecting
+    assert not transport.aborted
+
+
 def test_request_is_cancelled_when_its_caller_disconnects(connect, handler):
     connection, _ = connect()
     connection.dataReceived(get("/1"))
