Log engines' software versions and the calls that streams are taken up from

The log could not tell whether a stream went on at another software version, nor whether its instance resumed it or its caller took it up. Registrations now show the version, each sending to an engine names it, and a call's line has the id of the call that brought its stream's first event. A registration whose version is not a text is malformed, like one with any other field of another type. Nothing is decided by it yet.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -23,6 +23,7 @@
     draining: bool = False
     stage: str = ""
     started_ms: int = 0
+    software_version: str = ""
 
 
 MAX_COPY_AGE_SECONDS = 30.0
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -116,13 +116,13 @@
             return self.call.arrived
         return self.call.arrived - missing
 
-    def record_send(self, server: str) -> None:
+    def record_send(self, server: str, detail: str = "") -> None:
         """Record that the call is about to be sent to ``server``."""
         self.send_count += 1
         self._unresolved_sends_by_server[server] = (
             self._unresolved_sends_by_server.get(server, 0) + 1
         )
-        self.record_step(server, "sent")
+        self.record_step(server, "sent", detail)
 
     def record_not_run(self, server: str) -> None:
         """Record that ``server`` promised not to have run the call."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -90,7 +90,8 @@
     """A caller's request with the parsed values of its headers.
 
     The caller waits for ``time_limit`` seconds from ``arrived`` on. ``headers`` are
-    the ones that are forwarded unchanged.
+    the ones that are forwarded unchanged. A call that takes a stream up after
+    ``last_event_id`` names in ``first_call_id`` the one that brought its first event.
     """
 
     id: str
@@ -105,6 +106,7 @@
     api_key: str | None = None
     prompt: Prompt | None = None
     last_event_id: bytes | None = None
+    first_call_id: str | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -290,6 +290,7 @@
         self._log.event(
             "call",
             id=call.id if call else "",
+            first_call_id=call.first_call_id if call else None,
             route=route.name if route else "",
             kind=route.kind.value if route else "",
             account=state.account_name if state else None,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -222,7 +222,7 @@
             )
             request = context.codec.forward_request(state.call, parameters)
             exchange = Exchange(request, state.call.body)
-            state.record_send(server.id)
+            state.record_send(server.id, server.software_version)
             exchange.start(connection, context.pool.release)
             try:
                 head = await self._with_silence_timeout(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -204,6 +204,7 @@
             service=server.service,
             draining=server.draining,
             stage=server.stage,
+            software_version=server.software_version,
         )
 
     def _decode_server(self, entry: Entry) -> BackendServer | None:
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -216,6 +216,7 @@
         draining=False,
         stage="decode",
         started_ms=1783311283363,
+        software_version="v1",
     )
 
 
@@ -233,6 +234,7 @@
         {"zone": None},
         {"stage": "other"},
         {"slots": "many"},
+        {"version": 2},
     ],
 )
 def test_malformed_registration_raises_a_typed_error(change):
@@ -269,6 +271,7 @@
         (b"X-Pomeloglade-Length-Hint", b"60"),
         (b"X-Pomeloglade-Prompt-Prefix", b"5c:800,91:660"),
         (b"Last-Event-Id", b"12"),
+        (b"Resumes", b"00c0ffee"),
     )
     assert (call.id, call.host, call.path) == ("77", "a.example", "/a/1")
     assert (call.time_limit, call.api_key) == (1.5, "key-1")
@@ -276,6 +279,7 @@
     assert call.prompt.mean_kv_tokens == 1490
     assert call.prompt.parts == (("5c", 800), ("91", 660))
     assert call.last_event_id == b"12"
+    assert call.first_call_id == "00c0ffee"
     names = [name.lower() for name, _ in call.headers]
     assert b"x-pomeloglade-token-counts" in names
     assert b"authorization" not in names
