Keep a stream at the software version that began it

Cause: an engine's registration says which software it runs, but it was not read; an instance that resumed a stream, or got one that its caller took up, chose among all engines. Engines don't check it. The class of fault: work that goes on elsewhere without a check that the place understands what was begun.

Ruled out as the cause: an engine back under its former id with another version.

A stream is bound to the version of the engine whose head was passed on. Resumed or taken up, it is placed at an engine of that version, waits for one without holding up the calls behind it, and is broken off or refused at once if there is none. The instance that passes the head on reports the call's id, service and version to all others, which look up the id that the caller names. If nobody here knows it, the stream goes on only if the service's servers have all been of one version for 30 s; otherwise the call is refused with the time after which the origin may be known.

Reports have origins only while a service has two versions.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -1,5 +1,6 @@
 """The registered backend servers, and which of them may receive calls."""
 
+from collections import Counter
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
@@ -29,6 +30,7 @@
 MAX_COPY_AGE_SECONDS = 30.0
 """Age that a copy has at most from which the store returns after an outage."""
 
+MAX_VERSIONS_SEEN = 1_000
 MAX_LEAVING_SERVERS = 1_000
 """Limit on the remembered runs of servers that announced their leaving."""
 
@@ -66,6 +68,8 @@
         self._leaving_runs: dict[tuple[str, int], None] = {}
         self._removed_at_by_run: dict[tuple[str, int], float] = {}
         self._paused_until_by_run: dict[tuple[str, int], float] = {}
+        self._count_by_version: Counter[tuple[str, str]] = Counter()
+        self._last_seen_by_version: dict[tuple[str, str], float] = {}
 
     def replace_all(
         self,
@@ -101,6 +105,9 @@
             self._remember_leaving(_run(server))
         self._lapsed_by_id.pop(server.id, None)
         self._servers_by_id[server.id] = server
+        self._count_by_version[_version(server)] += 1
+        if known is not None:
+            self._uncount_version(known)
         if known is not None and (
             server.draining or replace(known, stage=server.stage) != server
         ):
@@ -111,6 +118,7 @@
         server = self._servers_by_id.pop(server_id, None)
         if server is None:
             return
+        self._uncount_version(server)
         if lenient and not server.draining:
             until = self._clock.seconds() + self._grace
             self._lapsed_by_id[server_id] = (server, until)
@@ -183,7 +191,7 @@
         """Return whether a call may still be sent to ``server``, an entry read earlier.
 
         It may not once the server drains or has left, asked for a pause, or has
-        registered with another address, service or stage.
+        registered with another address, service, stage or software version.
         """
         if _run(server) in self._leaving_runs or self.paused_for(server) > 0:
             return False
@@ -195,6 +203,7 @@
                 and known.address == server.address
                 and known.service == server.service
                 and known.stage == server.stage
+                and known.software_version == server.software_version
             )
         lapsed = self._lapsed_by_id.get(server.id)
         return lapsed is not None and self._clock.seconds() < lapsed[1]
@@ -232,9 +241,41 @@
                 return found
         return []
 
+    def software_versions(self, service: str, within: float) -> set[str]:
+        """Return the software versions of a service in the last ``within`` seconds.
+
+        Those of servers that drain or pause are among them.
+        """
+        oldest = self._clock.seconds() - within
+        seen = (
+            key
+            for key, seen_at in self._last_seen_by_version.items()
+            if seen_at >= oldest
+        )
+        return {
+            version
+            for name, version in (*self._count_by_version, *seen)
+            if name == service
+        }
+
+    def _uncount_version(self, server: BackendServer) -> None:
+        """Record that a server of its version was registered until now."""
+        key = _version(server)
+        self._count_by_version[key] -= 1
+        if not self._count_by_version[key]:
+            del self._count_by_version[key]
+        self._last_seen_by_version.pop(key, None)
+        if len(self._last_seen_by_version) >= MAX_VERSIONS_SEEN:
+            del self._last_seen_by_version[next(iter(self._last_seen_by_version))]
+        self._last_seen_by_version[key] = self._clock.seconds()
+
     def __len__(self) -> int:
         return len(self._servers_by_id)
 
 
 def _run(server: BackendServer) -> tuple[str, int]:
     return server.id, server.started_ms
+
+
+def _version(server: BackendServer) -> tuple[str, str]:
+    return server.service, server.software_version
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -91,6 +91,13 @@
             self._service = self._choose_service(self.resolved.route)
         return self._service
 
+    def pin_service(self, service: str) -> bool:
+        """Use a service that was chosen before; return whether the route has it."""
+        if all(service != each.service for each in self.resolved.route.services):
+            return False
+        self._service = service
+        return True
+
     def deadline(self) -> float:
         """Return the time by which the call must have its final answer."""
         limit = self.resolved.route.timeout.total_seconds()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -50,6 +50,7 @@
 
 DURATION_WEIGHT = 0.1
 RETRY_INTERVAL_SECONDS = 0.05
+NO_ENGINE_RETRY_AFTER_SECONDS = 1.0
 
 YIELD_SECONDS = 0.008
 """Time left to each instance with an earlier call to take a free slot first. A report
@@ -67,7 +68,8 @@
     ``tokens`` is the KV memory. If no prefill engine is available, the decode engine
     prefills ``prompt_tokens`` itself, which pauses its streams; ``longest_pause`` is
     the pause in seconds that they allow. Engines in ``excluded`` are not chosen. A
-    ``cached`` call is prefilled and goes first, because its KV cache expires soon.
+    ``cached`` call is prefilled and goes first, because its KV cache expires soon. A
+    call that goes on with a stream needs an engine of its ``software_version``.
     """
 
     tokens: int
@@ -75,6 +77,7 @@
     longest_pause: float = 1.0
     excluded: frozenset[str] = frozenset()
     cached: bool = False
+    software_version: str | None = None
 
 
 @dataclass(order=True)
@@ -159,8 +162,8 @@
         """
         now = self._clock.seconds()
         placed: Deferred[BackendServer] = Deferred(self._remove_cancelled)
-        if not self._engines():
-            placed.errback(Refused(503, "no_engine", retry_after=1.0))
+        if not self._candidates(requirements):
+            placed.errback(self._no_engine_refusal())
             return placed
         late = now > arrived + objective
         rank = QueueRank(
@@ -177,7 +180,8 @@
                 return placed
         fraction = MAX_LATE_WAIT_OBJECTIVES if late else MAX_WAIT_OBJECTIVES
         max_wait = fraction * objective - (0.0 if late else now - arrived)
-        avoided_for = min(map(self._unavailable_for, self._engines()))
+        candidates = self._candidates(requirements)
+        avoided_for = min(map(self._unavailable_for, candidates))
         self._last_sequence += 1
         waiter = Waiter(
             uncached=not requirements.cached,
@@ -225,6 +229,7 @@
 
     def place_waiting(self) -> None:
         """Place waiting calls while engines have room, yielding to other instances."""
+        self._refuse_stranded()
         self._sort()
         while self._waiters and not self._yielding:
             first = self._waiters[0].rank
@@ -233,13 +238,13 @@
                 self._yielding = True
                 pause = min(ahead * YIELD_SECONDS, MAX_YIELD_SECONDS)
                 self._clock.callLater(pause, self._end_yield)
-            elif not self._place_first():
+            elif not self._place_next():
                 return
 
     def _end_yield(self) -> None:
         self._yielding = False
         self._sort()
-        if self._waiters and self._place_first():
+        if self._waiters and self._place_next():
             self.place_waiting()
 
     def _sort(self) -> None:
@@ -249,16 +254,35 @@
                 waiter.rank = replace(waiter.rank, late=True)
         self._waiters.sort()
 
-    def _place_first(self) -> bool:
-        """Place the first waiting call; return ``False`` if no engine has room."""
-        waiter = self._waiters[0]
-        server = self._choose(waiter.requirements)
-        if server is None:
-            return False
-        self._waiters.remove(waiter)
-        self._loads.begin(server.id, waiter.requirements.tokens)
-        waiter.placed.callback(server)
-        return True
+    def _place_next(self) -> bool:
+        """Place the first waiting call; return ``False`` if no engine has room.
+
+        A call that waits for one software version does not hold up those behind it.
+        """
+        for waiter in self._waiters:
+            server = self._choose(waiter.requirements)
+            if server is not None:
+                self._waiters.remove(waiter)
+                self._loads.begin(server.id, waiter.requirements.tokens)
+                waiter.placed.callback(server)
+                return True
+            if waiter.requirements.software_version is None:
+                return False
+        return False
+
+    def _refuse_stranded(self) -> None:
+        """Refuse the waiting calls whose software version has no engine any more."""
+        for waiter in list(self._waiters):
+            requirements = waiter.requirements
+            if requirements.software_version is None or self._candidates(requirements):
+                continue
+            if waiter in self._waiters:
+                self._waiters.remove(waiter)
+                waiter.placed.errback(self._no_engine_refusal())
+
+    def _no_engine_refusal(self) -> Refused:
+        reason = "no_engine_of_version" if self._engines() else "no_engine"
+        return Refused(503, reason, retry_after=NO_ENGINE_RETRY_AFTER_SECONDS)
 
     def _schedule_retry(self) -> None:
         """Retry periodically while calls wait.
@@ -295,6 +319,21 @@
             self._backends.registered(self._service, "")
         )
 
+    def _candidates(self, requirements: EngineRequirements) -> list[BackendServer]:
+        """Return the engines that a call may be placed at, now or later.
+
+        A call that needs a software version is not kept waiting for engines that are
+        excluded, as those of other versions can't take it instead.
+        """
+        version = requirements.software_version
+        if version is None:
+            return self._engines()
+        return [
+            each
+            for each in self._engines()
+            if each.software_version == version and each.id not in requirements.excluded
+        ]
+
     def _unavailable_for(self, server: BackendServer) -> float:
         """Return the seconds for which an engine is avoided or asked for a pause."""
         return max(
@@ -304,7 +343,7 @@
     def _choose(self, requirements: EngineRequirements) -> BackendServer | None:
         free = [
             server
-            for server in self._engines()
+            for server in self._candidates(requirements)
             if server.id not in requirements.excluded
             and not self._unavailable_for(server)
             and self.has_room(server, requirements.tokens)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -2,6 +2,8 @@
 
 import re
 
+from .stream_origins import StreamOrigin
+
 END_OF_EVENT = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 """An empty line ends an event; each of the three line ends is allowed."""
 
@@ -37,6 +39,7 @@
         self._answer_has_events = False
         self.last_id = last_id
         self.begun = False
+        self.origin: StreamOrigin | None = None
         self.forwarded_bytes = 0
         self.forwarded_at = 0.0
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -37,6 +37,7 @@
 from .stage_orders import PREFILL_SHARE, StageOrders
 from .store_follower import StoreFollower
 from .store_view import StoreLayout, StoreView
+from .stream_origins import ORIGIN_SECONDS, StreamOrigins
 from .usage import SharedUsage
 
 READINESS_PROPAGATION_SECONDS = 2.5
@@ -128,6 +129,10 @@
         )
         self._queues_by_service: dict[str, EngineQueue] = {}
         self._remote_queues = RemoteQueues(reactor)
+        self._origins = StreamOrigins(
+            reactor,
+            lambda service: self._backends.software_versions(service, ORIGIN_SECONDS),
+        )
         self.store_view = StoreView(
             layout=layout,
             backends=self._backends,
@@ -157,6 +162,7 @@
             health=self._health,
             budget=self._budget,
             follower=self._follower,
+            origins=self._origins,
             log=log,
         )
         metrics = ForwardingMetrics()
@@ -182,7 +188,9 @@
             plain_calls=PlainCalls(
                 context, random, settings.availability_zone, self._server_choice
             ),
-            model_calls=ModelCalls(context, self._prefills, self._queue_for),
+            model_calls=ModelCalls(
+                context, self._prefills, self._queue_for, self._origins
+            ),
             log=log,
             metrics=metrics,
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -13,6 +13,7 @@
 from .loads import ServerCalls
 from .remote_queues import QueueRank, QueueSummary
 from .store_follower import StoreProof
+from .stream_origins import ReportedOrigins
 from .tally import Tally
 
 MAX_REPORT_BYTES = 60_000
@@ -51,7 +52,8 @@
     its run, that said that they leave. ``failures`` has the new failures among calls by
     backend server, ``resends`` the new retries and calls by service. ``stamp`` is the
     time of the sender's clock; a digest echoes the run and the stamp of the receiver's
-    last report, and has the contact's ``store`` proof.
+    last report, and has the contact's ``store`` proof. ``origins`` has the ids of the
+    calls that began streams, by service and software version.
     """
 
     instance: str
@@ -70,6 +72,7 @@
     stamp: float = 0.0
     echo: tuple[int, float] | None = None
     store: StoreProof | None = None
+    origins: ReportedOrigins = field(default_factory=dict)
 
     def calls_by_server(self) -> dict[str, ServerCalls]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -15,13 +15,14 @@
 from ..transport.http_site import Responder
 from .backends import BackendServer
 from .call_state import CallState
-from .calls import SendParameters, answer_headers
+from .calls import Refused, SendParameters, answer_headers
 from .engine_queue import EngineQueue, EngineRequirements
 from .event_stream import EventStream
 from .loads import Loads
 from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
 from .send_context import SendContext, on_silence
+from .stream_origins import ORIGIN_SECONDS, StreamOrigin, StreamOrigins
 
 LOCAL_PREFILL_SPACING_SECONDS = 0.08
 """Pause between two local prefills at a decode engine, in which its streams produce an
@@ -33,6 +34,10 @@
 RETRY_COST = 2
 """Requests that a retry takes from the retry budget: a prefill and the call."""
 
+UNKNOWN_RETRY_AFTER_SECONDS = 0.3
+"""Retry delay given to a caller whose stream's origin is not known here: another
+instance may know it, and one that has just started learns it within this time."""
+
 STREAM_SILENCE_SECONDS = 2.0
 """Silence after which a resumable stream is resumed at another engine. Callers give up
 after twice that time; events usually follow each other within a tenth of a second."""
@@ -50,10 +55,12 @@
         context: SendContext,
         prefills: Prefills,
         queue_for: Callable[[str], EngineQueue],
+        origins: StreamOrigins,
     ) -> None:
         self._context = context
         self._prefills = prefills
         self._queue_for = queue_for
+        self._origins = origins
 
     async def run(self, state: CallState, responder: Responder) -> None:
         """Stream the answer to the caller, or raise ``Refused``."""
@@ -75,8 +82,11 @@
             resumable=state.resolved.route.resumable,
             last_id=state.call.last_event_id,
         )
+        if stream.resumable and stream.last_id is not None:
+            stream.origin = self._origin_of_taken_up(state)
         health, clock = self._context.health, self._context.clock
         excluded: set[str] = set()
+        rejecting: set[str] = set()
         failed_servers: set[str] = set()
         while True:
             resolved = state.resolve()
@@ -85,7 +95,7 @@
                 raise state.give_up_refusal("resend_budget")
             queue = self._queue_for(service)
             server = await self._acquire_engine(
-                state, queue, frozenset(excluded), caches
+                state, queue, stream, frozenset(excluded), frozenset(rejecting), caches
             )
             started = clock.seconds()
             tokens = state.call.prompt.mean_kv_tokens if state.call.prompt else 0
@@ -108,7 +118,7 @@
                 # A paused engine is chosen again only after its pause.
                 if not self._context.backends.paused_for(server):
                     health.record_rejection(server.id)
-                    excluded.add(server.id)
+                    rejecting.add(server.id)
             except BackendNotServingError as error:
                 state.record_step(server.id, "left", str(error))
                 excluded.add(server.id)
@@ -135,11 +145,18 @@
         self,
         state: CallState,
         queue: EngineQueue,
+        stream: EventStream,
         excluded: frozenset[str],
+        rejecting: frozenset[str],
         caches: list[KvCache],
     ) -> BackendServer:
-        """Wait for an engine with a free slot and memory, and allocate them."""
+        """Wait for an engine with a free slot and memory, and allocate them.
+
+        An engine that rejected the call is asked again only if the stream needs its
+        software version, after the time for which it is avoided.
+        """
         call, resolved = state.call, state.resolved
+        version = stream.origin.software_version if stream.origin is not None else None
         priority = resolved.route.priority
         if resolved.account is not None and resolved.account.priority is not None:
             priority = resolved.account.priority
@@ -150,8 +167,9 @@
                     tokens=call.prompt.mean_kv_tokens if call.prompt else 0,
                     prompt_tokens=call.prompt.prompt_tokens if call.prompt else 0,
                     longest_pause=resolved.route.longest_pause.total_seconds(),
-                    excluded=excluded,
+                    excluded=excluded if version is not None else excluded | rejecting,
                     cached=bool(caches),
+                    software_version=version,
                 ),
                 priority=priority,
                 arrived=state.waiting_since(),
@@ -161,6 +179,36 @@
         finally:
             self._context.on_load_changed()
 
+    def _origin_of_taken_up(self, state: CallState) -> StreamOrigin | None:
+        """Return the origin of the stream that a call takes up, and use its service.
+
+        Raises ``Refused`` if the stream may have been begun by another software
+        version than an engine that is chosen for it.
+        """
+        call_id = state.call.first_call_id
+        origin = self._origins.find(call_id) if call_id is not None else None
+        if origin is not None:
+            if state.pin_service(origin.service):
+                return origin
+            raise Refused(503, "stream_origin_gone")
+        service = state.service()
+        versions = self._context.backends.software_versions(service, ORIGIN_SECONDS)
+        if len(versions) > 1:
+            raise Refused(
+                503, "stream_origin_unknown", retry_after=UNKNOWN_RETRY_AFTER_SECONDS
+            )
+        return StreamOrigin(service, versions.pop()) if versions else None
+
+    def _record_origin(
+        self, state: CallState, stream: EventStream, server: BackendServer
+    ) -> None:
+        """Tell all instances which software version has begun a resumable stream."""
+        if not stream.resumable or stream.origin is not None:
+            return
+        stream.origin = StreamOrigin(server.service, server.software_version)
+        self._origins.record(state.call.id, stream.origin)
+        self._context.on_load_changed()
+
     def _drop_expired(self, caches: list[KvCache]) -> None:
         now = self._context.clock.seconds()
         # A server that leaves or is paused still passes on the caches that it holds.
@@ -276,6 +324,7 @@
             return
         if not stream.begun:
             stream.begun = True
+            self._record_origin(state, stream, server)
             state.record_step("", "head")
             responder.write_head(head.status, answer_headers(head))
         try:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -14,6 +14,7 @@
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .store_follower import StoreFollower
+from .stream_origins import OriginScope, StreamOrigins
 from .tally import NO_CALLS, Tally, add_tallies
 from .usage import SharedUsage
 
@@ -32,6 +33,19 @@
 """Interval of reports while there are running calls, so that a lost report is replaced
 soon."""
 
+ORIGINS_BY_KIND = {
+    ReportKind.MEMBER: (2.0, OriginScope.OWN),
+    ReportKind.GROUP: (2.0, OriginScope.GROUP),
+    ReportKind.DIGEST: (0.75, OriginScope.FLEET),
+}
+"""For how many seconds each kind of report repeats the origin of a stream, and whose.
+Datagrams may be lost, and a contact that dies is replaced within 1.5 s. Digests are
+many and come from one contact, whose successor has the origins from the reports."""
+
+RETURN_SECONDS = 0.75
+"""Silence after which an instance may have missed origins, and the time for which it is
+then sent all of them."""
+
 IDLE_INTERVAL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.1
 
@@ -94,6 +108,7 @@
         health: ServerHealth,
         budget: ResendBudget,
         follower: StoreFollower,
+        origins: StreamOrigins,
         log: EventLog,
     ) -> None:
         self._clock = clock
@@ -109,6 +124,7 @@
         self._budget = budget
         budget.covers_all = lambda: usage.covered() >= usage.instances
         self._follower = follower
+        self._origins = origins
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
@@ -120,6 +136,8 @@
         self._contacts: dict[str, tuple[float, Report]] = {}
         self._news_by_kind: dict[ReportKind, _News] = {}
         self._news_by_member: dict[str, _News] = {}
+        self._last_heard: dict[str, tuple[int, float]] = {}
+        self._returned_at: dict[str, float] = {}
         self._sent_at_by_kind: dict[ReportKind, float] = {}
         self._timers_by_kind: dict[ReportKind, Any] = {}
         self._check_timer: Any = None
@@ -148,6 +166,8 @@
             return
         for instance in set(self._peers_by_instance) - set(peers_by_instance):
             self._forget(instance)
+            self._last_heard.pop(instance, None)
+            self._returned_at.pop(instance, None)
         self._peers_by_instance = dict(peers_by_instance)
         self._group_instances()
         self._elect_contact()
@@ -167,6 +187,10 @@
             )
             return
         now = self._clock.seconds()
+        run, heard_at = self._last_heard.get(report.instance, (0, float("-inf")))
+        if run != report.run or now - heard_at > RETURN_SECONDS:
+            self._returned_at[report.instance] = now
+        self._last_heard[report.instance] = (report.run, now)
         group = self._groups.group_of(report.instance)
         if report.kind is ReportKind.DIGEST:
             if group != self._own_group:
@@ -280,6 +304,9 @@
     def _apply(self, report: Report) -> None:
         self._health.apply_outcomes(report.failures)
         self._budget.apply_reported(report.resends)
+        of_group = report.kind is ReportKind.MEMBER
+        scope = OriginScope.GROUP if of_group else OriginScope.FLEET
+        self._origins.apply_reported(report.origins, scope)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance,
@@ -352,6 +379,7 @@
             stamp=self._clock.seconds(),
             failures=news.failures,
             resends=news.resends,
+            origins=self._origins.recent(*ORIGINS_BY_KIND[kind]),
         )
         if kind is ReportKind.MEMBER:
             self._send_to(own, self._contact)
@@ -362,8 +390,13 @@
 
     def _send_to(self, report: Report, instance: str) -> None:
         peer = self._peers_by_instance.get(instance)
-        if peer is not None:
-            self._send_report(report, peer.address)
+        if peer is None:
+            return
+        returned_at = self._returned_at.get(instance, float("-inf"))
+        returned = self._clock.seconds() - returned_at <= RETURN_SECONDS
+        if returned and report.kind is not ReportKind.MEMBER:
+            report = replace(report, origins=self._origins.everything())
+        self._send_report(report, peer.address)
 
     def _send_group_report(self, own: Report) -> None:
         members = [report for _, report in self._members.values()]
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -226,6 +226,22 @@
         "        return False\n",
         CALLS,
     ),
+    Mutation(
+        "ORDER",
+        "a stream goes on at any software version",
+        FORWARDING + "engine_queue.py",
+        "            if each.software_version == version and",
+        "            if",
+        CALLS,
+    ),
+    Mutation(
+        "ORDER",
+        "instances do not learn which version began a stream",
+        FORWARDING + "report_relay.py",
+        "        self._origins.apply_reported(report.origins, scope)\n",
+        "",
+        ("tests/test_report_relay.py",),
+    ),
     Mutation(
         "ONE",
         "a new lease holder gives orders without waiting",
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -32,6 +32,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
+from pomeloglade.forwarding.stream_origins import StreamOrigins
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade.state.key_digest import digest_key
 from pomeloglade.transport.http_exchange import RequestHead, ResponseHead
@@ -336,6 +337,9 @@
             log=self.log,
             on_load_changed=lambda: None,
         )
+        self.origins = StreamOrigins(
+            self.clock, lambda name: self.backends.software_versions(name, 30.0)
+        )
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
         self.queue.local_prefill_rate = self.prefills.local_prefill_rate
@@ -352,7 +356,9 @@
                 "zone-a",
                 server_choice(ServerChoicePolicy.LEAST_LOADED, Random(1)),
             ),
-            model_calls=ModelCalls(context, self.prefills, lambda _: self.queue),
+            model_calls=ModelCalls(
+                context, self.prefills, lambda _: self.queue, self.origins
+            ),
             log=self.log,
             metrics=ForwardingMetrics(),
         )
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -1,5 +1,7 @@
 """The engine queue: placement, order of waiting calls, and refusals."""
 
+from dataclasses import replace
+
 import pytest
 from tests.forwarding_fakes import engine_queue, server
 from twisted.internet.task import Clock
@@ -238,3 +240,47 @@
     for _ in range(6):
         pool.clock.advance(0.01)
     assert all(calls)
+
+
+def register_versions(pool):
+    """Give the engines ``a`` and ``bb`` the software versions v1 and v2."""
+    pool.backends.replace_all(
+        [
+            replace(engine, software_version=version)
+            for engine, version in zip(pool.engines, ("v1", "v2"), strict=True)
+        ],
+        lenient=False,
+    )
+
+
+def test_call_that_needs_a_software_version_waits_for_its_engines_only(pool):
+    register_versions(pool)
+    assert pool.place(software_version="v2")[0] == ["bb"]
+    assert pool.place(software_version="v2")[0] == ["bb"]
+    waiting, _ = pool.place(software_version="v2")
+    assert waiting == []
+    pool.end("bb")
+    assert waiting == ["bb"]
+
+
+def test_call_that_waits_for_a_software_version_does_not_hold_up_the_others(pool):
+    register_versions(pool)
+    fill(pool)
+    bound, _ = pool.place(software_version="v2")
+    other, _ = pool.place()
+    pool.end("a")
+    assert (bound, other) == ([], ["a"])
+
+
+def test_call_whose_software_version_has_no_engine_left_is_refused_at_once(pool):
+    register_versions(pool)
+    (refused,), _ = pool.place(software_version="v3")
+    assert (refused.status, refused.reason) == (503, "no_engine_of_version")
+    assert refused.retry_after
+    (refused,), _ = pool.place(software_version="v2", excluded=frozenset({"bb"}))
+    assert refused.reason == "no_engine_of_version"
+    fill(pool)
+    waiting, _ = pool.place(software_version="v2")
+    pool.backends.remove("bb", lenient=False)
+    pool.queue.place_waiting()
+    assert waiting[0].reason == "no_engine_of_version"
--- a/tests/test_model_calls.py
+++ b/tests/test_model_calls.py
@@ -8,7 +8,9 @@
 from twisted.internet.testing import StringTransport
 from twisted.python.failure import Failure
 
+from pomeloglade.forwarding.deployment import Service, ServiceWeight
 from pomeloglade.forwarding.prefills import MAX_IDLE_SECONDS
+from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigin
 from pomeloglade.transport.http_exchange import ServerConnection
 
 
@@ -447,7 +449,8 @@
         replace(server(name, "llm", "decode", 8), software_version=version)
         for name, version in (("dec-a", "v1"), ("dec-bb", "v2"), ("dec-ccc", "v1"))
     ]
-    harness = Harness(server("pre", "llm", "prefill"), *engines)
+    prefill = replace(server("pre", "llm", "prefill"), software_version="v1")
+    harness = Harness(prefill, *engines)
     # The engines of v1 have more calls than that of v2, and dec-ccc the most.
     harness.loads.begin("dec-a", 0)
     for _ in range(2):
@@ -533,3 +536,41 @@
     take_up(harness, b"unknown")
     harness.network.requests[-1].answer_prefill()
     assert harness.network.requests[-1].header("Last-Event-Id") == b"1"
+
+
+def test_stream_of_unknown_origin_is_not_taken_up_soon_after_a_release(versions):
+    versions.backends.remove("dec-bb", lenient=False)
+    versions.advance(ORIGIN_SECONDS - 1.0)
+    assert take_up(versions, b"unknown").reason == "stream_origin_unknown"
+    versions.advance(2.0)
+    assert not take_up(versions, b"unknown").done
+
+
+def test_stream_is_taken_up_at_the_service_that_began_it():
+    split = replace(
+        deployment().route("api.example", "/reports/1"),
+        services=(ServiceWeight("other", 1), ServiceWeight("llm", 0)),
+    )
+    configuration = deployment(reports=split)
+    engines = configuration.services_by_name["llm"].engines
+    configuration.services_by_name["other"] = Service("other", 150, engines)
+    harness = Harness(server("dec-a", "llm", "decode"), configuration=configuration)
+    harness.origins.record("0c", StreamOrigin("llm", ""))
+    take_up(harness, b"0c")
+    assert engine_of(harness, harness.network.requests[-1]) == "dec-a"
+    harness.origins.record("0d", StreamOrigin("removed", ""))
+    refused = take_up(harness, b"0d")
+    assert (refused.status, refused.reason) == (503, "stream_origin_gone")
+
+
+def test_engine_that_rejected_a_bound_stream_is_asked_again(versions):
+    _, run = begin_stream_at(versions, "dec-bb")
+    run.end()
+    take_up(versions, run.header("X-Pomeloglade-Attempt-Id"))
+    versions.network.requests[-1].answer_prefill("h2")
+    versions.network.requests[-1].reject()
+    sent = len(versions.network.requests)
+    versions.advance(0.4)
+    again = versions.network.requests[-1]
+    assert len(versions.network.requests) > sent
+    assert engine_of(versions, again) == "dec-bb"
