Truncate unframed streams in the soak

It now also ends streams inside their last event, without a length or chunks, with a regular end of the connection.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -136,6 +136,7 @@
                 BackendFaults(failing=True),
                 BackendFaults(losing=True),
                 BackendFaults(full=True),
+                BackendFaults(truncating=True),
             )
         )
         self._call_later(seconds, setattr, backend, "faults", BackendFaults())
