--- a/soak/callers.py
+++ b/soak/callers.py
@@ -1,6 +1,6 @@
 """Callers that send requests through the instances and record the responses."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from random import Random
 from typing import Any
 
@@ -18,6 +18,8 @@
     "digests": 5000,
     "reports": 5000,
 }
+EVENT_END = b"\n\n"
+
 DISCONNECT_FRACTION = 0.03
 """Fraction of requests whose caller disconnects before the response is complete."""
 
@@ -33,7 +35,8 @@
     """A request that a caller sent, and its response; times are in seconds.
 
     ``sealed`` is set if the response has a backend server's seal, ``complete`` once
-    the body ended as its framing declares.
+    the body ended as its framing declares. A request that takes a stream up names the
+    attempt that brought its first event, and follows the event ``resumed_after``.
     """
 
     attempt: str
@@ -45,6 +48,9 @@
     timeout: float
     target: str
     tokens: int
+    output_tokens: int = 0
+    first_attempt: str | None = None
+    resumed_after: int = 0
     status: int | None = None
     sealed: bool = False
     body: bytes = b""
@@ -55,7 +61,10 @@
 
 
 class Callers:
-    """Sends requests to all routes at a steady rate over persistent connections."""
+    """Sends requests to all routes at a steady rate over persistent connections.
+
+    A caller whose resumable stream is broken off takes it up at another instance.
+    """
 
     def __init__(self, fleet: Fleet, random: Random, *, per_second: float) -> None:
         self._fleet = fleet
@@ -105,23 +114,56 @@
             timeout=timeout_ms / 1000,
             target=f"/{route}/{random.randrange(1000)}?of={attempt}",
             tokens=prompt + output if streams else 0,
+            output_tokens=output if streams else 0,
         )
+        exchange = self._start(sent)
+        if random.random() < DISCONNECT_FRACTION:
+            fleet.reactor.callLater(
+                random.uniform(0.01, 0.3), self._disconnect, sent, exchange
+            )
+
+    def _start(self, sent: SentRequest) -> Deferred:
+        """Send a request and record its response."""
         self.sent.append(sent)
+        tokens = taken_up = None
+        if sent.tokens:
+            tokens = sent.tokens - sent.output_tokens, sent.output_tokens
+        if sent.first_attempt is not None:
+            taken_up = sent.first_attempt, sent.resumed_after
         headers = request_headers(
-            key=key,
-            attempt=attempt,
-            timeout_ms=timeout_ms,
-            tokens=(prompt, output) if streams else None,
+            key=sent.key,
+            attempt=sent.attempt,
+            timeout_ms=round(sent.timeout * 1000),
+            tokens=tokens,
+            taken_up=taken_up,
         )
         headers["Host"] = "api.example"
         exchange = Deferred.fromCoroutine(self._exchange(sent, headers))
-        if random.random() < DISCONNECT_FRACTION:
-            fleet.reactor.callLater(
-                random.uniform(0.01, 0.3), self._disconnect, sent, exchange
-            )
         # Twice the timeout, so that the checks can report a request that exceeds it.
-        exchange.addTimeout(2 * sent.timeout, fleet.reactor)
+        exchange.addTimeout(2 * sent.timeout, self._fleet.reactor)
         exchange.addErrback(self._fail, sent)
+        return exchange
+
+    def _take_up(self, broken: SentRequest) -> None:
+        """Go on with a stream that was broken off after an event."""
+        received = broken.body.count(EVENT_END)
+        fleet = self._fleet
+        instances = [each for each in fleet.instances if each is not broken.instance]
+        self._start(
+            replace(
+                broken,
+                attempt=f"{len(self.sent):016x}",
+                first_attempt=broken.attempt,
+                resumed_after=received,
+                instance=self._random.choice(instances),
+                sent_at=fleet.reactor.seconds(),
+                status=None,
+                sealed=False,
+                body=b"",
+                ended_at=None,
+                body_parts=[],
+            )
+        )
 
     def _disconnect(self, sent: SentRequest, exchange: Deferred) -> None:
         if sent.ended_at is None:
@@ -146,3 +188,11 @@
         sent.body = b"".join(sent.body_parts)
         if not failure.check(CancelledError) or not sent.disconnected:
             sent.ended_at = self._fleet.reactor.seconds()
+        if (
+            sent.route == "reports"
+            and sent.first_attempt is None
+            and EVENT_END in sent.body
+            and not sent.disconnected
+            and not self._stopped
+        ):
+            self._take_up(sent)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -70,6 +70,7 @@
         overdue = _check_timeout(each)
         if overdue:
             violations.append(overdue)
+    violations += _check_versions(requests, runs_by_attempt)
     violations += _check_usage(fleet.ledger.runs)
     violations += _check_retry_budget(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
@@ -96,7 +97,8 @@
     if request.tokens:
         count = event_count(request.tokens)
         expected = b"".join(
-            stream_event(request.attempt, number + 1) for number in range(count)
+            stream_event(request.attempt, number + 1)
+            for number in range(request.resumed_after, count)
         )
         matches = (
             request.body == expected
@@ -133,6 +135,28 @@
     return violations
 
 
+def _check_versions(
+    requests: list[SentRequest], runs_by_attempt: dict[str, list[Run]]
+) -> list[str]:
+    """Check that streams go on only at the software version that began them."""
+    violations = []
+    for request in requests:
+        first_attempt = request.first_attempt or request.attempt
+        begun = [
+            run for run in runs_by_attempt[first_attempt] if run.resumed_after is None
+        ]
+        for run in runs_by_attempt[request.attempt]:
+            if run.resumed_after is None:
+                continue
+            if run.software_version != begun[-1].software_version:
+                violations.append(
+                    f"{_describe(request)}: began at {begun[-1].server} of"
+                    f" {begun[-1].software_version} and went on at {run.server} of"
+                    f" {run.software_version}"
+                )
+    return violations
+
+
 def _check_timeout(request: SentRequest) -> str | None:
     """Check that an undisturbed instance answered within the request's timeout."""
     end = request.ended_at or request.sent_at + 2 * request.timeout
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -193,3 +193,37 @@
 def test_error_in_a_log_is_found(fleet):
     fleet.instances[0].log.write_text("Unhandled error in Deferred\n")
     assert any("logged" in line for line in violations(fleet))
+
+
+@pytest.mark.parametrize(("version", "found"), [("v1", False), ("v2", True)])
+def test_stream_that_goes_on_at_another_software_version_is_found(
+    fleet, version, found
+):
+    first = sent_request(fleet, "a", "reports", tokens=400, status=200, sealed=True)
+    again = sent_request(
+        fleet, "b", "reports", tokens=400, first_attempt="a", resumed_after=1
+    )
+    fleet.ledger.runs += [
+        run_of(first, software_version="v1"),
+        run_of(again, "i-2", software_version=version, resumed_after=1),
+    ]
+    lines = violations(fleet, first, again)
+    assert any("went on at i-2 of v2" in line for line in lines) is found
+
+
+def test_stream_that_is_taken_up_must_go_on_after_its_last_event(fleet):
+    again = sent_request(
+        fleet,
+        "b",
+        "reports",
+        tokens=300,
+        first_attempt="a",
+        resumed_after=1,
+        status=200,
+        sealed=True,
+        complete=True,
+    )
+    again.body = stream_event("b", 2) + stream_event("b", 3)
+    assert violations(fleet, again) == []
+    again.body = stream_event("b", 1) + again.body
+    assert violations(fleet, again) != []
