Pass the last event's id on to plain services

Found by reading, while looking for what else goes on with a stream: the header is the router's own for model calls, where a resumed stream has another value, and was dropped for calls to services without engines. A stream that its caller takes up there began anew, with events that the caller had. The test failed before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -184,6 +184,7 @@
                 server=server.id,
                 account=state.account_name,
                 seconds_left=state.seconds_left(),
+                last_event_id=call.last_event_id,
             )
             head = self._codec.forward_request(call, parameters)
             exchange = Exchange(head, call.body)
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -65,6 +65,12 @@
         assert request.header(name) is None
 
 
+# Guards against beginning a stream anew that its caller takes up after an event.
+def test_plain_service_gets_the_id_of_the_last_event_received(harness):
+    harness.call("/lookups/1", headers=[(b"Last-Event-Id", b"7")])
+    assert harness.network.requests[0].header("Last-Event-Id") == b"7"
+
+
 def test_booking_whose_answer_is_lost_is_never_sent_again(harness):
     responder, _ = harness.call("/bookings/1")
     harness.network.requests[0].reset()
