--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -31,6 +31,8 @@
 """Age that a copy has at most from which the store returns after an outage."""
 
 MAX_VERSIONS_SEEN = 1_000
+"""Limit on the remembered software versions whose servers were removed."""
+
 MAX_LEAVING_SERVERS = 1_000
 """Limit on the remembered runs of servers that announced their leaving."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -51,6 +51,8 @@
 DURATION_WEIGHT = 0.1
 RETRY_INTERVAL_SECONDS = 0.05
 NO_ENGINE_RETRY_AFTER_SECONDS = 1.0
+"""Retry delay without any engine: those that crash or restart are away for seconds."""
+
 
 YIELD_SECONDS = 0.008
 """Time left to each instance with an earlier call to take a free slot first. A report
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
@@ -6,7 +6,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-ORIGIN_SECONDS = 30.0
+ORIGIN_SECONDS = 60.0
 """Time for which an origin is kept. It is longer than callers wait for a stream, with
 all of their attempts."""
 
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -32,7 +32,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
-from pomeloglade.forwarding.stream_origins import StreamOrigins
+from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigins
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade.state.key_digest import digest_key
 from pomeloglade.transport.http_exchange import RequestHead, ResponseHead
@@ -338,7 +338,8 @@
             on_load_changed=lambda: None,
         )
         self.origins = StreamOrigins(
-            self.clock, lambda name: self.backends.software_versions(name, 30.0)
+            self.clock,
+            lambda name: self.backends.software_versions(name, ORIGIN_SECONDS),
         )
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
