--- a/tests/test_forwarding_stateful.py
+++ b/tests/test_forwarding_stateful.py
@@ -201,13 +201,18 @@
             request.reset()
 
     @precondition(lambda self: any(each.begun for each in self.open))
-    @rule(data=st.data(), torn=st.booleans())
-    def stream_breaks(self, data, torn):
+    @rule(data=st.data(), torn=st.booleans(), by_reset=st.booleans())
+    def stream_breaks(self, data, torn, by_reset):
+        """Break a stream by a reset, or by a regular end inside an event."""
         request = data.draw(st.sampled_from([s for s in self.open if s.begun]))
         self.open.remove(request)
-        if torn and not request.aborted and request.events < EVENTS:
+        torn = torn and not request.aborted and request.events < EVENTS
+        if torn:
             request.exchange.receive_body(b"id: %d\nda" % (request.events + 1))
-        request.reset()
+        if torn and not by_reset:
+            request.end()
+        else:
+            request.reset()
 
     def answer_wrongly(self, data):
         wrong = data.draw(st.sampled_from(("id", "seal", "error")))
