--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -232,7 +232,7 @@
         FORWARDING + "engine_queue.py",
         "            if each.software_version == version and",
         "            if",
-        CALLS,
+        ("tests/test_stream_versions.py",),
     ),
     Mutation(
         "ORDER",
@@ -240,7 +240,7 @@
         FORWARDING + "report_relay.py",
         "        self._origins.apply_reported(report.origins, scope)\n",
         "",
-        ("tests/test_report_relay.py",),
+        ("tests/test_origin_reports.py",),
     ),
     Mutation(
         "ONE",
