Give a moved test its second decode engine back

One was not: the test of a stream of unknown origin among engines of one version had two decode engines from a fixture, and got a single one of its own.

--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -98,7 +98,8 @@
 
 
 def test_stream_of_unknown_origin_is_taken_up_if_all_engines_are_of_one_version():
-    harness = Harness(server("pre", "llm", "prefill"), server("dec-a", "llm", "decode"))
+    decodes = [server(name, "llm", "decode") for name in ("dec-a", "dec-bb")]
+    harness = Harness(server("pre", "llm", "prefill"), *decodes)
     take_up(harness, b"unknown")
     harness.network.requests[-1].answer_prefill()
     assert harness.network.requests[-1].header("Last-Event-Id") == b"1"
