Log by which key a call's request is recognized when it is sent again

Calls now have the field request, a digest of account, method, host, path and body.

No logic is changed.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -5,6 +5,7 @@
 
 from .calls import ForwardedCall, Refused
 from .deployment import Account, Route
+from .request_keys import request_key
 
 GIVE_UP_RETRY_AFTER_SECONDS = 0.1
 """Retry delay given with a refusal: by then another instance may have a free server
@@ -50,6 +51,7 @@
         self._now = now
         self._unresolved_sends_by_server: dict[str, int] = {}
         self._service: str | None = None
+        self._request_key: int | None = None
         self.resolved = resolve(call, False)
         self.longest_time_limit = 0.0
         self.account_usage = 0.0
@@ -75,6 +77,13 @@
         account = self.resolved.account
         return account.name if account is not None else None
 
+    @property
+    def request_key(self) -> int:
+        """The key by which the call's request is recognized when it is sent again."""
+        if self._request_key is None:
+            self._request_key = request_key(self.call, self.account_name)
+        return self._request_key
+
     def resolve(self) -> Resolution:
         """Resolve the call against the current configuration, before each send."""
         version = self.resolved.version
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -291,6 +291,7 @@
             "call",
             id=call.id if call else "",
             first_call_id=call.first_call_id if call else None,
+            request=f"{state.request_key:016x}" if state else None,
             route=route.name if route else "",
             kind=route.kind.value if route else "",
             account=state.account_name if state else None,
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
@@ -0,0 +1,39 @@
+"""Keys by which instances recognize a request that is sent again."""
+
+import hashlib
+
+from .calls import ForwardedCall
+
+KEY_BYTES = 8
+
+
+def request_key(call: ForwardedCall, account: str | None) -> int:
+    """Return the key of a call's request.
+
+    Two calls have the same key if the same account asks for the same, whatever ids,
+    time limits and other headers the calls have.
+
+    >>> first = ForwardedCall("a", b"GET", b"/x", "api", "/x", (), b"", arrived=1.0)
+    >>> again = ForwardedCall("b", b"GET", b"/x", "api", "/x", (), b"", arrived=2.0)
+    >>> request_key(first, "club") == request_key(again, "club")
+    True
+    >>> request_key(first, "club") == request_key(again, "league")
+    False
+    """
+    return _key(
+        b"request",
+        (account or "").encode(),
+        call.method,
+        call.host.encode(),
+        call.target,
+        call.body,
+    )
+
+
+def _key(*fields: bytes) -> int:
+    digest = hashlib.blake2b(digest_size=KEY_BYTES)
+    for field in fields:
+        # With its length, so that no two lists of fields have the same bytes.
+        digest.update(b"%d:" % len(field))
+        digest.update(field)
+    return int.from_bytes(digest.digest(), "big")
