Reproduce a request that crashes servers and is sent to more of them

Callers saw sound requests refused while one request, which came again and again at any instance, ended server after server. The soak gets the means: two more faults, an option that injects one alone, and their check.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -42,22 +42,31 @@
 
 
 async def run_seed(
-    reactor: object, seed: int, seconds: float, instances: int, folder: Path
+    reactor: object,
+    seed: int,
+    seconds: float,
+    instances: int,
+    folder: Path,
+    fault: str | None = None,
 ) -> list[str]:
     """Run one seed and return a line for each violated guarantee.
 
-    The injected faults are written to ``faults.txt`` next to the processes' logs.
+    With ``fault``, this one is injected once, and no other. The injected faults are written to ``faults.txt`` next to the processes' logs.
     """
     random = Random(seed)
     fleet = Fleet(reactor, folder, random, instances=instances)
     callers = Callers(fleet, Random(seed + 1), per_second=40.0)
-    injector = FaultInjector(fleet, random)
+    injector = FaultInjector(fleet, callers, random)
     try:
         await fleet.start()
         await deferLater(reactor, STARTUP_SECONDS)
         callers.start()
         end = reactor.seconds() + seconds
-        while reactor.seconds() < end:
+        if fault is not None:
+            await deferLater(reactor, FAULT_FREE_SECONDS)
+            injector.inject(fault)
+            await deferLater(reactor, seconds)
+        while fault is None and reactor.seconds() < end:
             await deferLater(reactor, random.uniform(*FAULT_INTERVAL_SECONDS))
             injector.inject()
         injector.heal()
@@ -87,6 +96,7 @@
     seeds: Annotated[int, typer.Option(help="Number of seeds.")] = 1,
     seconds: Annotated[float, typer.Option(help="Time with faults.")] = 20.0,
     instances: Annotated[int, typer.Option(help="Processes under test.")] = 4,
+    fault: Annotated[str | None, typer.Option(help="Inject only this, once.")] = None,
     folder: Annotated[Path | None, typer.Option(help="Folder for the logs.")] = None,
     again: Annotated[bool, typer.Option(help="Only seeds that once failed.")] = False,
 ) -> None:
@@ -100,7 +110,7 @@
             seed_folder = log_folder / str(number)
             seed_folder.mkdir(parents=True, exist_ok=True)
             violations = await run_seed(
-                reactor, number, seconds, instances, seed_folder
+                reactor, number, seconds, instances, seed_folder, fault
             )
             failed += bool(violations)
             for line in violations[:20]:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -29,6 +29,12 @@
 REVOKED_KEY_FRACTION = 0.2
 """Fraction of requests with a revoked API key, once their account has one."""
 
+CRASHING_TARGET = "/lookups/crash"
+CRASHING_PART = "c0"
+CRASHING_PAUSE_SECONDS = 0.35
+SHARED_PART = "aa"
+SESSIONS = 20
+
 
 @dataclass(slots=True)
 class SentRequest:
@@ -36,7 +42,8 @@
 
     ``sealed`` is set if the response has a backend server's seal, ``complete`` once
     the body ended as its framing declares. A request that takes a stream up names the
-    attempt that brought its first event, and follows the event ``resumed_after``.
+    attempt that brought its first event, and follows the event ``resumed_after``. A
+    request that crashes the servers that run it has what does so in ``culprit``.
     """
 
     attempt: str
@@ -51,6 +58,8 @@
     output_tokens: int = 0
     first_attempt: str | None = None
     resumed_after: int = 0
+    prompt_parts: str = ""
+    culprit: str = ""
     status: int | None = None
     sealed: bool = False
     body: bytes = b""
@@ -100,27 +109,56 @@
         revoked_keys = [old for name, _, old in fleet.revoked if name == account]
         if revoked_keys and random.random() < REVOKED_KEY_FRACTION:
             key = random.choice(revoked_keys)
+        exchange = self._start(self._request(route, account, key))
+        if random.random() < DISCONNECT_FRACTION:
+            fleet.reactor.callLater(
+                random.uniform(0.01, 0.3), self._disconnect, self.sent[-1], exchange
+            )
+
+    def _request(
+        self, route: str, account: str, key: str, culprit: str = ""
+    ) -> SentRequest:
+        """Return a new request to a random instance."""
+        random, fleet = self._random, self._fleet
         attempt = f"{len(self.sent):016x}"
         prompt, output = random.randrange(200, 4000), random.randrange(200, 3000)
         streams = route in ("digests", "reports")
-        timeout_ms = TIMEOUT_MS_BY_ROUTE[route]
-        sent = SentRequest(
+        target = f"/{route}/{random.randrange(1000)}?of={attempt}"
+        parts = [SHARED_PART, f"5e{random.randrange(SESSIONS):02x}", f"f{attempt}"]
+        if culprit == CRASHING_PART:
+            parts.insert(2, culprit)
+        return SentRequest(
             attempt=attempt,
             route=route,
             account=account,
             key=key,
             instance=random.choice(fleet.instances),
             sent_at=fleet.reactor.seconds(),
-            timeout=timeout_ms / 1000,
-            target=f"/{route}/{random.randrange(1000)}?of={attempt}",
+            timeout=TIMEOUT_MS_BY_ROUTE[route] / 1000,
+            target=culprit if culprit == CRASHING_TARGET else target,
             tokens=prompt + output if streams else 0,
             output_tokens=output if streams else 0,
+            prompt_parts=",".join(f"{each}:50" for each in parts) if streams else "",
+            culprit=culprit,
+        )
+
+    def start_crashing(self, culprit: str) -> None:
+        """Send requests that crash servers by ``culprit`` until ``stop`` is called."""
+        if culprit not in self._fleet.ledger.crashing:
+            self._fleet.ledger.crashing.add(culprit)
+            self._send_crashing(culprit)
+
+    def _send_crashing(self, culprit: str) -> None:
+        if self._stopped:
+            return
+        route = "lookups"
+        if culprit == CRASHING_PART:
+            route = self._random.choice(("digests", "reports"))
+        key = self._fleet.keys_by_account["club"]
+        self._start(self._request(route, "club", key, culprit))
+        self._fleet.reactor.callLater(
+            CRASHING_PAUSE_SECONDS, self._send_crashing, culprit
         )
-        exchange = self._start(sent)
-        if random.random() < DISCONNECT_FRACTION:
-            fleet.reactor.callLater(
-                random.uniform(0.01, 0.3), self._disconnect, sent, exchange
-            )
 
     def _start(self, sent: SentRequest) -> Deferred:
         """Send a request and record its response."""
@@ -136,6 +174,7 @@
             timeout_ms=round(sent.timeout * 1000),
             tokens=tokens,
             taken_up=taken_up,
+            prompt_parts=sent.prompt_parts,
         )
         headers["Host"] = "api.example"
         exchange = Deferred.fromCoroutine(self._exchange(sent, headers))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,6 +8,7 @@
 from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
 
+from .callers import CRASHING_PART, CRASHING_TARGET, Callers
 from .fleet import Fleet
 from .proxy import LinkMode, Proxy
 
@@ -27,8 +28,9 @@
     ``injected`` has a line with the time and details of every fault.
     """
 
-    def __init__(self, fleet: Fleet, random: Random) -> None:
+    def __init__(self, fleet: Fleet, callers: Callers, random: Random) -> None:
         self._fleet = fleet
+        self._callers = callers
         self._random = random
         self._store_holders = 0
         self.injected: list[str] = []
@@ -49,11 +51,13 @@
             "publish": self._publish,
             "revoke": self._revoke,
             "revoke during store cut": self._revoke_during_store_cut,
+            "crashing request": self._send_crashing_requests,
+            "crashing part": self._send_crashing_parts,
         }
 
-    def inject(self) -> None:
-        """Start one randomly chosen fault."""
-        name = self._random.choice(sorted(self.inject_by_name))
+    def inject(self, name: str | None = None) -> None:
+        """Start the fault ``name``, or one randomly chosen."""
+        name = name or self._random.choice(sorted(self.inject_by_name))
         detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
@@ -153,6 +157,16 @@
         self._fleet.replace(backend)
         return backend.id
 
+    def _send_crashing_requests(self, seconds: float) -> str:
+        """Let a request come again and again that crashes what runs it."""
+        self._callers.start_crashing(CRASHING_TARGET)
+        return CRASHING_TARGET
+
+    def _send_crashing_parts(self, seconds: float) -> str:
+        """Let requests come, no two alike, with a part that crashes what runs them."""
+        self._callers.start_crashing(CRASHING_PART)
+        return CRASHING_PART
+
     def _pause(self, seconds: float) -> str:
         instance = self._random.choice(self._fleet.instances)
         instance.signal(signal.SIGSTOP)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -147,6 +147,7 @@
             backend.address = proxy.address
             peers[proxy.address] = backend
             backend.on_stage_change = lambda backend=backend: self.register(backend)
+            backend.on_crash = lambda backend=backend: self.take_down(backend)
             self.backends.append(backend)
             self.backend_proxies[backend] = proxy
             self.register(backend)
@@ -206,6 +207,13 @@
         self.reactor.callLater(STALE_REGISTRATION_SECONDS, self.unregister, old)
         self.reactor.callLater(DOWNTIME_SECONDS, self.register, backend)
 
+    def take_down(self, backend: BackendStandIn) -> None:
+        """Restart a backend server whose port refuses connections meanwhile."""
+        proxy = self.backend_proxies[backend]
+        proxy.stop()
+        self.crash(backend)
+        self.reactor.callLater(DOWNTIME_SECONDS, proxy.resume)
+
     def replace(self, backend: BackendStandIn) -> None:
         """Drain a backend server, then replace it under a new id."""
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -20,7 +20,7 @@
     USAGE_WINDOW_SECONDS,
 )
 
-from .callers import SentRequest
+from .callers import CRASHING_PART, CRASHING_TARGET, SentRequest
 from .fleet import Fleet
 
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -39,6 +39,12 @@
 MIN_SERVED_FRACTION = 0.9
 """Fraction of requests with valid keys that must be served after the last fault."""
 
+CRASHES_BY_CULPRIT = {CRASHING_TARGET: 3, CRASHING_PART: 5}
+"""Crashes after which no more requests with their cause may be sent to servers."""
+
+MAX_SENT_AFTER_CRASHES = 3
+"""Requests that may still reach servers ``SETTLE_SECONDS`` after these crashes."""
+
 SERVICE_BY_ROUTE = {
     "lookups": "api",
     "bookings": "api",
@@ -73,6 +79,7 @@
     violations += _check_versions(requests, runs_by_attempt)
     violations += _check_usage(fleet.ledger.runs)
     violations += _check_retry_budget(fleet, requests)
+    violations += _check_crashes(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
     return violations
@@ -209,6 +216,40 @@
     return []
 
 
+def _check_crashes(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
+    """Check that requests that crash servers are kept from them after some crashes."""
+    violations = []
+    for culprit, limit in CRASHES_BY_CULPRIT.items():
+        crashes = [at for at, each in fleet.ledger.crashes if each == culprit]
+        if len(crashes) < limit:
+            continue
+        settled_at = crashes[limit - 1] + SETTLE_SECONDS
+        sent_by_attempt = {
+            each.attempt: each for each in requests if each.culprit == culprit
+        }
+        late = [
+            at
+            for at, _, attempt in fleet.ledger.arrivals
+            if at > settled_at
+            and attempt in sent_by_attempt
+            and not _disturbed(sent_by_attempt[attempt], at)
+        ]
+        if len(late) > MAX_SENT_AFTER_CRASHES:
+            violations.append(
+                f"{len(late)} requests with {culprit} reached servers after"
+                f" {settled_at:.2f}, first at {late[0]:.2f}; {len(crashes)} crashes"
+            )
+    return violations
+
+
+def _disturbed(request: SentRequest, at: float) -> bool:
+    """Return whether a request's instance was disturbed shortly before ``at``."""
+    return any(
+        at - SETTLE_SECONDS < disturbed <= at
+        for disturbed in request.instance.disturbed_at
+    )
+
+
 def _check_recovery(
     fleet: Fleet, requests: list[SentRequest], healed_at: float
 ) -> list[str]:
@@ -217,7 +258,10 @@
     after = [
         each
         for each in requests
-        if each.sent_at > healed_at and each.key in valid and not each.disconnected
+        if each.sent_at > healed_at
+        and each.key in valid
+        and not each.disconnected
+        and not each.culprit
     ]
     served = sum(each.complete and each.status in (200, 500) for each in after)
     if served < MIN_SERVED_FRACTION * len(after):
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -34,8 +34,10 @@
         self.target = target
         self.mode = LinkMode.PASS
         self.connections: set[_ProxyConnection] = set()
+        self._host = host
         self._port = reactor.listenTCP(0, self, interface=host)
-        self.address = f"{host}:{self._port.getHost().port}"
+        self._port_number = self._port.getHost().port
+        self.address = f"{host}:{self._port_number}"
 
     def set_mode(self, mode: LinkMode) -> None:
         """Change the mode, also for open connections."""
@@ -51,6 +53,13 @@
         self._port.stopListening()
         self.set_mode(LinkMode.RESET)
 
+    def resume(self) -> None:
+        """Listen again at the same address after ``stop``."""
+        self.mode = LinkMode.PASS
+        self._port = self.reactor.listenTCP(
+            self._port_number, self, interface=self._host
+        )
+
     def buildProtocol(self, addr: Any) -> "_ProxyConnection":  # noqa: N802
         """Return the protocol for a connection accepted from a client."""
         return _ProxyConnection(self, from_target=False)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,7 @@
 from types import SimpleNamespace
 
 import pytest
-from soak.callers import SentRequest
+from soak.callers import CRASHING_TARGET, SentRequest
 from soak.fleet import KEYS_BY_ACCOUNT
 from soak.guarantees import find_violations
 
@@ -22,10 +22,9 @@
 SHORT_RUN_SECONDS = 120
 
 
-def test_short_run_with_faults_violates_no_guarantee(tmp_path):
-    command = ["--seed", "1", "--seconds", "6", "--folder", str(tmp_path)]
+def run_soak(folder, *options):
     ended = subprocess.run(
-        [sys.executable, "-m", "soak", *command],
+        [sys.executable, "-m", "soak", "--folder", str(folder), *options],
         env=dict(os.environ),
         capture_output=True,
         text=True,
@@ -35,6 +34,16 @@
     assert ended.returncode == 0, ended.stdout + ended.stderr
 
 
+def test_short_run_with_faults_violates_no_guarantee(tmp_path):
+    run_soak(tmp_path, "--seed", "1", "--seconds", "6")
+
+
+# Guards against repeats of a request under which servers end: BUDGET (inc1, issue 25).
+def test_processes_keep_a_request_that_crashes_servers_from_them(tmp_path):
+    fault = ("--fault", "crashing request", "--seconds", "3")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
@@ -113,6 +122,23 @@
     )
 
 
+def test_requests_that_still_crash_servers_are_found(fleet):
+    crashing = [
+        sent_request(fleet, f"c{n}", "lookups", at=10.0 + n, culprit=CRASHING_TARGET)
+        for n in range(9)
+    ]
+    for each in crashing:
+        fleet.ledger.arrivals.append((each.sent_at, "api", each.attempt))
+        fleet.ledger.crashes.append((each.sent_at, CRASHING_TARGET))
+    # The third crash is at 12, so those from 16 on are three: as many as allowed.
+    assert violations(fleet, *crashing) == []
+    fleet.ledger.arrivals.append((15.5, "api", "c8"))
+    (text,) = violations(fleet, *crashing)
+    assert text.startswith("4 requests with /lookups/crash reached servers after 15.00")
+    fleet.instances[0].disturbed_at.append(14.0)
+    assert violations(fleet, *crashing) == []
+
+
 def test_unsafe_request_that_ran_twice_is_found(fleet):
     sent = answered_request(fleet)
     fleet.ledger.runs.append(run_of(sent, "i-2"))
