Give the scope of reported news a module of its own

Origins of streams are passed on by their scope, and so will be the crashes of servers. Renames OriginScope to ReportScope; no behaviour changes.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -11,10 +11,11 @@
 from .instance_reports import Report, ReportKind, waiting_from
 from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads, ServerCalls
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
+from .report_scope import ReportScope
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .store_follower import StoreFollower
-from .stream_origins import OriginScope, StreamOrigins
+from .stream_origins import StreamOrigins
 from .tally import NO_CALLS, Tally, add_tallies
 from .usage import SharedUsage
 
@@ -34,9 +35,9 @@
 soon."""
 
 ORIGINS_BY_KIND = {
-    ReportKind.MEMBER: (2.0, OriginScope.OWN),
-    ReportKind.GROUP: (2.0, OriginScope.GROUP),
-    ReportKind.DIGEST: (0.75, OriginScope.FLEET),
+    ReportKind.MEMBER: (2.0, ReportScope.OWN),
+    ReportKind.GROUP: (2.0, ReportScope.GROUP),
+    ReportKind.DIGEST: (0.75, ReportScope.FLEET),
 }
 """For how many seconds each kind of report repeats the origin of a stream, and whose.
 Datagrams may be lost, and a contact that dies is replaced within 1.5 s. Digests are
@@ -305,7 +306,7 @@
         self._health.apply_outcomes(report.failures)
         self._budget.apply_reported(report.resends)
         of_group = report.kind is ReportKind.MEMBER
-        scope = OriginScope.GROUP if of_group else OriginScope.FLEET
+        scope = ReportScope.GROUP if of_group else ReportScope.FLEET
         self._origins.apply_reported(report.origins, scope)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
@@ -1,11 +1,12 @@
 """The software versions that began resumable streams, shared by all instances."""
 
-import enum
 from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from twisted.internet.interfaces import IReactorTime
 
+from .report_scope import ReportScope
+
 ORIGIN_SECONDS = 60.0
 """Time for which an origin is kept. It is longer than callers wait for a stream, with
 all of their attempts."""
@@ -22,14 +23,6 @@
 """Ids of calls by service and by software version."""
 
 
-class OriginScope(enum.IntEnum):
-    """Where an origin is from, as seen by the instance that knows it."""
-
-    OWN = 0
-    GROUP = 1
-    FLEET = 2
-
-
 @dataclass(frozen=True, slots=True)
 class StreamOrigin:
     """The service and the software version of the engine that began a stream."""
@@ -41,7 +34,7 @@
 @dataclass(frozen=True, slots=True)
 class _Known:
     origin: StreamOrigin
-    scope: OriginScope
+    scope: ReportScope
     learned_at: float
 
 
@@ -63,10 +56,10 @@
     >>> from twisted.internet.task import Clock
     >>> origins = StreamOrigins(Clock(), lambda service: {"v1", "v2"})
     >>> origins.record("call-1", StreamOrigin("llm", "v2"))
-    >>> origins.recent(1.0, OriginScope.OWN)
+    >>> origins.recent(1.0, ReportScope.OWN)
     {'llm': {'v2': ['call-1']}}
     >>> other = StreamOrigins(Clock(), lambda service: {"v1", "v2"})
-    >>> other.apply_reported(origins.everything(), OriginScope.GROUP)
+    >>> other.apply_reported(origins.everything(), ReportScope.GROUP)
     >>> other.find("call-1")
     StreamOrigin(service='llm', software_version='v2')
     """
@@ -82,9 +75,9 @@
 
     def record(self, call_id: str, origin: StreamOrigin) -> None:
         """Record the origin of a stream that a call of this instance began."""
-        self._learn(call_id, origin, OriginScope.OWN)
+        self._learn(call_id, origin, ReportScope.OWN)
 
-    def apply_reported(self, reported: ReportedOrigins, scope: OriginScope) -> None:
+    def apply_reported(self, reported: ReportedOrigins, scope: ReportScope) -> None:
         """Learn origins that another instance reported."""
         for service, ids_by_version in reported.items():
             for version, call_ids in ids_by_version.items():
@@ -98,7 +91,7 @@
         known = self._known_by_call_id.get(call_id)
         return known.origin if known is not None else None
 
-    def recent(self, seconds: float, widest: OriginScope) -> ReportedOrigins:
+    def recent(self, seconds: float, widest: ReportScope) -> ReportedOrigins:
         """Return the origins of a scope that were learned in the last ``seconds``.
 
         Of services that have just got a second software version, all are returned.
@@ -112,9 +105,9 @@
     def everything(self) -> ReportedOrigins:
         """Return all origins, for an instance that may have missed some."""
         self._update_mixed()
-        return self._reported(ORIGIN_SECONDS, OriginScope.FLEET)
+        return self._reported(ORIGIN_SECONDS, ReportScope.FLEET)
 
-    def _learn(self, call_id: str, origin: StreamOrigin, scope: OriginScope) -> None:
+    def _learn(self, call_id: str, origin: StreamOrigin, scope: ReportScope) -> None:
         if call_id in self._known_by_call_id:
             return
         self._drop_old()
@@ -148,7 +141,7 @@
                 return
             yield call_id, known
 
-    def _reported(self, seconds: float, widest: OriginScope) -> ReportedOrigins:
+    def _reported(self, seconds: float, widest: ReportScope) -> ReportedOrigins:
         reported: ReportedOrigins = {}
         count = 0
         for call_id, known in self._newest(seconds):
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -51,7 +51,8 @@
 ) -> list[str]:
     """Run one seed and return a line for each violated guarantee.
 
-    With ``fault``, this one is injected once, and no other. The injected faults are written to ``faults.txt`` next to the processes' logs.
+    With ``fault``, this one is injected once, and no other. The injected faults are
+    written to ``faults.txt`` next to the processes' logs.
     """
     random = Random(seed)
     fleet = Fleet(reactor, folder, random, instances=instances)
--- a/tests/test_stream_origins.py
+++ b/tests/test_stream_origins.py
@@ -3,11 +3,11 @@
 import pytest
 from twisted.internet.task import Clock
 
+from pomeloglade.forwarding.report_scope import ReportScope
 from pomeloglade.forwarding.stream_origins import (
     MAX_ORIGINS,
     MAX_REPORTED_ORIGINS,
     ORIGIN_SECONDS,
-    OriginScope,
     StreamOrigin,
     StreamOrigins,
 )
@@ -33,22 +33,22 @@
 
 def test_origin_that_is_known_is_not_replaced_by_a_report(origins):
     origins.record("a", V1)
-    origins.apply_reported({"llm": {"v2": ["a", "b"]}}, OriginScope.GROUP)
+    origins.apply_reported({"llm": {"v2": ["a", "b"]}}, ReportScope.GROUP)
     assert (origins.find("a"), origins.find("b")) == (V1, V2)
 
 
 def test_reports_contain_the_recent_origins_of_their_scope(origins, clock):
     origins.record("old", V1)
-    assert origins.recent(1.0, OriginScope.OWN) == {"llm": {"v1": ["old"]}}
+    assert origins.recent(1.0, ReportScope.OWN) == {"llm": {"v1": ["old"]}}
     clock.advance(2.0)
     origins.record("own", V1)
-    origins.apply_reported({"llm": {"v2": ["group"]}}, OriginScope.GROUP)
-    origins.apply_reported({"llm": {"v2": ["fleet"]}}, OriginScope.FLEET)
-    assert origins.recent(1.0, OriginScope.OWN) == {"llm": {"v1": ["own"]}}
-    assert origins.recent(1.0, OriginScope.GROUP) == {
+    origins.apply_reported({"llm": {"v2": ["group"]}}, ReportScope.GROUP)
+    origins.apply_reported({"llm": {"v2": ["fleet"]}}, ReportScope.FLEET)
+    assert origins.recent(1.0, ReportScope.OWN) == {"llm": {"v1": ["own"]}}
+    assert origins.recent(1.0, ReportScope.GROUP) == {
         "llm": {"v1": ["own"], "v2": ["group"]}
     }
-    assert origins.recent(1.0, OriginScope.FLEET) == {
+    assert origins.recent(1.0, ReportScope.FLEET) == {
         "llm": {"v1": ["own"], "v2": ["fleet", "group"]}
     }
     assert origins.everything()["llm"]["v1"] == ["own", "old"]
@@ -77,9 +77,9 @@
     versions.remove("v2")
     origins.record("a", V1)
     clock.advance(5.0)
-    assert origins.recent(2.0, OriginScope.OWN) == origins.everything() == {}
+    assert origins.recent(2.0, ReportScope.OWN) == origins.everything() == {}
     versions.add("v2")
-    assert origins.recent(2.0, OriginScope.OWN) == {"llm": {"v1": ["a"]}}
+    assert origins.recent(2.0, ReportScope.OWN) == {"llm": {"v1": ["a"]}}
     clock.advance(1.0)
-    assert origins.recent(2.0, OriginScope.OWN) == {}
+    assert origins.recent(2.0, ReportScope.OWN) == {}
     assert origins.everything() == {"llm": {"v1": ["a"]}}
