Refuse a request that ends the servers which run it

Cause: nothing remembered across calls what a server was running when it ended. The class of fault: a failure is counted against the server that shows it, never against the work that causes it.

A call now has a key, the same for each attempt of a request. When a server's connection ends, its run counts against the keys of the calls that are lost, and instances report these to each other, also through contacts. After three runs a request is refused with 503 and the rest of its quarantine as Retry-After, before it takes a server, a connection or a part of the retry budget. Sound requests that were lost beside it are told apart: an answer under a key, before or after, clears it at all instances; a server that goes on answering has not ended; and an end that another request with as many ends explains does not count. Prompts that end prefill engines count alike, which is the same cause.

--- a/packages/pomeloglade/src/pomeloglade/errors.py
+++ b/packages/pomeloglade/src/pomeloglade/errors.py
@@ -27,6 +27,10 @@
     """The connection broke after bytes were sent, so the call may have run."""
 
 
+class BackendSilentError(BackendLostError):
+    """The backend server sent nothing for too long; its connection may be sound."""
+
+
 class BackendOutOfMemoryError(BackendError):
     """The engine has no memory left for the request."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -26,6 +26,11 @@
     started_ms: int = 0
     software_version: str = ""
 
+    @property
+    def run(self) -> tuple[str, int]:
+        """The id of the server with the start of its run, in Unix milliseconds."""
+        return self.id, self.started_ms
+
 
 MAX_COPY_AGE_SECONDS = 30.0
 """Age that a copy has at most from which the store returns after an outage."""
@@ -101,10 +106,10 @@
         known = self._servers_by_id.get(server.id)
         if known == server:
             return
-        self._removed_at_by_run.pop(_run(server), None)
+        self._removed_at_by_run.pop(server.run, None)
         if server.draining:
             # An older copy of the store may list this run as serving again.
-            self._remember_leaving(_run(server))
+            self._remember_leaving(server.run)
         self._lapsed_by_id.pop(server.id, None)
         self._servers_by_id[server.id] = server
         self._count_by_version[_version(server)] += 1
@@ -129,11 +134,11 @@
             for run, removed_at in list(self._removed_at_by_run.items()):
                 if now - removed_at > MAX_COPY_AGE_SECONDS:
                     del self._removed_at_by_run[run]
-            self._removed_at_by_run[_run(server)] = now
+            self._removed_at_by_run[server.run] = now
             self._on_unusable(server)
 
     def _removed_recently(self, server: BackendServer) -> bool:
-        removed_at = self._removed_at_by_run.get(_run(server), float("-inf"))
+        removed_at = self._removed_at_by_run.get(server.run, float("-inf"))
         return self._clock.seconds() - removed_at <= MAX_COPY_AGE_SECONDS
 
     def get(self, server_id: str) -> BackendServer | None:
@@ -147,7 +152,7 @@
             return False
         self._remember_leaving(run)
         known = self._servers_by_id.get(server_id)
-        if known is not None and _run(known) == run:
+        if known is not None and known.run == run:
             self._on_unusable(known)
         return True
 
@@ -162,9 +167,9 @@
         Each is given by its id and the start of its run.
         """
         return [
-            _run(each)
+            each.run
             for each in self._servers_by_id.values()
-            if _run(each) in self._leaving_runs
+            if each.run in self._leaving_runs
         ]
 
     def pause(self, server: BackendServer, seconds: float) -> None:
@@ -173,12 +178,12 @@
         for run, until in list(self._paused_until_by_run.items()):
             if until <= now:
                 del self._paused_until_by_run[run]
-        until = max(self._paused_until_by_run.get(_run(server), now), now + seconds)
-        self._paused_until_by_run[_run(server)] = until
+        until = max(self._paused_until_by_run.get(server.run, now), now + seconds)
+        self._paused_until_by_run[server.run] = until
 
     def paused_for(self, server: BackendServer) -> float:
         """Return the seconds for which a server still wants no calls."""
-        until = self._paused_until_by_run.get(_run(server), 0.0)
+        until = self._paused_until_by_run.get(server.run, 0.0)
         return max(0.0, until - self._clock.seconds())
 
     def soonest_resumption(self, service: str) -> float | None:
@@ -195,13 +200,13 @@
         It may not once the server drains or has left, asked for a pause, or has
         registered with another address, service, stage or software version.
         """
-        if _run(server) in self._leaving_runs or self.paused_for(server) > 0:
+        if server.run in self._leaving_runs or self.paused_for(server) > 0:
             return False
         known = self._servers_by_id.get(server.id)
         if known is not None:
             return (
                 not known.draining
-                and _run(known) == _run(server)
+                and known.run == server.run
                 and known.address == server.address
                 and known.service == server.service
                 and known.stage == server.stage
@@ -237,7 +242,7 @@
                 if each.service == service
                 and not each.draining
                 and (stage is None or each.stage == stage)
-                and _run(each) not in self._leaving_runs
+                and each.run not in self._leaving_runs
             ]
             if found:
                 return found
@@ -275,9 +280,5 @@
         return len(self._servers_by_id)
 
 
-def _run(server: BackendServer) -> tuple[str, int]:
-    return server.id, server.started_ms
-
-
 def _version(server: BackendServer) -> tuple[str, str]:
     return server.service, server.software_version
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -84,6 +84,11 @@
             self._request_key = request_key(self.call, self.account_name)
         return self._request_key
 
+    @property
+    def crash_keys(self) -> tuple[int, ...]:
+        """The keys under which the ends of the servers that run the call count."""
+        return (self.request_key,)
+
     def resolve(self) -> Resolution:
         """Resolve the call against the current configuration, before each send."""
         version = self.resolved.version
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -0,0 +1,333 @@
+"""Requests that end the backend servers that run them, known to all instances."""
+
+from collections import defaultdict
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from twisted.internet.interfaces import IReactorTime
+
+from .event_log import EventLog
+from .report_scope import ReportScope
+
+CRASHES_TO_QUARANTINE = 3
+"""Servers that end under a request before it is refused. A sound call and its caller's
+retry, which were lost with the servers that ran them, are two at most."""
+
+MAX_TIED_CRASHES = 6
+"""Servers that end under two keys alike before one of them is refused."""
+
+QUARANTINE_SECONDS = 600.0
+"""Time after the last crash for which a request is refused. After it, one more crash
+renews the quarantine."""
+
+MEMORY_SECONDS = 3_600.0
+"""Time for which crashes are remembered."""
+
+SOUND_SECONDS = 30.0
+"""Time after an answer in which servers that end under its request don't count."""
+
+REPORTED_SECONDS = 2.0
+REPEAT_SECONDS = 0.5
+"""For how long and how often reports repeat a crash. Datagrams may be lost, and a
+contact that dies is replaced within 1.5 s."""
+
+MAX_RECORDS = 5_000
+"""Limit on the requests with crashes, and on those with answers, that are kept."""
+
+MAX_REPORTED_KEYS = 200
+"""Limit on the keys that reports have within ``REPEAT_SECONDS``: some 4 KB/s."""
+
+ServerRun = tuple[str, int]
+"""The id of a backend server and the start of its run."""
+
+ReportedCrashes = list[tuple[str, int, list[int]]]
+"""Servers' ids and starts, each with the keys of the calls under which it ended."""
+
+
+@dataclass(slots=True)
+class _Record:
+    """The server runs that ended under one key."""
+
+    runs: set[ServerRun] = field(default_factory=set)
+    last_crash_at: float = 0.0
+
+
+@dataclass(frozen=True, slots=True)
+class _News:
+    """A crash under a key, or without ``run`` an answer that shows the key sound."""
+
+    serial: int
+    learned_at: float
+    scope: ReportScope
+    key: int
+    run: ServerRun | None = None
+
+
+@dataclass(slots=True)
+class _Progress:
+    """What reports of one scope have had since the last time that all was due."""
+
+    all_due_at: float = float("-inf")
+    keys_left: int = 0
+    reported_serial: int = 0
+
+
+class CrashQuarantine:
+    """Finds out which requests end the servers that run them, and refuses them.
+
+    Calls are known by their keys, which are the same for each attempt of a request.
+    When a server ends, all calls that it runs are lost, most of them sound. A key is
+    quarantined once several runs of servers have ended under it, none of its calls was
+    answered, and those ends are not explained by another key that as many or more runs
+    ended under. Instances report crashes, and answers under keys with crashes.
+
+    Examples
+    --------
+    >>> from twisted.internet.task import Clock
+    >>> quarantine = CrashQuarantine(Clock(), EventLog(Clock(), 2))
+    >>> for server in ("a", "b"):
+    ...     quarantine.record_crash([17], (server, 0))
+    >>> quarantine.seconds_left([17])
+    0.0
+    >>> quarantine.apply_reported([("c", 0, [17])], [], ReportScope.FLEET)
+    >>> quarantine.seconds_left([17])
+    600.0
+    """
+
+    def __init__(self, clock: IReactorTime, log: EventLog) -> None:
+        self._clock = clock
+        self._log = log
+        self._records_by_key: dict[int, _Record] = {}
+        self._keys_by_run: dict[ServerRun, set[int]] = {}
+        self._ended_at_by_run: dict[ServerRun, float] = {}
+        self._alive_at_by_run: dict[ServerRun, float] = {}
+        self._answered_at_by_key: dict[int, float] = {}
+        self._sound_at_by_key: dict[int, float] = {}
+        self._news: list[_News] = []
+        self._last_serial = 0
+        self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+
+    def __len__(self) -> int:
+        return sum(map(self._has_enough_ends, self._records_by_key))
+
+    def record_crash(self, keys: Iterable[int], run: ServerRun) -> None:
+        """Record that a server run ended while it ran a call with these keys."""
+        for key in keys:
+            self._add_crash(key, run, ReportScope.OWN)
+
+    def record_answer(self, keys: Iterable[int]) -> bool:
+        """Record that a call with these keys was run to its end.
+
+        Returns whether that is news for the other instances.
+        """
+        now = self._clock.seconds()
+        last_serial = self._last_serial
+        for key in keys:
+            self._answered_at_by_key.pop(key, None)
+            if len(self._answered_at_by_key) >= MAX_RECORDS:
+                del self._answered_at_by_key[next(iter(self._answered_at_by_key))]
+            self._answered_at_by_key[key] = now
+            if key in self._records_by_key:
+                self._mark_sound(key, ReportScope.OWN)
+        return self._last_serial > last_serial
+
+    def record_alive(self, run: ServerRun, sent_at: float) -> None:
+        """Record that a server run has answered a request sent at ``sent_at``.
+
+        If that was after its supposed end, only its connection was lost.
+        """
+        ended_at = self._ended_at_by_run.get(run)
+        if ended_at is None or sent_at <= ended_at:
+            return
+        self._alive_at_by_run[run] = self._clock.seconds()
+        del self._ended_at_by_run[run]
+        for key in self._keys_by_run.pop(run):
+            record = self._records_by_key[key]
+            record.runs.discard(run)
+            if not record.runs:
+                del self._records_by_key[key]
+
+    def seconds_left(self, keys: Sequence[int]) -> float:
+        """Return for how long a call with these keys is refused; 0 if it is not."""
+        now = self._clock.seconds()
+        ends = [
+            self._records_by_key[key].last_crash_at + QUARANTINE_SECONDS
+            for key in keys
+            if self._has_enough_ends(key)
+            and self._unexplained(key, keys) >= CRASHES_TO_QUARANTINE
+        ]
+        return max(0.0, max(ends, default=now) - now)
+
+    def apply_reported(
+        self, crashes: ReportedCrashes, sound: Iterable[int], scope: ReportScope
+    ) -> None:
+        """Learn crashes, and keys without fault, that another instance reported."""
+        for key in sound:
+            if not self._is_sound(key):
+                self._mark_sound(key, scope)
+        now = self._clock.seconds()
+        for server, started_ms, keys in crashes:
+            run = (server, started_ms)
+            alive_at = self._alive_at_by_run.get(run, float("-inf"))
+            if now - alive_at <= REPORTED_SECONDS + REPEAT_SECONDS:
+                continue
+            for key in keys:
+                if self._was_answered(key):
+                    self._mark_sound(key, ReportScope.OWN)
+                else:
+                    self._add_crash(key, run, scope)
+
+    def take_due(self, widest: ReportScope) -> tuple[ReportedCrashes, list[int]]:
+        """Return the crashes and the sound keys for the next report of a scope.
+
+        These are the ones that were not reported yet, and now and then all recent ones.
+        If they are too many, the keys with the most crashes go first.
+        """
+        now = self._clock.seconds()
+        oldest = now - REPORTED_SECONDS
+        self._news = [each for each in self._news if each.learned_at >= oldest]
+        progress = self._progress_by_scope[widest]
+        after = progress.reported_serial
+        if now - progress.all_due_at >= REPEAT_SECONDS:
+            progress.all_due_at = now
+            progress.keys_left = MAX_REPORTED_KEYS
+            after = 0
+        progress.reported_serial = self._last_serial
+        due = [
+            each
+            for each in reversed(self._news)
+            if each.serial > after and each.scope <= widest
+        ]
+        if len(due) > progress.keys_left:
+            due.sort(key=lambda each: -self._count_ends(each.key))
+            del due[progress.keys_left :]
+        progress.keys_left -= len(due)
+        sound = [each.key for each in due if each.run is None]
+        return _by_run((each.run, each.key) for each in due if each.run), sound
+
+    def everything(self) -> ReportedCrashes:
+        """Return the crashes for an instance that may have missed some.
+
+        Those of the keys with the most crashes go first.
+        """
+        self._drop_old()
+        records = sorted(
+            self._records_by_key.items(), key=lambda each: -len(each[1].runs)
+        )
+        pairs = [(run, key) for key, record in records for run in record.runs]
+        return _by_run(pairs[:MAX_REPORTED_KEYS])
+
+    def _count_ends(self, key: int) -> int:
+        """Return how many server runs ended under a key."""
+        record = self._records_by_key.get(key)
+        return len(record.runs) if record is not None else 0
+
+    def _has_enough_ends(self, key: int) -> bool:
+        return self._count_ends(key) >= CRASHES_TO_QUARANTINE
+
+    def _unexplained(self, key: int, keys: Sequence[int]) -> int:
+        """Return how many ends under ``key`` no key outside ``keys`` explains.
+
+        A key explains ends that came under it too, if it has as many or more.
+        """
+        return sum(
+            not any(
+                other not in keys and self._explains(other, key)
+                for other in self._keys_by_run[run]
+            )
+            for run in self._records_by_key[key].runs
+        )
+
+    def _explains(self, other: int, key: int) -> bool:
+        """Return whether ends under both keys are blamed on ``other``.
+
+        While two keys have equally few ends, calls with either are sent, as the next
+        answer or end tells them apart. Not so if that has not happened for long.
+        """
+        ends, others_ends = self._count_ends(key), self._count_ends(other)
+        if ends == others_ends >= MAX_TIED_CRASHES:
+            return other > key
+        return others_ends >= ends
+
+    def _was_answered(self, key: int) -> bool:
+        """Return whether this instance had an answer under a key a short time ago."""
+        answered_at = self._answered_at_by_key.get(key, float("-inf"))
+        return self._clock.seconds() - answered_at <= SOUND_SECONDS
+
+    def _is_sound(self, key: int) -> bool:
+        sound_at = self._sound_at_by_key.get(key, float("-inf"))
+        return self._clock.seconds() - sound_at <= SOUND_SECONDS
+
+    def _add_crash(self, key: int, run: ServerRun, scope: ReportScope) -> None:
+        if self._is_sound(key) or self._was_answered(key):
+            return
+        self._drop_old()
+        record = self._records_by_key.get(key) or _Record()
+        if run in record.runs:
+            return
+        # The dictionary is in the order of the last crashes.
+        self._records_by_key.pop(key, None)
+        self._records_by_key[key] = record
+        record.last_crash_at = self._clock.seconds()
+        record.runs.add(run)
+        self._keys_by_run.setdefault(run, set()).add(key)
+        self._ended_at_by_run.setdefault(run, record.last_crash_at)
+        self._add_news(scope, key, run)
+        if len(record.runs) == CRASHES_TO_QUARANTINE:
+            servers = sorted(server for server, _ in record.runs)
+            self._log.event("crashes_suspected", key=f"{key:016x}", servers=servers)
+
+    def _mark_sound(self, key: int, scope: ReportScope) -> None:
+        """Forget the crashes under a key, and tell the others."""
+        if self._has_enough_ends(key):
+            self._log.event("crashes_disproved", key=f"{key:016x}")
+        self._forget(key)
+        if not self._is_sound(key):
+            self._add_news(scope, key)
+        self._sound_at_by_key.pop(key, None)
+        if len(self._sound_at_by_key) >= MAX_RECORDS:
+            del self._sound_at_by_key[next(iter(self._sound_at_by_key))]
+        self._sound_at_by_key[key] = self._clock.seconds()
+
+    def _add_news(
+        self, scope: ReportScope, key: int, run: ServerRun | None = None
+    ) -> None:
+        self._last_serial += 1
+        self._news.append(
+            _News(self._last_serial, self._clock.seconds(), scope, key, run)
+        )
+
+    def _forget(self, key: int) -> None:
+        record = self._records_by_key.pop(key, None)
+        if record is None:
+            return
+        for run in record.runs:
+            self._keys_by_run[run].discard(key)
+            if not self._keys_by_run[run]:
+                del self._keys_by_run[run]
+                del self._ended_at_by_run[run]
+
+    def _drop_old(self) -> None:
+        """Drop old records, and others than quarantined ones beyond the limit."""
+        now = self._clock.seconds()
+        for run, alive_at in list(self._alive_at_by_run.items()):
+            if now - alive_at > SOUND_SECONDS:
+                del self._alive_at_by_run[run]
+        while self._records_by_key:
+            key, record = next(iter(self._records_by_key.items()))
+            if now - record.last_crash_at <= MEMORY_SECONDS:
+                break
+            self._forget(key)
+        if len(self._records_by_key) >= MAX_RECORDS:
+            oldest = next(iter(self._records_by_key))
+            lightest = (
+                key for key in self._records_by_key if not self._has_enough_ends(key)
+            )
+            self._forget(next(lightest, oldest))
+
+
+def _by_run(pairs: Iterable[tuple[ServerRun, int]]) -> ReportedCrashes:
+    keys_by_run: dict[ServerRun, list[int]] = {}
+    for run, key in pairs:
+        keys_by_run.setdefault(run, []).append(key)
+    return [(server, started, keys) for (server, started), keys in keys_by_run.items()]
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -17,6 +17,7 @@
 from ..transport.text_pages import TextPages
 from .backends import Backends, BackendServer
 from .calls import CallCodec
+from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
 from .event_log import EventLog
 from .forwarder import Forwarder
@@ -133,6 +134,7 @@
             reactor,
             lambda service: self._backends.software_versions(service, ORIGIN_SECONDS),
         )
+        self._quarantine = CrashQuarantine(reactor, log)
         self.store_view = StoreView(
             layout=layout,
             backends=self._backends,
@@ -163,6 +165,7 @@
             budget=self._budget,
             follower=self._follower,
             origins=self._origins,
+            quarantine=self._quarantine,
             log=log,
         )
         metrics = ForwardingMetrics()
@@ -174,6 +177,7 @@
             loads=self._loads,
             health=self._health,
             budget=self._budget,
+            quarantine=self._quarantine,
             log=log,
             on_load_changed=self._relay.schedule_report,
         )
@@ -211,6 +215,7 @@
         metrics.gauge("store_calls", lambda: self._follower.calls)
         metrics.gauge("reports_sent", lambda: self._exchange.sent)
         metrics.gauge("reports_received", lambda: self._exchange.received)
+        metrics.gauge("quarantined_keys", lambda: len(self._quarantine))
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -9,6 +9,7 @@
 import msgspec
 from twisted.internet.protocol import DatagramProtocol
 
+from .crash_quarantine import ReportedCrashes
 from .event_log import EventLog
 from .loads import ServerCalls
 from .remote_queues import QueueRank, QueueSummary
@@ -53,7 +54,8 @@
     backend server, ``resends`` the new retries and calls by service. ``stamp`` is the
     time of the sender's clock; a digest echoes the run and the stamp of the receiver's
     last report, and has the contact's ``store`` proof. ``origins`` has the ids of the
-    calls that began streams, by service and software version.
+    calls that began streams, by service and software version. ``crashes`` has the keys
+    of the calls under which servers ended, ``sound`` the keys that were disproved.
     """
 
     instance: str
@@ -73,6 +75,8 @@
     echo: tuple[int, float] | None = None
     store: StoreProof | None = None
     origins: ReportedOrigins = field(default_factory=dict)
+    crashes: ReportedCrashes = field(default_factory=list)
+    sound: list[int] = field(default_factory=list)
 
     def calls_by_server(self) -> dict[str, ServerCalls]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -90,6 +90,7 @@
         failed_servers: set[str] = set()
         while True:
             resolved = state.resolve()
+            self._context.ensure_not_quarantined(state)
             service = state.service()
             if state.send_count and not self._context.budget.remaining(service):
                 raise state.give_up_refusal("resend_budget")
@@ -103,6 +104,7 @@
                 await self._send(state, responder, stream, server, caches)
                 if responder.status < SERVER_ERROR:
                     health.record_success(server.id)
+                    self._context.record_answer(state)
                     queue.record_duration(clock.seconds() - started)
                 return
             except _FaultyEngineError as error:
@@ -129,6 +131,7 @@
             except BackendError as error:
                 state.record_step(server.id, "lost", str(error))
                 health.record_unreachable(server.id)
+                self._context.record_loss(state, server, error)
                 failed_servers.add(server.id)
                 excluded.add(server.id)
                 if (
@@ -271,6 +274,7 @@
             request = context.codec.forward_request(state.call, parameters)
             exchange = Exchange(request, state.call.body)
             state.record_send(server.id, server.software_version)
+            sent_at = context.clock.seconds()
             exchange.start(connection, context.pool.release)
             try:
                 head = await self._with_silence_timeout(
@@ -288,6 +292,7 @@
                 raise _RejectedError(f"status {metadata.status}")
             caches.clear()
             validate_answer(metadata, server.id)
+            context.quarantine.record_alive(server.run, sent_at)
             local_prefill.end()
             await self._forward(state, responder, stream, server, head, exchange)
         finally:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -74,6 +74,7 @@
         runs = 0
         while True:
             resolved = state.resolve()
+            self._context.ensure_not_quarantined(state)
             service = state.service()
             server = self._choose(service, tried | rejected)
             if server is None and tried:
@@ -100,6 +101,7 @@
             except BackendError as error:
                 state.record_step(server.id, "lost", str(error))
                 self._health.record_failure(server.id)
+                self._context.record_loss(state, server, error)
                 if not resolved.route.idempotent:
                     raise state.give_up_refusal("answer_lost") from error
                 tried.add(server.id)
@@ -112,6 +114,7 @@
                     continue
                 if answer.metadata.status < 500:
                     self._health.record_success(server.id)
+                    self._context.record_answer(state)
                     return answer
                 self._health.record_failure(server.id)
                 if not self._should_retry_error(resolved.route, service, server):
@@ -189,6 +192,7 @@
             head = self._codec.forward_request(call, parameters)
             exchange = Exchange(head, call.body)
             state.record_send(server.id)
+            sent_at = self._clock.seconds()
             exchange.start(connection, self._context.pool.release)
             answer = Deferred.fromCoroutine(
                 self._receive_answer(call, exchange, server)
@@ -208,7 +212,9 @@
                 self._loads.record_reported_load(server.id, whole.metadata.load)
             if whole.metadata.not_run:
                 state.record_not_run(server.id)
-            elif whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
+            else:
+                self._context.quarantine.record_alive(server.run, sent_at)
+            if whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
                 stream = EventStream(resumable=False)
                 stream.feed(whole.body)
                 ensure_whole_stream(stream, whole.head, server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -119,6 +119,7 @@
             )
             answer.addTimeout(timeout, context.clock, on_silence(server, "prefill"))
             handle = await answer
+            context.quarantine.record_alive(server.run, started)
             context.health.record_success(server.id)
             if not queued:
                 self._record_rate(tokens, context.clock.seconds() - started)
@@ -130,6 +131,7 @@
             raise PrefillFailedError(str(error)) from error
         except BackendError as error:
             state.record_step(server.id, "prefill_lost", str(error))
+            context.record_loss(state, server, error)
             # An idle connection may have been closed by the server unnoticed.
             if connection is None or not connection.reused:
                 context.health.record_unreachable(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
 from .instance_groups import InstanceGroups, Peer
 from .instance_reports import Report, ReportKind, waiting_from
@@ -110,6 +111,7 @@
         budget: ResendBudget,
         follower: StoreFollower,
         origins: StreamOrigins,
+        quarantine: CrashQuarantine,
         log: EventLog,
     ) -> None:
         self._clock = clock
@@ -126,6 +128,7 @@
         budget.covers_all = lambda: usage.covered() >= usage.instances
         self._follower = follower
         self._origins = origins
+        self._quarantine = quarantine
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
@@ -308,6 +311,7 @@
         of_group = report.kind is ReportKind.MEMBER
         scope = ReportScope.GROUP if of_group else ReportScope.FLEET
         self._origins.apply_reported(report.origins, scope)
+        self._quarantine.apply_reported(report.crashes, report.sound, scope)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance,
@@ -373,6 +377,8 @@
         own_news = _News(self._health.take_unreported(), self._budget.take_unreported())
         self._pass_on(own_news, *ReportKind)
         news = self._news_by_kind.pop(kind, _News())
+        seconds, scope = ORIGINS_BY_KIND[kind]
+        crashes, sound = self._quarantine.take_due(scope)
         own = replace(
             self._own_report(),
             sequence=self._sequence,
@@ -380,7 +386,9 @@
             stamp=self._clock.seconds(),
             failures=news.failures,
             resends=news.resends,
-            origins=self._origins.recent(*ORIGINS_BY_KIND[kind]),
+            origins=self._origins.recent(seconds, scope),
+            crashes=crashes,
+            sound=sound,
         )
         if kind is ReportKind.MEMBER:
             self._send_to(own, self._contact)
@@ -396,7 +404,11 @@
         returned_at = self._returned_at.get(instance, float("-inf"))
         returned = self._clock.seconds() - returned_at <= RETURN_SECONDS
         if returned and report.kind is not ReportKind.MEMBER:
-            report = replace(report, origins=self._origins.everything())
+            report = replace(
+                report,
+                origins=self._origins.everything(),
+                crashes=self._quarantine.everything(),
+            )
         self._send_report(report, peer.address)
 
     def _send_group_report(self, own: Report) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -5,11 +5,17 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from ..errors import BackendLostError, BackendNotServingError
+from ..errors import (
+    BackendError,
+    BackendLostError,
+    BackendNotServingError,
+    BackendSilentError,
+)
 from ..transport.http_exchange import ConnectionPool, ResponseHead, ServerConnection
 from .backends import Backends, BackendServer
 from .call_state import CallState
 from .calls import CallCodec, Refused
+from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
 from .loads import Loads
 from .resend_budget import ResendBudget
@@ -35,6 +41,7 @@
     loads: Loads
     health: ServerHealth
     budget: ResendBudget
+    quarantine: CrashQuarantine
     log: EventLog
     on_load_changed: Callable[[], None]
 
@@ -59,14 +66,38 @@
         return connection
 
     def revalidate(self, state: CallState, server: BackendServer) -> None:
-        """Check route, account and server again immediately before the call is sent.
+        """Check call and server again immediately before the call is sent.
 
         Raises ``Refused`` or ``BackendNotServingError`` if the call may not be sent
         any more.
         """
         state.resolve()
+        self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
 
+    def ensure_not_quarantined(self, state: CallState) -> None:
+        """Raise ``Refused`` if servers ended under requests like this call's."""
+        seconds = self.quarantine.seconds_left(state.crash_keys)
+        if seconds > 0:
+            raise Refused(503, "ends_servers", retry_after=seconds)
+
+    def record_loss(
+        self, state: CallState, server: BackendServer, error: BackendError
+    ) -> None:
+        """Record which requests a server ran when its connection ended.
+
+        A server that is silent, or whose answer can't be read, goes on.
+        """
+        lost = isinstance(error, BackendLostError)
+        if lost and not isinstance(error, BackendSilentError):
+            self.quarantine.record_crash(state.crash_keys, server.run)
+            self.on_load_changed()
+
+    def record_answer(self, state: CallState) -> None:
+        """Record that a server has run the call to its end and goes on."""
+        if self.quarantine.record_answer(state.crash_keys):
+            self.on_load_changed()
+
     def record_notice(self, server: BackendServer, head: ResponseHead) -> None:
         """Record what the head of an answer says about its server.
 
@@ -82,10 +113,10 @@
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
-    """Return an ``addTimeout`` callback that raises ``BackendLostError``."""
+    """Return an ``addTimeout`` callback that raises ``BackendSilentError``."""
 
     def raise_lost(_: object, seconds: float) -> None:
         text = f"backend server {server.id!r} was silent for {seconds:g} s"
-        raise BackendLostError(text, step=step, peer=server.id)
+        raise BackendSilentError(text, step=step, peer=server.id)
 
     return raise_lost
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -10,6 +10,7 @@
 
 from pomeloglade.errors import BackendLostError, BackendUnreachableError
 from pomeloglade.forwarding.backends import Backends, BackendServer
+from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.deployment import (
     Account,
     CallKind,
@@ -326,6 +327,7 @@
             RemoteQueues(self.clock),
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
+        self.quarantine = CrashQuarantine(self.clock, self.log)
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
@@ -334,6 +336,7 @@
             loads=self.loads,
             health=self.health,
             budget=self.budget,
+            quarantine=self.quarantine,
             log=self.log,
             on_load_changed=lambda: None,
         )
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -10,6 +10,7 @@
 from tests.forwarding_fakes import ListLog
 from twisted.internet.task import Clock
 
+from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.instance_groups import (
     MAX_DIRECT_INSTANCES,
     Peer,
@@ -77,6 +78,7 @@
         self.health = ServerHealth(fleet.clock)
         self.budget = ResendBudget(fleet.clock, LIMIT)
         self.origins = StreamOrigins(fleet.clock, lambda _: fleet.versions)
+        self.quarantine = CrashQuarantine(fleet.clock, self.log)
         self.store = FaultyStore(fleet.clock, fleet.clock, fleet.store)
         self.view = View()
         self.follower = StoreFollower(
@@ -100,6 +102,7 @@
             budget=self.budget,
             follower=self.follower,
             origins=self.origins,
+            quarantine=self.quarantine,
             log=self.log,
         )
 
@@ -130,6 +133,15 @@
         self.loads.end(server, tokens)
         self.relay.schedule_report()
 
+    def lose(self, keys, server):
+        """Lose a call with these keys, as its server ends."""
+        self.quarantine.record_crash(keys, (server, 0))
+        self.relay.schedule_report()
+
+    def answer(self, keys):
+        if self.quarantine.record_answer(keys):
+            self.relay.schedule_report()
+
     def admit(self, account, units):
         wait = self.usage.admit(account, units)
         self.relay.schedule_report()
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -8,6 +8,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.backends import Backends
+from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.loads import Loads
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.send_context import SendContext
@@ -57,6 +58,7 @@
             loads=self.loads,
             health=ServerHealth(self.clock),
             budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
+            quarantine=CrashQuarantine(self.clock, self.log),
             log=self.log,
             on_load_changed=lambda: None,
         )
