--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -28,6 +28,9 @@
 STOPPING_RETRY_AFTER_SECONDS = 0.05
 """Retry delay given by an instance that stops: the retry reaches another instance."""
 
+MAX_LOGGED_PARTS = 8
+"""Parts of a prompt in a call's log line; the ones that calls share come first."""
+
 MAX_TRACKED_ROUTES = 2_000
 """Limit on the routes whose longest time limit is kept; at it, all are cleared."""
 
@@ -308,6 +311,11 @@
             ),
             longest_pause_ms=round(state.longest_pause * 1000) if state else None,
             prompt_tokens=call.prompt.prompt_tokens if call and call.prompt else None,
+            prompt_parts=(
+                [part for part, _ in call.prompt.parts[:MAX_LOGGED_PARTS]]
+                if call and call.prompt
+                else None
+            ),
             output_tokens=(
                 call.prompt.max_output_tokens if call and call.prompt else None
             ),
