--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -393,12 +393,20 @@
         task = self.forwarder.handle(head, b"body", responder)
         return responder, task
 
-    def model_call(self, target="/digests/1", *, prompt=5000, output=5000, **options):
+    def model_call(
+        self,
+        target="/digests/1",
+        *,
+        prompt=5000,
+        output=5000,
+        parts=b"aa:200,bb:4800",
+        **options,
+    ):
         """Start a model call and return its responder and its task."""
         headers = (
             (b"X-Pomeloglade-Model", b"m"),
             (b"X-Pomeloglade-Token-Counts", b"%d,%d" % (prompt, output)),
-            (b"X-Pomeloglade-Prompt-Prefix", b"aa:200,bb:4800"),
+            (b"X-Pomeloglade-Prompt-Prefix", parts),
         )
         return self.call(target, headers=headers, **options)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -15,6 +15,9 @@
     return Harness(*plain, *engines)
 
 
+PLAIN_TARGETS = ("/lookups", "/bookings")
+
+
 def crash(harness, request):
     """End the server that a request was sent to; it comes back as another run."""
     ended = request.header("X-Pomeloglade-Expect-Instance").decode()
@@ -22,11 +25,11 @@
     harness.backends.remove(ended, lenient=False)
 
 
-def send(harness, target):
+def send(harness, target, **options):
     """Send a request and crash every server that it is sent to."""
-    start = harness.model_call if target.startswith("/digests") else harness.call
+    start = harness.call if target.startswith(PLAIN_TARGETS) else harness.model_call
     sent = len(harness.network.requests)
-    responder, _ = start(target)
+    responder, _ = start(target, **options)
     while len(harness.network.requests) > sent:
         sent = len(harness.network.requests)
         crash(harness, harness.network.requests[-1])
@@ -65,3 +68,49 @@
     sent = len(harness.network.requests)
     send(harness, target + "0")
     assert len(harness.network.requests) > sent
+
+
+def send_with_parts(harness, *parts, target="/digests"):
+    """Send a request that no other is like, but for these parts of its prompt."""
+    number = len(harness.network.requests)
+    listed = ",".join(f"{part}:100" for part in (*parts, f"own{number}"))
+    return send(harness, f"{target}/{number}", parts=listed.encode())
+
+
+# Guards against requests with one part ending engine after engine: BUDGET (second1,
+# issue 25).
+@pytest.mark.parametrize("target", ["/digests", "/reports"])
+def test_part_under_which_three_engines_ended_is_sent_to_no_more(harness, target):
+    for _ in range(CRASHES):
+        send_with_parts(harness, "shared", "c0", target=target)
+    assert len(harness.network.requests) == CRASHES
+    refused = send_with_parts(harness, "another", "c0", target=target)
+    assert (refused.status, refused.reason) == (503, "ends_servers")
+    assert float(refused.headers[b"retry-after"]) > 60.0
+    assert len(harness.network.requests) == CRASHES
+
+
+# Guards against refusing what shares a caller or parts with it: LOST (second1,
+# issue 25).
+def test_requests_that_share_other_parts_with_a_crashing_one_are_sent(harness):
+    for _ in range(CRASHES):
+        send_with_parts(harness, "shared", "session", "c0")
+    responder, _ = harness.model_call(
+        "/digests/sound", parts=b"shared:100,session:100,own:100"
+    )
+    run = harness.network.requests[-1]
+    assert len(harness.network.requests) == CRASHES + 1
+    run.begin_answer()
+    run.event(1)
+    run.end()
+    assert responder.body == b"id: 1\ndata: x\n\n"
+    assert send_with_parts(harness, "shared", "session", "c0").status == 503
+
+
+def test_last_part_of_a_prompt_is_not_blamed(harness):
+    """It belongs to the request itself or to its session."""
+    for number in range(CRASHES):
+        send(harness, f"/digests/{number}", parts=b"first%d:100,last:100" % number)
+    sent = len(harness.network.requests)
+    send(harness, "/digests/9", parts=b"first9:100,last:100")
+    assert len(harness.network.requests) == sent + 1
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -44,6 +44,13 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against requests with one part ending engine after engine: BUDGET (second1,
+# issue 25).
+def test_processes_keep_a_part_that_crashes_engines_from_them(tmp_path):
+    fault = ("--fault", "crashing part", "--seconds", "3")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
