Refuse requests with a prompt part that ends the engines which run it

Nothing remembered what the prompts that an engine ran when it ended have in common; the keys of requests can't, as every request is another one. It is the same class of fault as the crashing request's, at the next level.

Each part of a prompt but the last, which is the request's own, is now a key of the call, counted, reported and refused like the request's. An answer shows a part sound only if it is a success. Parts that always came together, such as a crashing one and one that all prompts begin with, are told apart without refusing the sound one: a call with both is refused, a call with one of them is sent, and its answer or its crash decides.

One of them asked for the crashing part to be told from another that came with it in all three crashes, which nothing could know; it is replaced by two: parts that came alone are refused after the third crash, those that came together after one more.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -5,7 +5,7 @@
 
 from .calls import ForwardedCall, Refused
 from .deployment import Account, Route
-from .request_keys import request_key
+from .request_keys import part_keys, request_key
 
 GIVE_UP_RETRY_AFTER_SECONDS = 0.1
 """Retry delay given with a refusal: by then another instance may have a free server
@@ -52,6 +52,7 @@
         self._unresolved_sends_by_server: dict[str, int] = {}
         self._service: str | None = None
         self._request_key: int | None = None
+        self._crash_keys: tuple[int, ...] | None = None
         self.resolved = resolve(call, False)
         self.longest_time_limit = 0.0
         self.account_usage = 0.0
@@ -87,7 +88,11 @@
     @property
     def crash_keys(self) -> tuple[int, ...]:
         """The keys under which the ends of the servers that run the call count."""
-        return (self.request_key,)
+        if self._crash_keys is None:
+            prompt = self.call.prompt
+            shared = part_keys(prompt) if prompt is not None else ()
+            self._crash_keys = (self.request_key, *shared)
+        return self._crash_keys
 
     def resolve(self) -> Resolution:
         """Resolve the call against the current configuration, before each send."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -1,4 +1,4 @@
-"""Requests that end the backend servers that run them, known to all instances."""
+"""Requests and prompts that end the servers that run them, known to all instances."""
 
 from collections import defaultdict
 from collections.abc import Iterable, Sequence
@@ -10,21 +10,21 @@
 from .report_scope import ReportScope
 
 CRASHES_TO_QUARANTINE = 3
-"""Servers that end under a request before it is refused. A sound call and its caller's
-retry, which were lost with the servers that ran them, are two at most."""
+"""Servers that end under a key before its calls are refused. A sound call and its
+caller's retry, which were lost with the servers that ran them, are two at most."""
 
 MAX_TIED_CRASHES = 6
 """Servers that end under two keys alike before one of them is refused."""
 
 QUARANTINE_SECONDS = 600.0
-"""Time after the last crash for which a request is refused. After it, one more crash
+"""Time after the last crash for which calls are refused. After it, one more crash
 renews the quarantine."""
 
 MEMORY_SECONDS = 3_600.0
 """Time for which crashes are remembered."""
 
 SOUND_SECONDS = 30.0
-"""Time after an answer in which servers that end under its request don't count."""
+"""Time after an answer in which servers that end under its keys don't count."""
 
 REPORTED_SECONDS = 2.0
 REPEAT_SECONDS = 0.5
@@ -32,7 +32,7 @@
 contact that dies is replaced within 1.5 s."""
 
 MAX_RECORDS = 5_000
-"""Limit on the requests with crashes, and on those with answers, that are kept."""
+"""Limit on the keys with crashes, and on those with answers, that are kept."""
 
 MAX_REPORTED_KEYS = 200
 """Limit on the keys that reports have within ``REPEAT_SECONDS``: some 4 KB/s."""
@@ -73,13 +73,14 @@
 
 
 class CrashQuarantine:
-    """Finds out which requests end the servers that run them, and refuses them.
+    """Finds out which calls end the servers that run them, by what they have in common.
 
-    Calls are known by their keys, which are the same for each attempt of a request.
-    When a server ends, all calls that it runs are lost, most of them sound. A key is
-    quarantined once several runs of servers have ended under it, none of its calls was
-    answered, and those ends are not explained by another key that as many or more runs
-    ended under. Instances report crashes, and answers under keys with crashes.
+    Calls have keys: one is the same for each attempt of a request, others for all
+    prompts with the same part. When a server ends, all calls that it runs are lost,
+    most of them sound. A key is quarantined once several runs of servers have ended
+    under it, none of its calls was answered, and those ends are not explained by
+    another key that as many or more runs ended under. Instances report crashes, and
+    answers under keys with crashes.
 
     Examples
     --------
@@ -120,13 +121,9 @@
 
         Returns whether that is news for the other instances.
         """
-        now = self._clock.seconds()
         last_serial = self._last_serial
         for key in keys:
-            self._answered_at_by_key.pop(key, None)
-            if len(self._answered_at_by_key) >= MAX_RECORDS:
-                del self._answered_at_by_key[next(iter(self._answered_at_by_key))]
-            self._answered_at_by_key[key] = now
+            self._put_time(self._answered_at_by_key, key)
             if key in self._records_by_key:
                 self._mark_sound(key, ReportScope.OWN)
         return self._last_serial > last_serial
@@ -284,10 +281,18 @@
         self._forget(key)
         if not self._is_sound(key):
             self._add_news(scope, key)
-        self._sound_at_by_key.pop(key, None)
-        if len(self._sound_at_by_key) >= MAX_RECORDS:
-            del self._sound_at_by_key[next(iter(self._sound_at_by_key))]
-        self._sound_at_by_key[key] = self._clock.seconds()
+        self._put_time(self._sound_at_by_key, key)
+
+    def _put_time(self, times_by_key: dict[int, float], key: int) -> None:
+        """Set a key's time to now, and drop the times that no longer matter."""
+        now = self._clock.seconds()
+        times_by_key.pop(key, None)
+        while times_by_key:
+            oldest, at = next(iter(times_by_key.items()))
+            if now - at <= SOUND_SECONDS and len(times_by_key) < MAX_RECORDS:
+                break
+            del times_by_key[oldest]
+        times_by_key[key] = now
 
     def _add_news(
         self, scope: ReportScope, key: int, run: ServerRun | None = None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -104,7 +104,7 @@
                 await self._send(state, responder, stream, server, caches)
                 if responder.status < SERVER_ERROR:
                     health.record_success(server.id)
-                    self._context.record_answer(state)
+                    self._context.record_answer(state, responder.status)
                     queue.record_duration(clock.seconds() - started)
                 return
             except _FaultyEngineError as error:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -114,7 +114,7 @@
                     continue
                 if answer.metadata.status < 500:
                     self._health.record_success(server.id)
-                    self._context.record_answer(state)
+                    self._context.record_answer(state, answer.metadata.status)
                     return answer
                 self._health.record_failure(server.id)
                 if not self._should_retry_error(resolved.route, service, server):
--- a/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
@@ -2,10 +2,14 @@
 
 import hashlib
 
-from .calls import ForwardedCall
+from .calls import ForwardedCall, Prompt
 
 KEY_BYTES = 8
 
+MAX_PARTS = 64
+"""Parts of a prompt that get a key. Prompts have a handful; a longer list would take
+more time than the rest of a call's handling."""
+
 
 def request_key(call: ForwardedCall, account: str | None) -> int:
     """Return the key of a call's request.
@@ -30,6 +34,20 @@
     )
 
 
+def part_keys(prompt: Prompt) -> tuple[int, ...]:
+    """Return the keys of the parts that a prompt may share with others.
+
+    The last part belongs to the request itself or to its session.
+
+    >>> first = Prompt("m", 300, 10, parts=(("aa", 100), ("bb", 200)))
+    >>> other = Prompt("m", 200, 10, parts=(("aa", 100), ("cc", 100)))
+    >>> part_keys(first) == part_keys(other)
+    True
+    """
+    shared = prompt.parts[:-1][:MAX_PARTS]
+    return tuple(_key(b"part", part.encode()) for part, _ in shared)
+
+
 def _key(*fields: bytes) -> int:
     digest = hashlib.blake2b(digest_size=KEY_BYTES)
     for field in fields:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -93,9 +93,14 @@
             self.quarantine.record_crash(state.crash_keys, server.run)
             self.on_load_changed()
 
-    def record_answer(self, state: CallState) -> None:
-        """Record that a server has run the call to its end and goes on."""
-        if self.quarantine.record_answer(state.crash_keys):
+    def record_answer(self, state: CallState, status: int) -> None:
+        """Record that a server has answered the call, not by an error of its own.
+
+        An answer other than a success does not show that the prompt was used.
+        """
+        success = 200 <= status < 300
+        keys = state.crash_keys if success else (state.request_key,)
+        if self.quarantine.record_answer(keys):
             self.on_load_changed()
 
     def record_notice(self, server: BackendServer, head: ResponseHead) -> None:
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,6 +3,9 @@
 import pytest
 from tests.forwarding_fakes import Harness, server
 
+from pomeloglade.forwarding.calls import Prompt
+from pomeloglade.forwarding.request_keys import part_keys
+
 CRASHES = 3
 """Servers that end under a request before it is refused."""
 
@@ -81,8 +84,8 @@
 # issue 25).
 @pytest.mark.parametrize("target", ["/digests", "/reports"])
 def test_part_under_which_three_engines_ended_is_sent_to_no_more(harness, target):
-    for _ in range(CRASHES):
-        send_with_parts(harness, "shared", "c0", target=target)
+    for number in range(CRASHES):
+        send_with_parts(harness, f"first{number}", "c0", target=target)
     assert len(harness.network.requests) == CRASHES
     refused = send_with_parts(harness, "another", "c0", target=target)
     assert (refused.status, refused.reason) == (503, "ends_servers")
@@ -90,6 +93,20 @@
     assert len(harness.network.requests) == CRASHES
 
 
+# Guards against requests with one part ending engine after engine: BUDGET (second1,
+# issue 25).
+def test_part_that_always_came_with_another_is_found_by_one_more_engine(harness):
+    for _ in range(CRASHES):
+        send_with_parts(harness, "shared", "c0")
+    assert send_with_parts(harness, "shared", "c0").status == 503
+    assert send_with_parts(harness, "another", "c0").status == 502
+    assert send_with_parts(harness, "one-more", "c0").status == 503
+    assert len(harness.network.requests) == CRASHES + 1
+    sent = len(harness.network.requests)
+    send_with_parts(harness, "shared")
+    assert len(harness.network.requests) == sent + 1
+
+
 # Guards against refusing what shares a caller or parts with it: LOST (second1,
 # issue 25).
 def test_requests_that_share_other_parts_with_a_crashing_one_are_sent(harness):
@@ -114,3 +131,27 @@
     sent = len(harness.network.requests)
     send(harness, "/digests/9", parts=b"first9:100,last:100")
     assert len(harness.network.requests) == sent + 1
+
+
+def test_prompt_part_is_not_shown_sound_by_an_answer_that_did_not_use_it(harness):
+    for number in range(CRASHES):
+        send_with_parts(harness, f"first{number}", "c0")
+    assert harness.quarantine.seconds_left(part_keys_of("c0")) > 0
+    harness.model_call("/digests/x", parts=b"c1:100,own:100")
+    harness.network.requests[-1].answer(400, b"bad")
+    for number in range(CRASHES):
+        send_with_parts(harness, f"first{number}", "c1")
+    assert harness.quarantine.seconds_left(part_keys_of("c1")) > 0
+
+
+def test_prompt_that_ends_prefill_engines_is_sent_to_no_more():
+    prefill = [server("e" * number, "llm", "prefill") for number in range(1, 8)]
+    harness = Harness(*prefill, server("dec", "llm", "decode"))
+    for _ in range(CRASHES + 1):
+        responder = send(harness, "/digests/1")
+    assert responder.status == 503
+    assert len(harness.network.requests) == CRASHES
+
+
+def part_keys_of(part):
+    return part_keys(Prompt("m", 100, 100, parts=((part, 100), ("own", 100))))
