Cut off the answers of servers that send without end

What callers would see: with all servers of a service sending bodies without end, calls were held to their time limit, and the instances' memory grew until the platform ends them. With six processes, all servers sending for 0.6 to 3.4 s, the soak's new fault showed instances of 328, 336, 412 and 464 MB on the code before (128 MB allowed).

Cause: a body that is received as a whole had no bound, and neither had a stream's event. The limits on time bound no memory, and one limit on each body would not bound that of many calls at once. Heads were cut off at 64 KB, but interim responses (1xx) without end were read on and on.

Bodies may have 8 MB, and all unfinished ones together, with the unfinished events of streams, 16 MB: beyond it the largest is cut off, so that sound answers beside endless ones are passed on. An event may have 256 KB, the answers to the router's own requests 64 KB, a head with the interim responses before it 64 KB. A server that sends too much has not ended, so nothing of this counts as a crash.

Not changed: the product's own completions interface, which the platform does not use, reads its engines' answers without such bounds.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -2,12 +2,17 @@
 
 import re
 
+from ..errors import InvalidBackendResponseError
 from .stream_origins import StreamOrigin
 
 END_OF_EVENT = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 """An empty line ends an event; each of the three line ends is allowed."""
 
 
+MAX_EVENT_BYTES = 256 * 1024
+"""Limit on one event. An event usually has a few tokens."""
+
+
 class EventStream:
     """Withholds partial events of resumable streams.
 
@@ -44,12 +49,18 @@
         self.forwarded_at = 0.0
 
     def feed(self, data: bytes) -> bytes:
-        """Add received data and return the part that may be forwarded."""
+        """Add received data and return the part that may be forwarded.
+
+        Raises ``InvalidBackendResponseError`` if an event is too long.
+        """
         received = self._partial + data
         end = 0
         for match in END_OF_EVENT.finditer(received):
             end = match.end()
         whole, self._partial = received[:end], received[end:]
+        if len(self._partial) > MAX_EVENT_BYTES:
+            text = f"event has more than {MAX_EVENT_BYTES} bytes"
+            raise InvalidBackendResponseError(text, step="stream")
         self._answer_has_events = self._answer_has_events or bool(whole)
         if not self.resumable:
             return data
@@ -58,6 +69,11 @@
                 self.last_id = line[3:].strip()
         return whole
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes received of an event that has not ended."""
+        return len(self._partial)
+
     @property
     def inside_event(self) -> bool:
         """Whether a field of an event was received, but not the event's end.
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -317,7 +317,7 @@
     ) -> None:
         """Forward events as they arrive, or an error answer as a whole."""
         if not 200 <= head.status < 300:
-            body = await exchange.read_body()
+            body = await self._context.body_memory.read_body(exchange)
             if head.status >= SERVER_ERROR:
                 self._context.health.record_failure(server.id)
                 if self._should_retry_error(state, server):
@@ -337,6 +337,7 @@
                 stream, server, exchange.read_chunk()
             ):
                 data = stream.feed(chunk)
+                self._context.body_memory.hold(exchange, stream.held_bytes)
                 if data:
                     self._record_pause(state, stream, len(data))
                     responder.write(data)
@@ -347,6 +348,8 @@
         except BackendError:
             stream.discard_answer()
             raise
+        finally:
+            self._context.body_memory.release(exchange)
         rest = stream.finish()
         if rest:
             responder.write(rest)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -234,7 +234,7 @@
     ) -> CompleteAnswer:
         head = await exchange.read_head()
         self._context.record_notice(server, head)
-        body = await exchange.read_body()
+        body = await self._context.body_memory.read_body(exchange)
         metadata = self._codec.parse_answer(call, head)
         validate_answer(metadata, server.id)
         return CompleteAnswer(head, metadata, body)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -5,6 +5,7 @@
 from twisted.internet.defer import Deferred
 
 from ..errors import BackendError, BackendNotServingError
+from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ServerConnection
 from .backends import BackendServer
 from .call_state import CallState
@@ -185,9 +186,10 @@
     async def _receive_handle(
         self, state: CallState, exchange: Exchange, server: BackendServer
     ) -> str:
+        context = self._context
         head = await exchange.read_head()
-        self._context.record_notice(server, head)
-        body = await exchange.read_body()
+        context.record_notice(server, head)
+        body = await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         metadata = self._context.codec.parse_answer(state.call, head)
         if metadata.not_run or not metadata.success:
             # A rejected prefill counts against the retry budget.
@@ -215,6 +217,6 @@
         exchange.start(connection, context.pool.release)
         try:
             context.record_notice(cache.server, await exchange.read_head())
-            await exchange.read_body()
+            await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         finally:
             exchange.cancel()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -1,7 +1,7 @@
 """Shared context for sending calls to backend servers, with the checks before it."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from twisted.internet.interfaces import IReactorTime
 
@@ -11,6 +11,7 @@
     BackendNotServingError,
     BackendSilentError,
 )
+from ..transport.body_memory import BodyMemory
 from ..transport.http_exchange import ConnectionPool, ResponseHead, ServerConnection
 from .backends import Backends, BackendServer
 from .call_state import CallState
@@ -44,6 +45,7 @@
     quarantine: CrashQuarantine
     log: EventLog
     on_load_changed: Callable[[], None]
+    body_memory: BodyMemory = field(default_factory=BodyMemory)
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -12,6 +12,7 @@
 from pomeloglade_coordination.lease import LeaseHolder
 
 from ..errors import BackendError
+from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, RequestHead, ResponseHead
 from .backends import BackendServer
 from .calls import StageOrder
@@ -277,7 +278,7 @@
             )
         exchange = Exchange(request, body)
         exchange.start(connection, self._pool.release)
-        answer = Deferred.fromCoroutine(exchange.read_response())
+        answer = Deferred.fromCoroutine(self._receive_answer(exchange))
         answer.addTimeout(CALL_TIMEOUT_SECONDS, self._clock)
         try:
             head, content = await answer
@@ -286,6 +287,11 @@
         finally:
             exchange.cancel()
 
+    async def _receive_answer(self, exchange: Exchange) -> tuple[ResponseHead, bytes]:
+        head = await exchange.read_head()
+        memory = self._context.body_memory
+        return head, await memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
+
     def _log_order_failure(self, failure: Any, server: BackendServer) -> None:
         self._log.event(
             "stage_not_ordered", server=server.id, reason=repr(failure.value)
--- a/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
@@ -26,6 +26,7 @@
 """Unread body bytes above which reading from the connection is paused."""
 
 MAX_RESPONSE_HEAD_BYTES = 65_536
+"""Limit on a response's head, with the interim responses (1xx) before it."""
 
 BODILESS_STATUSES = frozenset((204, 304))
 
@@ -88,6 +89,7 @@
         self.idle_since: float | None = None
         self.keep_alive_seconds: float | None = None
         self.closed = False
+        self._bytes_before_head = 0
         self._h11 = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_RESPONSE_HEAD_BYTES
         )
@@ -97,6 +99,7 @@
     def send_exchange(self, exchange: "Exchange") -> None:
         """Send the request of ``exchange`` and pass the response to it."""
         self._exchange = exchange
+        self._bytes_before_head = 0
         head = exchange.request
         headers = [*head.headers]
         names = {name.lower() for name, _ in headers}
@@ -119,11 +122,12 @@
             self._h11.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as error:
-            self._fail(
-                f"response of {self.address} is not valid HTTP: {error}",
-                InvalidBackendResponseError,
-            )
-            self.abort()
+            self._reject(f"response of {self.address} is not valid HTTP: {error}")
+            return
+        if self._exchange is not None and not self._exchange.has_head:
+            self._bytes_before_head += len(data)
+            if self._bytes_before_head > MAX_RESPONSE_HEAD_BYTES:
+                self._reject(f"response of {self.address} has too long a head")
 
     def connectionLost(self, reason: Failure) -> None:  # noqa: N802
         """Fail the exchange, unless the close ends a response without a length."""
@@ -200,6 +204,10 @@
             self._h11.start_next_cycle()
         exchange.receive_end(self)
 
+    def _reject(self, text: str) -> None:
+        self._fail(text, InvalidBackendResponseError)
+        self.abort()
+
     def _fail(
         self, text: str, error_type: type[BackendLostError] = BackendLostError
     ) -> None:
@@ -263,8 +271,24 @@
         self._buffered_bytes = 0
         return chunk
 
+    @property
+    def has_head(self) -> bool:
+        """Whether the status and headers of the response have arrived."""
+        return self._head is not None
+
+    @property
+    def failed(self) -> bool:
+        """Whether the exchange has ended with an error."""
+        return self._error is not None
+
+    def fail(self, error: Exception) -> None:
+        """Reset the connection, and fail the reader with an error."""
+        self.cancel()
+        self._chunks.clear()
+        self.receive_error(error)
+
     async def read_body(self) -> bytes:
-        """Wait for the whole body."""
+        """Wait for the whole body, whatever its size."""
         chunks = []
         while chunk := await self.read_chunk():
             chunks.append(chunk)
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -77,6 +77,7 @@
         await deferLater(reactor, FAULT_FREE_SECONDS)
         await callers.stop()
         await deferLater(reactor, max(each.timeout for each in callers.sent))
+        peak = fleet.check_memory()
         violations = find_violations(fleet, callers.sent, healed_at)
     finally:
         await fleet.stop()
@@ -87,7 +88,9 @@
     sys.stdout.write(
         f"{len(injector.injected)} faults, {len(violations)} broken promises\n"
     )
-    (folder / "outcomes.txt").write_text(f"{sorted(outcomes.items(), key=str)}\n")
+    (folder / "outcomes.txt").write_text(
+        f"{sorted(outcomes.items(), key=str)}\nat most {peak:.0f} MB an instance\n"
+    )
     return violations
 
 
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -51,6 +51,7 @@
             "publish": self._publish,
             "revoke": self._revoke,
             "revoke during store cut": self._revoke_during_store_cut,
+            "endless answers": self._flood_answers,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
         }
@@ -146,6 +147,16 @@
         self._call_later(seconds, setattr, backend, "faults", BackendFaults())
         return f"{backend.id} {backend.faults} for {seconds:.1f} s"
 
+    def _flood_answers(self, seconds: float) -> str:
+        """Let all servers send without end, as after a broken release."""
+        faults = BackendFaults(
+            flooding=True, unframed=self._random.choice((True, False))
+        )
+        for backend in self._fleet.backends:
+            backend.faults = faults
+            self._call_later(seconds, setattr, backend, "faults", BackendFaults())
+        return f"{faults} for {seconds:.1f} s"
+
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
         old = backend.id
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,6 +30,10 @@
 """How long the registration of a crashed backend server stays in the store."""
 
 
+MAX_MEMORY_MB = 128
+"""Memory of the platform's smallest machines."""
+
+
 class InstanceProcess(ProcessProtocol):
     """One instance as a real process.
 
@@ -87,6 +91,12 @@
         self.paused = number is signal.SIGSTOP
         self._process.signalProcess(number.value)
 
+    def peak_memory_mb(self) -> float:
+        """Return the largest memory that the process has had since its start."""
+        status = Path(f"/proc/{self._process.pid}/status").read_text()
+        (peak,) = (each for each in status.splitlines() if each.startswith("VmHWM"))
+        return int(peak.split()[1]) / 1024
+
     def processEnded(self, reason: Any) -> None:  # noqa: N802
         """Restart the process after a requested exit; any other is a violation."""
         self.running = self.paused = False
@@ -169,6 +179,21 @@
         for listener in self._listeners:
             await listener.stopListening()
 
+    def check_memory(self) -> float:
+        """Return the largest peak memory of the running processes, in MB.
+
+        Each that had too much is a violation.
+        """
+        peaks = {
+            each.name: each.peak_memory_mb() for each in self.instances if each.running
+        }
+        self.violations += [
+            f"{name} had {peak:.0f} MB"
+            for name, peak in peaks.items()
+            if peak > MAX_MEMORY_MB
+        ]
+        return max(peaks.values(), default=0.0)
+
     def register(self, backend: BackendStandIn, *, draining: bool = False) -> None:
         """Write a backend server's registration."""
         zone = ZONES[self.backends.index(backend) % len(ZONES)]
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,6 +6,7 @@
 from pomeloglade_platform_standin.backend import (
     Run,
     event_count,
+    is_flood,
     plain_answer,
     stream_event,
 )
@@ -20,7 +21,7 @@
     USAGE_WINDOW_SECONDS,
 )
 
-from .callers import CRASHING_PART, CRASHING_TARGET, SentRequest
+from .callers import CRASHING_PART, CRASHING_TARGET, EVENT_END, SentRequest
 from .fleet import Fleet
 
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -107,10 +108,12 @@
             stream_event(request.attempt, number + 1)
             for number in range(request.resumed_after, count)
         )
+        events, end, rest = request.body.rpartition(EVENT_END)
         matches = (
             request.body == expected
             if request.complete
             else expected.startswith(request.body)
+            or (expected.startswith(events + end) and is_flood(rest))
         )
         if not matches:
             violations.append(f"got {request.body[:80]!r} ... of {count} events")
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -340,6 +340,7 @@
             log=self.log,
             on_load_changed=lambda: None,
         )
+        self.body_memory = context.body_memory
         self.origins = StreamOrigins(
             self.clock,
             lambda name: self.backends.software_versions(name, ORIGIN_SECONDS),
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -51,6 +51,12 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against bodies and events without end filling the memory of the instances.
+def test_processes_have_bounded_memory_while_servers_send_without_end(tmp_path):
+    fault = ("--fault", "endless answers", "--seconds", "3")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
@@ -129,6 +135,19 @@
     )
 
 
+def test_broken_off_stream_may_end_in_what_its_server_sent_without_end(fleet):
+    sent = sent_request(fleet, "s", "digests", tokens=1000, status=200, sealed=True)
+    fleet.ledger.runs.append(run_of(sent))
+    sent.body = stream_event("s", 1) + b"data: xxxx"
+    assert violations(fleet, sent) == []
+    sent.body = stream_event("s", 1) + b"data: xxyx"
+    assert violations(fleet, sent)
+    sent.body = stream_event("s", 2) + b"data: xxxx"
+    assert violations(fleet, sent)
+    sent.body, sent.complete = stream_event("s", 1) + b"data: xxxx", True
+    assert violations(fleet, sent)
+
+
 def test_requests_that_still_crash_servers_are_found(fleet):
     crashing = [
         sent_request(fleet, f"c{n}", "lookups", at=10.0 + n, culprit=CRASHING_TARGET)
