--- a/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from pomeloglade_coordination.errors import KeyValueError, LeaseNotFoundError
 from pomeloglade_coordination.key_value import KeyValueStore
@@ -42,7 +42,7 @@
         self._key = key
         self._value = value
         self._log = log
-        self._pause: Deferred[None] | None = None
+        self._pause_timer: IDelayedCall | None = None
         store.era.subscribe(self._register_again)
 
     def start(self) -> "Deferred[None]":
@@ -51,17 +51,14 @@
 
     def _register_again(self) -> None:
         """End the pause: the store has returned from an older copy."""
-        pause, self._pause = self._pause, None
-        if pause is not None:
-            self._clock.callLater(0, pause.callback, None)
+        timer = self._pause_timer
+        if timer is not None and timer.active():
+            timer.reset(0)
 
     async def _wait(self, seconds: float) -> None:
-        pause = self._pause = Deferred()
-        timer = self._clock.callLater(seconds, pause.callback, None)
+        pause: Deferred[None] = Deferred()
+        self._pause_timer = self._clock.callLater(seconds, pause.callback, None)
         await pause
-        self._pause = None
-        if timer.active():
-            timer.cancel()
 
     async def _run(self) -> None:
         lease = None
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -30,7 +30,11 @@
     Loads,
     ServerCalls,
 )
-from pomeloglade.forwarding.registration import LEASE_SECONDS, Registration
+from pomeloglade.forwarding.registration import (
+    LEASE_SECONDS,
+    RENEW_SECONDS,
+    Registration,
+)
 from pomeloglade.forwarding.remote_queues import QueueRank, QueueSummary
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.server_health import ServerHealth
@@ -476,3 +480,16 @@
 
 def test_share_of_prefill_engines():
     assert [prefill_engine_count(n) for n in (0, 2, 3, 4, 8, 14)] == [0, 0, 1, 1, 2, 3]
+
+
+def test_store_that_returns_as_a_pause_of_the_registration_ends_wakes_it_once(
+    clock, log
+):
+    """Both come in one turn of the reactor (soak, seed 405 with 16 instances)."""
+    store = MemoryKeyValueStore(clock)
+    Registration(clock, store, "i/a", lambda: b"here", log).start()
+    clock.callLater(RENEW_SECONDS - 0.001, store.restore, store.copy())
+    clock.advance(RENEW_SECONDS + 0.01)
+    for _ in range(10):
+        clock.advance(0.5)
+    assert store.list("i/").result[0].value == b"here"
