Tell a contact of crashes that a cut member has seen, and try mutations

An instance that was cut off reported its own crashes to nobody for longer than reports repeat them. A member of a large fleet now sends its contact everything after a silence, as contacts do to each other; the new test fails for 40 instances without it.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -403,12 +403,10 @@
             return
         returned_at = self._returned_at.get(instance, float("-inf"))
         returned = self._clock.seconds() - returned_at <= RETURN_SECONDS
+        if returned:
+            report = replace(report, crashes=self._quarantine.everything())
         if returned and report.kind is not ReportKind.MEMBER:
-            report = replace(
-                report,
-                origins=self._origins.everything(),
-                crashes=self._quarantine.everything(),
-            )
+            report = replace(report, origins=self._origins.everything())
         self._send_report(report, peer.address)
 
     def _send_group_report(self, own: Report) -> None:
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -40,6 +40,8 @@
 NOTICES = ("tests/test_server_notices.py",)
 SITE = ("tests/test_http_site.py",)
 EXCHANGE = ("tests/test_http_exchange.py",)
+CRASHES = ("tests/test_crashing_requests.py", "tests/test_crash_quarantine.py")
+ENDLESS = ("tests/test_endless_responses.py",)
 
 MUTATIONS = (
     Mutation(
@@ -338,6 +340,94 @@
         "        silent = 0\n",
         ("tests/test_report_relay.py",),
     ),
+    Mutation(
+        "BUDGET, crashes",
+        "a request that ends servers is never refused",
+        FORWARDING + "crash_quarantine.py",
+        "        return max(0.0, max(ends, default=now) - now)\n",
+        "        return 0.0\n",
+        CRASHES,
+    ),
+    Mutation(
+        "BUDGET, crashes",
+        "crashes are not reported to the other instances",
+        FORWARDING + "report_relay.py",
+        "            crashes=crashes,\n",
+        "",
+        CRASHES,
+    ),
+    Mutation(
+        "BUDGET, crashes",
+        "an instance that returns is not told of earlier crashes",
+        FORWARDING + "report_relay.py",
+        "        if returned:\n",
+        "        if False:\n",
+        CRASHES,
+    ),
+    Mutation(
+        "BUDGET, crashing parts",
+        "prompt parts have no keys",
+        FORWARDING + "call_state.py",
+        "part_keys(prompt) if prompt is not None else ()",
+        "()",
+        CRASHES,
+    ),
+    Mutation(
+        "LOST, beside crashes",
+        "the last part of a prompt is blamed too",
+        FORWARDING + "request_keys.py",
+        "prompt.parts[:-1]",
+        "prompt.parts",
+        CRASHES,
+    ),
+    Mutation(
+        "LOST, beside crashes",
+        "an answer does not show a key sound",
+        FORWARDING + "crash_quarantine.py",
+        "            if key in self._records_by_key:\n",
+        "            if False:\n",
+        CRASHES,
+    ),
+    Mutation(
+        "LOST, beside crashes",
+        "a crash is blamed on all that was lost with it",
+        FORWARDING + "crash_quarantine.py",
+        "        return others_ends >= ends\n",
+        "        return False\n",
+        CRASHES,
+    ),
+    Mutation(
+        "LOST, beside crashes",
+        "a server that goes on answering counts as ended",
+        FORWARDING + "crash_quarantine.py",
+        "        if ended_at is None or sent_at <= ended_at:\n",
+        "        if True:\n",
+        CRASHES,
+    ),
+    Mutation(
+        "servers in trouble",
+        "unfinished bodies may take any memory together",
+        TRANSPORT + "body_memory.py",
+        "        while self.total > self._max_total:\n",
+        "        while False:\n",
+        ENDLESS,
+    ),
+    Mutation(
+        "servers in trouble",
+        "an event may have any length",
+        FORWARDING + "event_stream.py",
+        "        if len(self._partial) > MAX_EVENT_BYTES:\n",
+        "        if False:\n",
+        ENDLESS,
+    ),
+    Mutation(
+        "servers in trouble",
+        "interim responses may come without end",
+        TRANSPORT + "http_exchange.py",
+        "            if self._bytes_before_head > MAX_RESPONSE_HEAD_BYTES:\n",
+        "            if False:\n",
+        ENDLESS,
+    ),
 )
 
 
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -6,6 +6,7 @@
     KNOWN_WITHIN_SECONDS,
     SETTLED_SECONDS,
     SIZES,
+    ZONES,
     Fleet,
 )
 from twisted.internet.task import Clock
@@ -189,6 +190,21 @@
     assert again.quarantine.seconds_left([CULPRIT]) > 0
 
 
+@pytest.mark.parametrize("size", [6, 40])
+def test_crashes_seen_in_a_cut_zone_are_known_after_it(size):
+    fleet = Fleet(size)
+    fleet.cut_zone = ZONES[1]
+    fleet.run(SETTLED_SECONDS)
+    for number in range(CRASHES_TO_QUARANTINE):
+        fleet.instances[1 + 3 * (number % 2)].lose([CULPRIT], f"server-{number}")
+    fleet.run(SETTLED_SECONDS + REPORTED_SECONDS)
+    assert fleet.instances[0].quarantine.seconds_left([CULPRIT]) == 0
+    fleet.cut_zone = None
+    fleet.run(SETTLED_SECONDS)
+    for each in fleet.instances:
+        assert each.quarantine.seconds_left([CULPRIT]) > 0
+
+
 @pytest.mark.parametrize("size", [6, 40])
 def test_answer_at_one_instance_ends_the_quarantine_at_all(size):
     fleet = Fleet(size)
