Name the gauge of suspected keys for what it counts

It counts keys under which three or more servers ended, also those whose ends another key explains, so it is not the number of quarantined ones. The docstring of the threshold claimed that a sound call can be lost with two servers at most; a retry can be lost with more, which the ends that another key explains allow for. No behaviour changes.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -10,8 +10,8 @@
 from .report_scope import ReportScope
 
 CRASHES_TO_QUARANTINE = 3
-"""Servers that end under a key before its calls are refused. A sound call and its
-caller's retry, which were lost with the servers that ran them, are two at most."""
+"""Servers that end under a key before its calls are refused. A sound call that is lost
+with its server, and again at the next one, may still be sent."""
 
 MAX_TIED_CRASHES = 6
 """Servers that end under two keys alike before one of them is refused."""
@@ -108,7 +108,8 @@
         self._last_serial = 0
         self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
 
-    def __len__(self) -> int:
+    def count_suspected(self) -> int:
+        """Return the number of keys under which enough servers ended."""
         return sum(map(self._has_enough_ends, self._records_by_key))
 
     def record_crash(self, keys: Iterable[int], run: ServerRun) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -215,7 +215,7 @@
         metrics.gauge("store_calls", lambda: self._follower.calls)
         metrics.gauge("reports_sent", lambda: self._exchange.sent)
         metrics.gauge("reports_received", lambda: self._exchange.received)
-        metrics.gauge("quarantined_keys", lambda: len(self._quarantine))
+        metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
--- a/tests/test_endless_responses.py
+++ b/tests/test_endless_responses.py
@@ -89,7 +89,7 @@
         assert flood(request, 2 * MAX_BODY_BYTES) <= MAX_BODY_BYTES + len(PART)
     assert responder.status == 502
     # A server that sends too much goes on running; its calls did not end it.
-    assert len(harness.quarantine) == 0
+    assert harness.quarantine.count_suspected() == 0
 
 
 def test_many_bodies_without_end_take_bounded_memory(harness):
