Pass on a server's error answer though its retry is quarantined

A call whose first server had answered 500, and whose retry was refused because other servers ended under the same request meanwhile, was answered 502 in place of the server's own answer. It is now returned, as when no other server or no retry is left. The test fails before. An answer marked as not run is, as before the quarantine, not checked as a stream.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -74,6 +74,8 @@
         runs = 0
         while True:
             resolved = state.resolve()
+            if best is not None and self._context.quarantined_for(state) > 0:
+                return best
             self._context.ensure_not_quarantined(state)
             service = state.service()
             server = self._choose(service, tried | rejected)
@@ -212,8 +214,8 @@
                 self._loads.record_reported_load(server.id, whole.metadata.load)
             if whole.metadata.not_run:
                 state.record_not_run(server.id)
-            else:
-                self._context.quarantine.record_alive(server.run, sent_at)
+                return whole
+            self._context.quarantine.record_alive(server.run, sent_at)
             if whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
                 stream = EventStream(resumable=False)
                 stream.feed(whole.body)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -77,9 +77,13 @@
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
 
+    def quarantined_for(self, state: CallState) -> float:
+        """Return the seconds for which the call must not be sent to a server."""
+        return self.quarantine.seconds_left(state.crash_keys)
+
     def ensure_not_quarantined(self, state: CallState) -> None:
         """Raise ``Refused`` if servers ended under requests like this call's."""
-        seconds = self.quarantine.seconds_left(state.crash_keys)
+        seconds = self.quarantined_for(state)
         if seconds > 0:
             raise Refused(503, "ends_servers", retry_after=seconds)
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -3,8 +3,9 @@
 import pytest
 from tests.forwarding_fakes import Harness, server
 
-from pomeloglade.forwarding.calls import Prompt
-from pomeloglade.forwarding.request_keys import part_keys
+from pomeloglade.forwarding.calls import ForwardedCall, Prompt
+from pomeloglade.forwarding.report_scope import ReportScope
+from pomeloglade.forwarding.request_keys import part_keys, request_key
 
 CRASHES = 3
 """Servers that end under a request before it is refused."""
@@ -153,5 +154,29 @@
     assert len(harness.network.requests) == CRASHES
 
 
+def test_error_answer_is_passed_on_if_the_retry_is_quarantined(harness):
+    """The first server has answered; the same request ended others meanwhile."""
+    responder, _ = harness.call("/lookups/1")
+    (first,) = harness.network.requests
+    for _ in range(9):
+        harness.health.record_failure(
+            first.header("X-Pomeloglade-Expect-Instance").decode()
+        )
+    crashes = [(f"other-{n}", 0, [key_of(first)]) for n in range(CRASHES)]
+    harness.quarantine.apply_reported(crashes, [], ReportScope.FLEET)
+    first.answer(500, b"the server's own")
+    assert (responder.status, responder.body) == (500, b"the server's own")
+    assert len(harness.network.requests) == 1
+
+
+def key_of(request):
+    """Return the key of a request of the account ``club`` that was sent."""
+    head = request.head
+    call = ForwardedCall(
+        "", head.method, head.target, "api.example", "", (), request.body, 0.0
+    )
+    return request_key(call, "club")
+
+
 def part_keys_of(part):
     return part_keys(Prompt("m", 100, 100, parts=((part, 100), ("own", 100))))
