Count a request once for the soak's check of the quota

So the check counted what is allowed.

It now counts each attempt at its first run. An attempt that a caller makes anew is another request, as before, and a test holds the check to eight requests of two runs that are allowed and a ninth that is not.

--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -182,8 +182,19 @@
 
 
 def _check_usage(runs: list[Run]) -> list[str]:
-    """Check the quota of the account ``hot`` in every window."""
-    used = [(run.at, run.tokens or 200) for run in runs if run.account == "hot"]
+    """Check the quota of the account ``hot`` in every window.
+
+    It is one on requests: one that is sent again, or resumed at another server within
+    its response, counts once.
+    """
+    first_runs: dict[str, Run] = {}
+    for run in runs:
+        first_runs.setdefault(run.attempt, run)
+    used = [
+        (run.at, run.tokens or 200)
+        for run in first_runs.values()
+        if run.account == "hot"
+    ]
     bound = (HOT_RATE * USAGE_WINDOW_SECONDS + HOT_BURST) * (1 + USAGE_OVERRUN_FRACTION)
     first, total = 0, 0
     for at, units in used:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -231,6 +231,19 @@
     assert any("account hot used" in line for line in violations(fleet, *sent))
 
 
+def test_request_that_ran_twice_counts_once_for_the_quota(fleet):
+    sent = [
+        sent_request(fleet, f"{number}", "reports", tokens=9000) for number in range(8)
+    ]
+    for each in sent:
+        each.account = "hot"
+        fleet.ledger.runs += [run_of(each), run_of(each, "i-2")]
+    assert not any("account hot" in line for line in violations(fleet, *sent))
+    one_more = sent_request(fleet, "8", "reports", tokens=9000, account="hot")
+    fleet.ledger.runs.append(run_of(one_more))
+    assert any("account hot" in line for line in violations(fleet, *sent, one_more))
+
+
 def test_retries_over_the_budget_are_found(fleet):
     sent = sent_request(fleet, "a", "lookups")
     fleet.ledger.arrivals = [(10.0 + n / 100, "api", "a") for n in range(80)]
