Log the limits that backend servers name in their answers

The log has server_limit when a run names one or changes it, and server_limit_ended.

Nothing is decided by it yet.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -35,6 +35,7 @@
 from .send_context import SendContext
 from .server_choice import ServerChoicePolicy, server_choice
 from .server_health import ServerHealth
+from .server_limits import ServerLimits
 from .stage_orders import PREFILL_SHARE, StageOrders
 from .store_follower import StoreFollower
 from .store_view import StoreLayout, StoreView
@@ -135,6 +136,7 @@
             lambda service: self._backends.software_versions(service, ORIGIN_SECONDS),
         )
         self._quarantine = CrashQuarantine(reactor, log)
+        self._limits = ServerLimits(reactor, log)
         self.store_view = StoreView(
             layout=layout,
             backends=self._backends,
@@ -178,6 +180,7 @@
             health=self._health,
             budget=self._budget,
             quarantine=self._quarantine,
+            limits=self._limits,
             log=log,
             on_load_changed=self._relay.schedule_report,
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -285,7 +285,7 @@
                 while caches:
                     self._prefills.discard(caches.pop())
                 raise
-            context.record_notice(server, head)
+            context.record_notice(server, head, sent_at)
             metadata = context.codec.parse_answer(state.call, head)
             if metadata.not_run:
                 state.record_not_run(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -197,7 +197,7 @@
             sent_at = self._clock.seconds()
             exchange.start(connection, self._context.pool.release)
             answer = Deferred.fromCoroutine(
-                self._receive_answer(call, exchange, server)
+                self._receive_answer(call, exchange, server, sent_at)
             )
             is_last_attempt = is_retry or resolved.route.max_servers == 1
             if resolved.route.kind is CallKind.SAFE and not is_last_attempt:
@@ -232,10 +232,14 @@
         return bool(others) and self._budget.remaining_share(service) > 1
 
     async def _receive_answer(
-        self, call: ForwardedCall, exchange: Exchange, server: BackendServer
+        self,
+        call: ForwardedCall,
+        exchange: Exchange,
+        server: BackendServer,
+        sent_at: float,
     ) -> CompleteAnswer:
         head = await exchange.read_head()
-        self._context.record_notice(server, head)
+        self._context.record_notice(server, head, sent_at)
         body = await self._context.body_memory.read_body(exchange)
         metadata = self._codec.parse_answer(call, head)
         validate_answer(metadata, server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -116,7 +116,7 @@
             started = context.clock.seconds()
             exchange.start(connection, context.pool.release)
             answer = Deferred.fromCoroutine(
-                self._receive_handle(state, exchange, server)
+                self._receive_handle(state, exchange, server, started)
             )
             answer.addTimeout(timeout, context.clock, on_silence(server, "prefill"))
             handle = await answer
@@ -184,11 +184,15 @@
         return best if queue_seconds <= MAX_QUEUE_OBJECTIVES * objective else None
 
     async def _receive_handle(
-        self, state: CallState, exchange: Exchange, server: BackendServer
+        self,
+        state: CallState,
+        exchange: Exchange,
+        server: BackendServer,
+        sent_at: float,
     ) -> str:
         context = self._context
         head = await exchange.read_head()
-        context.record_notice(server, head)
+        context.record_notice(server, head, sent_at)
         body = await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         metadata = self._context.codec.parse_answer(state.call, head)
         if metadata.not_run or not metadata.success:
@@ -214,9 +218,11 @@
         exchange = Exchange(
             context.codec.free_kv_cache_request(cache.handle, address), b""
         )
+        sent_at = context.clock.seconds()
         exchange.start(connection, context.pool.release)
         try:
-            context.record_notice(cache.server, await exchange.read_head())
+            head = await exchange.read_head()
+            context.record_notice(cache.server, head, sent_at)
             await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         finally:
             exchange.cancel()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -21,6 +21,7 @@
 from .loads import Loads
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
+from .server_limits import ServerLimits
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 """Connecting takes milliseconds; waiting for the retransmission of a lost packet takes
@@ -43,6 +44,7 @@
     health: ServerHealth
     budget: ResendBudget
     quarantine: CrashQuarantine
+    limits: ServerLimits
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
@@ -109,10 +111,13 @@
         if self.quarantine.record_answer(keys):
             self.on_load_changed()
 
-    def record_notice(self, server: BackendServer, head: ResponseHead) -> None:
+    def record_notice(
+        self, server: BackendServer, head: ResponseHead, sent_at: float
+    ) -> None:
         """Record what the head of an answer says about its server.
 
-        This must be called with the head of every answer of a backend server.
+        This must be called with the head of every answer of a backend server, and the
+        time at which the request was sent.
         """
         notice = self.codec.parse_notice(head)
         if notice.leaving and self.backends.mark_leaving(server.id, server.started_ms):
@@ -121,6 +126,7 @@
         if notice.pause > 0:
             self.backends.pause(server, notice.pause)
             self.log.event("server_paused", server=server.id, seconds=notice.pause)
+        self.limits.record_answer(server.run, notice.limit, sent_at)
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -277,12 +277,13 @@
                 step="order",
             )
         exchange = Exchange(request, body)
+        sent_at = self._clock.seconds()
         exchange.start(connection, self._pool.release)
         answer = Deferred.fromCoroutine(self._receive_answer(exchange))
         answer.addTimeout(CALL_TIMEOUT_SECONDS, self._clock)
         try:
             head, content = await answer
-            self._context.record_notice(server, head)
+            self._context.record_notice(server, head, sent_at)
             return head, content
         finally:
             exchange.cancel()
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -32,6 +32,7 @@
 from pomeloglade.forwarding.send_context import SendContext
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.server_limits import ServerLimits
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigins
 from pomeloglade.forwarding.usage import SharedUsage
@@ -328,6 +329,7 @@
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
+        self.limits = ServerLimits(self.clock, self.log)
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
@@ -337,6 +339,7 @@
             health=self.health,
             budget=self.budget,
             quarantine=self.quarantine,
+            limits=self.limits,
             log=self.log,
             on_load_changed=lambda: None,
         )
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -182,3 +182,43 @@
     task.cancel()
     model_harness.model_call()
     assert requests_to(model_harness, engines[0]) == 1
+
+
+def limit_events(harness):
+    return [
+        (name, fields.get("rate"))
+        for name, fields in harness.log.events
+        if name.startswith("server_limit")
+    ]
+
+
+@pytest.mark.parametrize("header", ["server_limit", "x_pomeloglade_server_limit"])
+def test_limit_that_a_server_names_is_logged_with_its_changes(harness, header):
+    harness.backends.remove("bb", lenient=False)
+    for value in (b"2.5", b"2.5", b"3", None):
+        harness.call("/bookings/1")
+        harness.network.requests[-1].answer(**{header: value})
+        harness.advance(1.0)
+    assert limit_events(harness) == [
+        ("server_limit", 2.5),
+        ("server_limit", 3.0),
+        ("server_limit_ended", None),
+    ]
+
+
+def test_late_answer_without_a_limit_does_not_end_it(harness):
+    harness.backends.remove("bb", lenient=False)
+    harness.call("/bookings/1")
+    harness.advance(0.1)
+    harness.call("/bookings/2")
+    first, second = harness.network.requests
+    second.answer(server_limit=b"2.5")
+    first.answer()
+    assert limit_events(harness) == [("server_limit", 2.5)]
+
+
+@pytest.mark.parametrize("value", [b"", b"many", b"-1", b"nan", b"inf"])
+def test_unreadable_limit_is_ignored(harness, value):
+    harness.call("/bookings/1")
+    harness.network.requests[0].answer(server_limit=value)
+    assert limit_events(harness) == []
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -13,6 +13,7 @@
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.send_context import SendContext
 from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.server_limits import ServerLimits
 from pomeloglade.forwarding.stage_orders import PREFILL_SHARE, StageOrders
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
@@ -59,6 +60,7 @@
             health=ServerHealth(self.clock),
             budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
             quarantine=CrashQuarantine(self.clock, self.log),
+            limits=ServerLimits(self.clock, self.log),
             log=self.log,
             on_load_changed=lambda: None,
         )
