Reproduce servers that get more requests than the limit that they name

The stand-in of a backend server can name a limit, and records what reaches it; the soak has a fault for it and checks every span of 4 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,9 +16,14 @@
 STORE_CUT_SECONDS = REVOKE_SECONDS + 3.0
 """Longer than the time in which a revoked key must stop working."""
 
+ALL_LIMITED_FRACTION = 0.7
 DRILL_SECONDS = 0.5
 """How long the store is away in a drill."""
 
+LIMIT_SECONDS = 8.0
+SERVER_LIMIT = 2.5
+"""For how long servers name a limit, and the limit in requests a second."""
+
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENCE, LinkMode.ONE_WAY, LinkMode.RESET)
 
 
@@ -52,6 +57,7 @@
             "revoke": self._revoke,
             "revoke during store cut": self._revoke_during_store_cut,
             "endless answers": self._flood_answers,
+            "server limits": self._name_limits,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
         }
@@ -74,6 +80,7 @@
         for backend, proxy in fleet.backend_proxies.items():
             proxy.set_mode(LinkMode.PASS)
             backend.faults = BackendFaults()
+            backend.name_limit(None)
 
     def _call_later(
         self, seconds: float, call: Callable[..., object], *arguments: object
@@ -157,6 +164,17 @@
             self._call_later(seconds, setattr, backend, "faults", BackendFaults())
         return f"{faults} for {seconds:.1f} s"
 
+    def _name_limits(self, seconds: float) -> str:
+        """Let one server, or all of its service, name a limit."""
+        first = self._random.choice(self._fleet.backends)
+        limited = [first]
+        if self._random.random() < ALL_LIMITED_FRACTION:
+            limited = [e for e in self._fleet.backends if e.service == first.service]
+        for backend in limited:
+            backend.name_limit(SERVER_LIMIT)
+            self._call_later(LIMIT_SECONDS, backend.name_limit, None)
+        return f"{[each.id for each in limited]} for {LIMIT_SECONDS} s"
+
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
         old = backend.id
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -46,6 +46,11 @@
 MAX_SENT_AFTER_CRASHES = 3
 """Requests that may still reach servers ``SETTLE_SECONDS`` after these crashes."""
 
+LIMIT_WINDOW_SECONDS = 4.0
+LIMIT_OVERRUN = 1.5
+LIMIT_SLACK = 5
+"""Span and tolerance of the limits that servers name."""
+
 SERVICE_BY_ROUTE = {
     "lookups": "api",
     "bookings": "api",
@@ -81,6 +86,7 @@
     violations += _check_usage(fleet.ledger.runs)
     violations += _check_retry_budget(fleet, requests)
     violations += _check_crashes(fleet, requests)
+    violations += _check_limits(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
     return violations
@@ -256,6 +262,36 @@
     return violations
 
 
+def _check_limits(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
+    """Check that servers get no more than they take while they name a limit."""
+    violations = []
+    sent_by_attempt = {each.attempt: each for each in requests}
+    for limit in fleet.ledger.limits:
+        times = [
+            at
+            for at, attempt in fleet.ledger.arrivals_by_server[limit.server]
+            if limit.begin + SETTLE_SECONDS <= at <= limit.end
+            and not (
+                attempt in sent_by_attempt and _disturbed(sent_by_attempt[attempt], at)
+            )
+        ]
+        allowed = LIMIT_OVERRUN * limit.rate * LIMIT_WINDOW_SECONDS + LIMIT_SLACK
+        most = max(
+            (
+                sum(begin <= at < begin + LIMIT_WINDOW_SECONDS for at in times)
+                for begin in times
+            ),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(
+                f"{limit.server} named a limit of {limit.rate:g} a second at"
+                f" {limit.begin:.2f} and got {most} requests in"
+                f" {LIMIT_WINDOW_SECONDS:g} s; {allowed:g} allowed"
+            )
+    return violations
+
+
 def _disturbed(request: SentRequest, at: float) -> bool:
     """Return whether a request's instance was disturbed shortly before ``at``."""
     return any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 
 from pomeloglade_platform_standin.backend import (
     Ledger,
+    NamedLimit,
     Run,
     event_count,
     plain_answer,
@@ -57,6 +58,13 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against sending a server more requests than the limit that it names: LIMIT
+# (inc1, issue 28).
+def test_processes_keep_the_limits_that_servers_name(tmp_path):
+    fault = ("--fault", "server limits", "--seconds", "8")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
@@ -250,6 +258,14 @@
     assert any("repeated sendings to api" in line for line in violations(fleet, sent))
 
 
+def test_server_that_gets_more_than_its_limit_is_found(fleet):
+    fleet.ledger.limits.append(NamedLimit("i-1", 2.5, 10.0, 20.0))
+    fleet.ledger.arrivals_by_server["i-1"] = [(13.1 + n / 6, "") for n in range(20)]
+    assert violations(fleet) == []
+    fleet.ledger.arrivals_by_server["i-1"].append((13.2, ""))
+    assert any("named a limit of 2.5" in line for line in violations(fleet))
+
+
 def test_missing_recovery_after_the_faults_is_found(fleet):
     sent = sent_request(fleet, "a", at=101.0, status=503, complete=True)
     assert any("served after the faults" in line for line in violations(fleet, sent))
