Keep the requests of all instances within the limits that servers name

What callers saw: lookups failed in a tenth while two of three servers of field-app, in need, got two and more times what they had named (LIMIT twice: 25 and 43 requests in 4 s, 19 and 22 allowed).

The request path alone shows it: one instance sends 81 requests in 4 s where 20 are allowed, and six processes 30 to 54.

Now all instances share one bucket per limited server. Each request that any of them sends takes from it, as reports tell; for the moment until a report arrives, an instance is let through with a probability that depends on the demand, so that not all send at once. What was sent too much is made up for. Instances that hear of no other keep to an even part. Nobody owns a part otherwise: limits may be far below the number of instances. Calls go to servers that have room; if none has, plain calls are refused at once (servers_limited) and model calls by the expected wait, which knows the limits. Prompts are read at the decode engine where a prefill engine's limit is reached. Limits and their ends are told in reports, for a run of a server.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -13,6 +13,7 @@
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
 from .server_choice import ServerChoice
 from .server_health import ServerHealth
+from .server_limits import ServerLimits
 
 MAX_WAIT_OBJECTIVES = 0.75
 """Fraction of the objective for which a call may wait for an engine; the rest is for
@@ -120,6 +121,7 @@
         backends: Backends,
         loads: Loads,
         health: ServerHealth,
+        limits: ServerLimits,
         availability_zone: str,
         server_choice: ServerChoice,
         remote_queues: RemoteQueues,
@@ -130,6 +132,7 @@
         self._backends = backends
         self._loads = loads
         self._health = health
+        self._limits = limits
         self._availability_zone = availability_zone
         self._server_choice = server_choice
         self._remote_queues = remote_queues
@@ -224,10 +227,15 @@
         Of the calls in this queue, those that sort before ``waiter`` count as ahead
         of it; calls that wait at other instances all do.
         """
-        slots = sum(min(s.slots, self.pool.slots) for s in self._engines())
+        rate = sum(map(self._service_rate, self._engines()))
         waiting = [each for each in self._waiters if waiter is None or each < waiter]
         ahead = len(waiting) + self._remote_queues.count(self._service) + 1
-        return ahead * self._duration / max(1, slots)
+        return ahead / rate if rate else ahead * self._duration
+
+    def _service_rate(self, server: BackendServer) -> float:
+        """Return how many calls a second an engine can begin."""
+        slots = min(server.slots, self.pool.slots)
+        return min(slots / self._duration, self._limits.rate(server.run))
 
     def place_waiting(self) -> None:
         """Place waiting calls while engines have room, yielding to other instances."""
@@ -355,7 +363,12 @@
             free = [
                 server for server in free if self._can_prefill(server, requirements)
             ]
-        return self._server_choice(free, self._cost) if free else None
+        while free:
+            server = self._server_choice(free, self._cost)
+            if self._limits.try_take(server.run):
+                return server
+            free.remove(server)
+        return None
 
     def _can_prefill(
         self, server: BackendServer, requirements: EngineRequirements
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -136,7 +136,7 @@
             lambda service: self._backends.software_versions(service, ORIGIN_SECONDS),
         )
         self._quarantine = CrashQuarantine(reactor, log)
-        self._limits = ServerLimits(reactor, log)
+        self._limits = ServerLimits(reactor, log, random)
         self.store_view = StoreView(
             layout=layout,
             backends=self._backends,
@@ -168,6 +168,7 @@
             follower=self._follower,
             origins=self._origins,
             quarantine=self._quarantine,
+            limits=self._limits,
             log=log,
         )
         metrics = ForwardingMetrics()
@@ -219,6 +220,7 @@
         metrics.gauge("reports_sent", lambda: self._exchange.sent)
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
+        metrics.gauge("limited_servers", self._limits.count)
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
@@ -282,6 +284,7 @@
                 backends=self._backends,
                 loads=self._loads,
                 health=self._health,
+                limits=self._limits,
                 availability_zone=self._settings.availability_zone,
                 server_choice=self._server_choice,
                 remote_queues=self._remote_queues,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -13,6 +13,7 @@
 from .event_log import EventLog
 from .loads import ServerCalls
 from .remote_queues import QueueRank, QueueSummary
+from .server_limits import ReportedLimits
 from .store_follower import StoreProof
 from .stream_origins import ReportedOrigins
 from .tally import Tally
@@ -56,6 +57,8 @@
     last report, and has the contact's ``store`` proof. ``origins`` has the ids of the
     calls that began streams, by service and software version. ``crashes`` has the keys
     of the calls under which servers ended, ``sound`` the keys that were disproved.
+    ``limits`` has the limits that servers named, and their ends; ``sends`` the new
+    requests to such servers, and how often instances asked to send one.
     """
 
     instance: str
@@ -77,6 +80,8 @@
     origins: ReportedOrigins = field(default_factory=dict)
     crashes: ReportedCrashes = field(default_factory=list)
     sound: list[int] = field(default_factory=list)
+    limits: ReportedLimits = field(default_factory=list)
+    sends: dict[str, Tally] = field(default_factory=dict)
 
     def calls_by_server(self) -> dict[str, ServerCalls]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -62,6 +62,7 @@
         self._backends = context.backends
         self._loads = context.loads
         self._health = context.health
+        self._limits = context.limits
         self._budget = context.budget
         self._availability_zone = availability_zone
         self._server_choice = server_choice
@@ -130,7 +131,10 @@
                 raise state.give_up_refusal("answer_lost")
 
     def _choose(self, service: str, excluded: set[str]) -> BackendServer | None:
-        """Choose among the servers that have room, preferring those not avoided."""
+        """Choose among the servers that have room, preferring those not avoided.
+
+        The request counts for the limit of the chosen server from now on.
+        """
         servers = [s for s in self._backends.serving(service) if s.id not in excluded]
         reachable = [s for s in servers if not self._health.avoided(s.id)]
         candidates = [
@@ -139,7 +143,12 @@
             if self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
             < MAX_CALLS_PER_SLOT * server.slots
         ]
-        return self._server_choice(candidates, self._cost) if candidates else None
+        while candidates:
+            server = self._server_choice(candidates, self._cost)
+            if self._limits.try_take(server.run):
+                return server
+            candidates.remove(server)
+        return None
 
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
@@ -164,7 +173,12 @@
         )
 
     def _no_server_refusal(self, service: str) -> Refused:
-        if self._backends.serving(service):
+        servers = self._backends.serving(service)
+        if servers:
+            runs = [each.run for each in servers]
+            if all(map(self._limits.limited, runs)):
+                wait = self._limits.retry_after(runs)
+                return Refused(503, "servers_limited", retry_after=wait)
             return Refused(503, "servers_full", retry_after=0.1)
         pause = self._backends.soonest_resumption(service)
         if pause is not None:
@@ -228,7 +242,11 @@
             self._context.on_load_changed()
 
     def _can_retry_elsewhere(self, service: str, server: BackendServer) -> bool:
-        others = [s for s in self._backends.serving(service) if s.id != server.id]
+        others = [
+            each
+            for each in self._backends.serving(service)
+            if each.id != server.id and not self._limits.limited(each.run)
+        ]
         return bool(others) and self._budget.remaining_share(service) > 1
 
     async def _receive_answer(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -83,13 +83,16 @@
     ) -> KvCache | None:
         """Prefill a call's prompt; return ``None`` if no prefill engine is available.
 
-        Also returns ``None`` if a repeated prefill exceeds the retry budget. Raises
-        ``PrefillFailedError`` if the chosen engine fails.
+        Also returns ``None`` if the chosen engine's limit, or for a repeated prefill
+        the retry budget, is exhausted. Raises ``PrefillFailedError`` if the engine
+        fails.
         """
         objective = state.resolved.route.objective.total_seconds()
         server = self._choose(state.service(), objective, decode.availability_zone)
         if server is None:
             return None
+        if not self._context.limits.try_take(server.run):
+            return None
         if state.prefill_count and not self._context.budget.try_spend(state.service()):
             return None
         context, tokens = self._context, state.call.prompt.prompt_tokens
@@ -146,10 +149,12 @@
     def discard(self, cache: KvCache) -> None:
         """Free a KV cache that will not be fetched, before it expires by itself.
 
-        A server that leaves or is paused gets no request for it.
+        A server that leaves, is paused or has reached its limit gets no request for it.
         """
         if not self._context.backends.usable(cache.server):
             return
+        if not self._context.limits.try_take(cache.server.run):
+            return
         freed = Deferred.fromCoroutine(self._send_free(cache))
         freed.addTimeout(FREE_TIMEOUT_SECONDS, self._context.clock)
         freed.addErrback(
@@ -167,7 +172,7 @@
         servers = [
             each
             for each in context.backends.serving(service, "prefill")
-            if not context.health.avoided(each.id)
+            if not context.health.avoided(each.id) and context.limits.has_room(each.run)
         ]
         if not servers:
             return None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -15,6 +15,7 @@
 from .report_scope import ReportScope
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
+from .server_limits import ServerLimits
 from .store_follower import StoreFollower
 from .stream_origins import StreamOrigins
 from .tally import NO_CALLS, Tally, add_tallies
@@ -112,6 +113,7 @@
         follower: StoreFollower,
         origins: StreamOrigins,
         quarantine: CrashQuarantine,
+        limits: ServerLimits,
         log: EventLog,
     ) -> None:
         self._clock = clock
@@ -129,6 +131,8 @@
         self._follower = follower
         self._origins = origins
         self._quarantine = quarantine
+        self._limits = limits
+        limits.coverage = lambda: (usage.covered(), usage.instances)
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
@@ -210,7 +214,7 @@
             if group != self._own_group:
                 return
             self._members[report.instance] = (now, report)
-            news = _News(report.failures, report.resends)
+            news = _News(report.failures, report.resends, report.sends)
             self._pass_on(news, ReportKind.GROUP, ReportKind.DIGEST)
             self._news_by_member.setdefault(report.instance, _News()).add(news)
             self._schedule(ReportKind.GROUP)
@@ -220,7 +224,8 @@
             if known is not None and known[1].instance != report.instance:
                 self._forget(known[1].instance)
             self._contacts[group] = (now, report)
-            self._pass_on(_News(report.failures, report.resends), ReportKind.DIGEST)
+            news = _News(report.failures, report.resends, report.sends)
+            self._pass_on(news, ReportKind.DIGEST)
             self._schedule(ReportKind.DIGEST)
         self._apply(report)
 
@@ -312,6 +317,8 @@
         scope = ReportScope.GROUP if of_group else ReportScope.FLEET
         self._origins.apply_reported(report.origins, scope)
         self._quarantine.apply_reported(report.crashes, report.sound, scope)
+        self._limits.apply_reported(report.limits, scope, report.instance)
+        self._limits.apply_sends(report.sends)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance,
@@ -374,7 +381,11 @@
             return
         self._sent_at_by_kind[kind] = self._clock.seconds()
         self._sequence += 1
-        own_news = _News(self._health.take_unreported(), self._budget.take_unreported())
+        own_news = _News(
+            self._health.take_unreported(),
+            self._budget.take_unreported(),
+            self._limits.take_unreported(),
+        )
         self._pass_on(own_news, *ReportKind)
         news = self._news_by_kind.pop(kind, _News())
         seconds, scope = ORIGINS_BY_KIND[kind]
@@ -389,6 +400,8 @@
             origins=self._origins.recent(seconds, scope),
             crashes=crashes,
             sound=sound,
+            limits=self._limits.take_due(scope),
+            sends=news.sends,
         )
         if kind is ReportKind.MEMBER:
             self._send_to(own, self._contact)
@@ -404,7 +417,11 @@
         returned_at = self._returned_at.get(instance, float("-inf"))
         returned = self._clock.seconds() - returned_at <= RETURN_SECONDS
         if returned:
-            report = replace(report, crashes=self._quarantine.everything())
+            report = replace(
+                report,
+                crashes=self._quarantine.everything(),
+                limits=self._limits.everything(),
+            )
         if returned and report.kind is not ReportKind.MEMBER:
             report = replace(report, origins=self._origins.everything())
         self._send_report(report, peer.address)
@@ -460,6 +477,7 @@
                 changing=changing,
                 failures=_without(own.failures, own_news.failures),
                 resends=_without(own.resends, own_news.resends),
+                sends=_without(own.sends, own_news.sends),
                 echo=self._echo(name),
                 store=store,
             )
@@ -478,14 +496,19 @@
 
 @dataclass(frozen=True, slots=True)
 class _News:
-    """What happened since the last report: failures by server, retries by service."""
+    """What happened since the last report.
+
+    Failures, and requests to limited servers, by server, and retries by service.
+    """
 
     failures: dict[str, Tally] = field(default_factory=dict)
     resends: dict[str, Tally] = field(default_factory=dict)
+    sends: dict[str, Tally] = field(default_factory=dict)
 
     def add(self, other: "_News") -> None:
         add_tallies(self.failures, other.failures)
         add_tallies(self.resends, other.resends)
+        add_tallies(self.sends, other.sends)
 
 
 def _without(sums: dict[str, Tally], part: dict[str, Tally]) -> dict[str, Tally]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -126,7 +126,8 @@
         if notice.pause > 0:
             self.backends.pause(server, notice.pause)
             self.log.event("server_paused", server=server.id, seconds=notice.pause)
-        self.limits.record_answer(server.run, notice.limit, sent_at)
+        if self.limits.record_answer(server.run, notice.limit, sent_at):
+            self.on_load_changed()
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -278,6 +278,7 @@
             )
         exchange = Exchange(request, body)
         sent_at = self._clock.seconds()
+        self._context.limits.record_send(server.run)
         exchange.start(connection, self._pool.release)
         answer = Deferred.fromCoroutine(self._receive_answer(exchange))
         answer.addTimeout(CALL_TIMEOUT_SECONDS, self._clock)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -280,7 +280,7 @@
     )
 
 
-def engine_queue(clock, backends, loads, health, remote_queues):
+def engine_queue(clock, backends, loads, health, remote_queues, limits=None):
     """Return an instance's queue of the service llm; the instance is in zone-a."""
     return EngineQueue(
         "llm",
@@ -288,6 +288,7 @@
         backends=backends,
         loads=loads,
         health=health,
+        limits=limits or ServerLimits(clock, ListLog(), Random(1)),
         availability_zone="zone-a",
         server_choice=server_choice(ServerChoicePolicy.LEAST_LOADED, Random(1)),
         remote_queues=remote_queues,
@@ -320,16 +321,17 @@
         self.age = 0.0
         self.store_view.age = lambda: self.age
         self.store_view.deployment = configuration or deployment()
+        self.limits = ServerLimits(self.clock, self.log, Random(1))
         self.queue = engine_queue(
             self.clock,
             self.backends,
             self.loads,
             self.health,
             RemoteQueues(self.clock),
+            self.limits,
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
-        self.limits = ServerLimits(self.clock, self.log)
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -25,6 +25,7 @@
 from pomeloglade.forwarding.report_relay import ReportRelay
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.server_health import ServerHealth
+from pomeloglade.forwarding.server_limits import ServerLimits
 from pomeloglade.forwarding.store_follower import (
     StoreFollower,
 )
@@ -79,6 +80,7 @@
         self.budget = ResendBudget(fleet.clock, LIMIT)
         self.origins = StreamOrigins(fleet.clock, lambda _: fleet.versions)
         self.quarantine = CrashQuarantine(fleet.clock, self.log)
+        self.limits = ServerLimits(fleet.clock, self.log, Random(number + 7))
         self.store = FaultyStore(fleet.clock, fleet.clock, fleet.store)
         self.view = View()
         self.follower = StoreFollower(
@@ -103,6 +105,7 @@
             follower=self.follower,
             origins=self.origins,
             quarantine=self.quarantine,
+            limits=self.limits,
             log=self.log,
         )
 
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -60,7 +60,7 @@
             health=ServerHealth(self.clock),
             budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
             quarantine=CrashQuarantine(self.clock, self.log),
-            limits=ServerLimits(self.clock, self.log),
+            limits=ServerLimits(self.clock, self.log, Random(1)),
             log=self.log,
             on_load_changed=lambda: None,
         )
