Log when no server of a service can be reached, and when one can again

A service now counts as out of reach once connections to three of its servers, or to all of fewer, have failed and none was made since (service_out_of_reach, service_in_reach, and a gauge). Nothing is decided by it yet.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -36,6 +36,7 @@
 from .server_choice import ServerChoicePolicy, server_choice
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_reach import ServerReach
 from .stage_orders import PREFILL_SHARE, StageOrders
 from .store_follower import StoreFollower
 from .store_view import StoreLayout, StoreView
@@ -129,6 +130,7 @@
             self._server_unusable,
             grace=REMOVAL_GRACE_FRACTION * settings.server_drain_seconds,
         )
+        self._reach = ServerReach(self._backends, log)
         self._queues_by_service: dict[str, EngineQueue] = {}
         self._remote_queues = RemoteQueues(reactor)
         self._origins = StreamOrigins(
@@ -182,6 +184,7 @@
             budget=self._budget,
             quarantine=self._quarantine,
             limits=self._limits,
+            reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
         )
@@ -221,6 +224,9 @@
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("limited_servers", self._limits.count)
+        metrics.gauge(
+            "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
+        )
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -10,6 +10,7 @@
     BackendLostError,
     BackendNotServingError,
     BackendSilentError,
+    BackendUnreachableError,
 )
 from ..transport.body_memory import BodyMemory
 from ..transport.http_exchange import ConnectionPool, ResponseHead, ServerConnection
@@ -22,6 +23,7 @@
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_reach import ServerReach
 
 CONNECT_TIMEOUT_SECONDS = 0.25
 """Connecting takes milliseconds; waiting for the retransmission of a lost packet takes
@@ -45,6 +47,7 @@
     budget: ResendBudget
     quarantine: CrashQuarantine
     limits: ServerLimits
+    reach: ServerReach
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
@@ -57,11 +60,17 @@
         Raises ``BackendUnreachableError`` if the connection fails, and the errors of
         ``revalidate``.
         """
-        connection = await self.pool.acquire_connection(
-            server.address,
-            max_idle_seconds=max_idle_seconds,
-            timeout=CONNECT_TIMEOUT_SECONDS,
-        )
+        try:
+            connection = await self.pool.acquire_connection(
+                server.address,
+                max_idle_seconds=max_idle_seconds,
+                timeout=CONNECT_TIMEOUT_SECONDS,
+            )
+        except BackendUnreachableError:
+            self.reach.record_unreachable(server)
+            raise
+        if not connection.reused:
+            self.reach.record_connected(server)
         try:
             self.revalidate(state, server)
         except (Refused, BackendNotServingError):
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -33,6 +33,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.server_limits import ServerLimits
+from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigins
 from pomeloglade.forwarding.usage import SharedUsage
@@ -332,6 +333,7 @@
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
+        self.reach = ServerReach(self.backends, self.log)
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
@@ -342,6 +344,7 @@
             budget=self.budget,
             quarantine=self.quarantine,
             limits=self.limits,
+            reach=self.reach,
             log=self.log,
             on_load_changed=lambda: None,
         )
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -14,6 +14,7 @@
 from pomeloglade.forwarding.send_context import SendContext
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.server_limits import ServerLimits
+from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.stage_orders import PREFILL_SHARE, StageOrders
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
@@ -61,6 +62,7 @@
             budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
             quarantine=CrashQuarantine(self.clock, self.log),
             limits=ServerLimits(self.clock, self.log, Random(1)),
+            reach=ServerReach(self.backends, self.log),
             log=self.log,
             on_load_changed=lambda: None,
         )
