Reproduce instances that serve nothing while they are cut from all servers

The soak cuts half of the instances, or a zone, from all servers: connections are reset, silent, or open ones live on while new ones are aborted.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,10 @@
 SERVER_LIMIT = 2.5
 """For how long servers name a limit, and the limit in requests a second."""
 
+CUT_SECONDS = 8.0
+CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
+ZONE_CUT_FRACTION = 0.5
+
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENCE, LinkMode.ONE_WAY, LinkMode.RESET)
 
 
@@ -58,6 +62,7 @@
             "revoke during store cut": self._revoke_during_store_cut,
             "endless answers": self._flood_answers,
             "server limits": self._name_limits,
+            "cut from servers": self._cut_from_servers,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
         }
@@ -72,6 +77,8 @@
         """End all lasting faults of links and stand-ins; resume paused instances."""
         fleet = self._fleet
         fleet.store.faults = StoreFaults()
+        for cut in fleet.cuts:
+            fleet.end_cut(cut)
         for instance in fleet.instances:
             instance.store_proxy.set_mode(LinkMode.PASS)
             instance.front_proxy.set_mode(LinkMode.PASS)
@@ -175,6 +182,18 @@
             self._call_later(LIMIT_SECONDS, backend.name_limit, None)
         return f"{[each.id for each in limited]} for {LIMIT_SECONDS} s"
 
+    def _cut_from_servers(self, seconds: float) -> str:
+        """Cut half of the instances, or a zone, from all servers."""
+        fleet = self._fleet
+        if self._random.random() < ZONE_CUT_FRACTION:
+            zone = self._random.choice(fleet.instances).zone
+            cut_off = [each for each in fleet.instances if each.zone == zone]
+        else:
+            cut_off = self._random.sample(fleet.instances, len(fleet.instances) // 2)
+        cut = fleet.cut_from_servers(cut_off, self._random.choice(CUT_MODES))
+        self._call_later(CUT_SECONDS, fleet.end_cut, cut)
+        return f"{[each.name for each in cut_off]} {cut.mode.value}"
+
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
         old = backend.id
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -3,6 +3,7 @@
 import os
 import signal
 import sys
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Any
@@ -18,7 +19,8 @@
 from pomeloglade_platform_standin.deployment import configuration, settings_text
 from pomeloglade_platform_standin.store import StoreStandIn
 
-from .proxy import Proxy
+from .proxy import LinkMode, Proxy
+from .sockets import owns_port
 
 HOST = "127.0.0.1"
 ZONES = ("zone-a", "zone-b")
@@ -91,6 +93,10 @@
         self.paused = number is signal.SIGSTOP
         self._process.signalProcess(number.value)
 
+    def owns_port(self, port: int) -> bool:
+        """Return whether the process has a connection from a local port."""
+        return self.running and owns_port(self._process.pid, port)
+
     def peak_memory_mb(self) -> float:
         """Return the largest memory that the process has had since its start."""
         status = Path(f"/proc/{self._process.pid}/status").read_text()
@@ -110,6 +116,16 @@
             self._fleet.reactor.callLater(0.5, self.start)
 
 
+@dataclass(slots=True)
+class ServerCut:
+    """A time in which some instances had no way to any server."""
+
+    instances: tuple[InstanceProcess, ...]
+    mode: LinkMode
+    begin: float
+    end: float = float("inf")
+
+
 class Fleet:
     """Instances, the platform's store and backend servers, connected by proxies.
 
@@ -137,6 +153,8 @@
         self.backends: list[BackendStandIn] = []
         self.backend_proxies: dict[BackendStandIn, Proxy] = {}
         self.instances: list[InstanceProcess] = []
+        self.cuts: list[ServerCut] = []
+        self._open_cuts: list[ServerCut] = []
         self.closing = False
         self._written: dict[str, bytes] = {}
         self._instance_count = instances
@@ -154,6 +172,7 @@
             )
             port = await self._listen(backend)
             proxy = Proxy(self.reactor, HOST, (HOST, port))
+            proxy.mode_by_port = self._cut_mode_of_port
             backend.address = proxy.address
             peers[proxy.address] = backend
             backend.on_stage_change = lambda backend=backend: self.register(backend)
@@ -167,6 +186,33 @@
             instance.start()
             self.instances.append(instance)
 
+    def cut_from_servers(
+        self, instances: list[InstanceProcess], mode: LinkMode
+    ) -> "ServerCut":
+        """Cut instances from all servers until ``end_cut``."""
+        cut = ServerCut(tuple(instances), mode, self.reactor.seconds())
+        self.cuts.append(cut)
+        self._open_cuts.append(cut)
+        self._update_clients()
+        return cut
+
+    def end_cut(self, cut: "ServerCut") -> None:
+        """Let the cut instances reach the servers again."""
+        if cut in self._open_cuts:
+            self._open_cuts.remove(cut)
+            cut.end = self.reactor.seconds()
+            self._update_clients()
+
+    def _update_clients(self) -> None:
+        for proxy in self.backend_proxies.values():
+            proxy.update_clients()
+
+    def _cut_mode_of_port(self, port: int) -> LinkMode | None:
+        for cut in self._open_cuts:
+            if any(each.owns_port(port) for each in cut.instances):
+                return cut.mode
+        return None
+
     async def stop(self) -> None:
         """Kill the processes started here and stop listening."""
         self.closing = True
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -51,6 +51,11 @@
 LIMIT_SLACK = 5
 """Span and tolerance of the limits that servers name."""
 
+CUT_SERVED_FRACTION = 2 / 3
+CUT_SLACK, CUT_SLACK_FRACTION = 10, 1 / 50
+"""How often instances that are cut from all servers must serve, relative to the others,
+and how many of all requests may fail there in any case."""
+
 SERVICE_BY_ROUTE = {
     "lookups": "api",
     "bookings": "api",
@@ -87,6 +92,7 @@
     violations += _check_retry_budget(fleet, requests)
     violations += _check_crashes(fleet, requests)
     violations += _check_limits(fleet, requests)
+    violations += _check_cuts(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
     return violations
@@ -292,6 +298,38 @@
     return violations
 
 
+def _check_cuts(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
+    """Check that instances that are cut from all servers serve like the others."""
+    violations = []
+    valid = {fleet.keys_by_account[name] for name in ("club", "league")}
+    for cut in fleet.cuts:
+        served_by_side: dict[bool, list[bool]] = {True: [], False: []}
+        for each in requests:
+            if (
+                cut.begin + SETTLE_SECONDS <= each.sent_at <= cut.end
+                and each.key in valid
+                and not each.disconnected
+                and not each.culprit
+                and not _disturbed(each, each.ended_at or each.sent_at)
+            ):
+                served = each.complete and each.status == 200
+                served_by_side[each.instance in cut.instances].append(served)
+        inside, outside = served_by_side[True], served_by_side[False]
+        failed = inside.count(False)
+        if not inside or not outside or not outside.count(True):
+            continue
+        if failed <= CUT_SLACK + CUT_SLACK_FRACTION * len(inside + outside):
+            continue
+        rate = inside.count(True) / len(inside)
+        if rate < CUT_SERVED_FRACTION * outside.count(True) / len(outside):
+            violations.append(
+                f"cut instances served {inside.count(True)} of {len(inside)} from"
+                f" {cut.begin:.2f} on ({cut.mode.value}), the others"
+                f" {outside.count(True)} of {len(outside)}"
+            )
+    return violations
+
+
 def _disturbed(request: SentRequest, at: float) -> bool:
     """Return whether a request's instance was disturbed shortly before ``at``."""
     return any(
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -1,6 +1,7 @@
 """A loopback proxy that can delay, hold back or reset its connections."""
 
 import enum
+from collections.abc import Callable
 from typing import Any
 
 from twisted.internet.protocol import ClientFactory, Factory, Protocol
@@ -14,6 +15,7 @@
     SILENCE = "silence"
     ONE_WAY = "one way"
     RESET = "reset"
+    REFUSE = "refuse"
 
 
 DELAY_SECONDS = 0.1
@@ -24,7 +26,8 @@
 
     ``SILENCE`` holds back the bytes of both directions until the mode changes,
     ``ONE_WAY`` only those from the target. ``RESET`` aborts all connections, also new
-    ones.
+    ones; ``REFUSE`` aborts only the new ones. ``mode_by_port`` returns another mode
+    for the connection from a client's port, or ``None``.
     """
 
     noisy = False
@@ -34,6 +37,7 @@
         self.target = target
         self.mode = LinkMode.PASS
         self.connections: set[_ProxyConnection] = set()
+        self.mode_by_port: Callable[[int], LinkMode | None] = lambda port: None
         self._host = host
         self._port = reactor.listenTCP(0, self, interface=host)
         self._port_number = self._port.getHost().port
@@ -48,6 +52,19 @@
             else:
                 connection.flush()
 
+    def update_clients(self) -> None:
+        """Apply ``mode_by_port`` to the open connections."""
+        for connection in list(self.connections):
+            if connection.from_target or connection.peer is None:
+                continue
+            mode = self.mode_by_port(connection.port)
+            connection.mode = connection.peer.mode = mode
+            if mode is LinkMode.RESET:
+                connection.transport.abortConnection()
+            else:
+                connection.flush()
+                connection.peer.flush()
+
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         self._port.stopListening()
@@ -62,33 +79,37 @@
 
     def buildProtocol(self, addr: Any) -> "_ProxyConnection":  # noqa: N802
         """Return the protocol for a connection accepted from a client."""
-        return _ProxyConnection(self, from_target=False)
+        return _ProxyConnection(self, from_target=False, port=addr.port)
 
 
 class _ProxyConnection(Protocol):
     """Connection to the client or the target; forwards what it receives to its peer."""
 
-    def __init__(self, proxy: Proxy, *, from_target: bool) -> None:
+    def __init__(self, proxy: Proxy, *, from_target: bool, port: int = 0) -> None:
         self._proxy = proxy
-        self._from_target = from_target
+        self.from_target = from_target
+        self.port = port
+        self.mode: LinkMode | None = None
         self._buffered: list[bytes] = []
         self._closed = False
         self.peer: _ProxyConnection | None = None
 
     def connectionMade(self) -> None:  # noqa: N802
         proxy = self._proxy
-        if proxy.mode is LinkMode.RESET:
+        if not self.from_target:
+            self.mode = proxy.mode_by_port(self.port)
+        if (self.mode or proxy.mode) in (LinkMode.RESET, LinkMode.REFUSE):
             self.transport.abortConnection()
             return
         proxy.connections.add(self)
         self.transport.setTcpNoDelay(True)
-        if not self._from_target:
+        if not self.from_target:
             host, port = proxy.target
             proxy.reactor.connectTCP(host, port, _TargetFactory(proxy, self), timeout=5)
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._buffered.append(data)
-        if self._proxy.mode is LinkMode.DELAY:
+        if (self.mode or self._proxy.mode) is LinkMode.DELAY:
             self._proxy.reactor.callLater(DELAY_SECONDS, self.flush)
         else:
             self.flush()
@@ -100,9 +121,9 @@
 
     def flush(self) -> None:
         """Forward the buffered bytes to the peer unless the mode holds them back."""
-        mode, peer = self._proxy.mode, self.peer
+        mode, peer = self.mode or self._proxy.mode, self.peer
         held = mode is LinkMode.SILENCE or (
-            mode is LinkMode.ONE_WAY and self._from_target
+            mode is LinkMode.ONE_WAY and self.from_target
         )
         if peer is None or held:
             return
@@ -126,6 +147,7 @@
         """Return the connection to the target, paired with the client's."""
         target = _ProxyConnection(self._proxy, from_target=True)
         target.peer, self._client.peer = self._client, target
+        target.mode = self._client.mode
         self._proxy.reactor.callLater(0, self._client.flush)
         return target
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,9 @@
 
 import pytest
 from soak.callers import CRASHING_TARGET, SentRequest
-from soak.fleet import KEYS_BY_ACCOUNT
+from soak.fleet import KEYS_BY_ACCOUNT, ServerCut
 from soak.guarantees import find_violations
+from soak.proxy import LinkMode
 
 from pomeloglade_platform_standin.backend import (
     Ledger,
@@ -65,6 +66,14 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against refusing calls that other instances can serve: RECOVER (second1,
+# issue 28).
+@pytest.mark.parametrize("seed", ["1", "2", "4"], ids=["reset", "refuse", "silence"])
+def test_processes_that_are_cut_from_all_servers_serve_through_others(tmp_path, seed):
+    fault = ("--fault", "cut from servers", "--seconds", "8")
+    run_soak(tmp_path, "--seed", seed, "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
@@ -74,6 +83,7 @@
         instances=[instance],
         violations=[],
         ledger=Ledger(),
+        cuts=[],
         revoked=[],
         keys_by_account=dict(KEYS_BY_ACCOUNT),
     )
@@ -266,6 +276,23 @@
     assert any("named a limit of 2.5" in line for line in violations(fleet))
 
 
+@pytest.mark.parametrize(("status", "found"), [(200, False), (503, True)])
+def test_instances_that_serve_nothing_while_cut_off_are_found(fleet, status, found):
+    (cut_off,) = fleet.instances
+    other = SimpleNamespace(name="entry-1", disturbed_at=[])
+    fleet.cuts.append(ServerCut((cut_off,), LinkMode.RESET, 10.0))
+    sent = [answered_request(fleet, f"{cut_off.name}-{n}") for n in range(12)]
+    others = [answered_request(fleet, f"{other.name}-{n}") for n in range(12)]
+    for each in (*sent, *others):
+        each.sent_at = 14.0
+    for each in sent:
+        each.status = status
+    for each in others:
+        each.instance = other
+    lines = violations(fleet, *sent, *others)
+    assert any("cut instances served" in line for line in lines) is found
+
+
 def test_missing_recovery_after_the_faults_is_found(fleet):
     sent = sent_request(fleet, "a", at=101.0, status=503, complete=True)
     assert any("served after the faults" in line for line in violations(fleet, sent))
