Pass on calls to other instances while no server can be reached

What callers saw: instances that were cut from all servers, but not from their callers, the store or each other, served 0 of 34 and 3 of 93 first tries; the others 159 of 165 and 97 of 107.

Cause: an instance sent calls to servers only (hypothesis 1). Trying again sooner (hypothesis 2) cannot help for the 12 s of the cut. Not being ready (hypothesis 3) moves no open connection, and no new one where most of a zone is cut.

A service whose servers fail one after the other now counts as out of reach until one of them answers on a new connection; failures are looked into by probes of the health or the engine's report, and so is the end. Meanwhile its calls go to another instance, by HTTP on the port that instances report on. That instance handles them like its callers' calls, with its configuration, limits, retry budget and quarantine, and never passes them on. The account's use and the caller's request are counted where the call arrived. What may have run is passed on only if it may run again, and within the retry budget. Answers with a server's seal are passed back unchanged, streams event by event; resumable streams go on at another instance after their last event. Reports name the instances that are cut off or stop, at most 32 within half a second, so that they are not asked.

The soak's processes are found by sock_diag now, as reading /proc/net/tcp for each connection held up the stand-ins.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -5,6 +5,7 @@
 
 from .calls import ForwardedCall, Refused
 from .deployment import Account, Route
+from .event_stream import EventStream
 from .request_keys import part_keys, request_key
 
 GIVE_UP_RETRY_AFTER_SECONDS = 0.1
@@ -36,6 +37,13 @@
         Picks one of a route's services at random, according to their weights.
     now : callable
         Returns the current time.
+    passed_on : bool
+        Whether another instance has passed the call on to this one.
+
+    Attributes
+    ----------
+    stream : EventStream or None
+        What the caller has received of a model call's stream.
     """
 
     def __init__(
@@ -44,8 +52,12 @@
         resolve: Callable[[ForwardedCall, bool], Resolution],
         choose_service: Callable[[Route], str],
         now: Callable[[], float],
+        *,
+        passed_on: bool = False,
     ) -> None:
         self.call = call
+        self.passed_on = passed_on
+        self.stream: EventStream | None = None
         self._resolve = resolve
         self._choose_service = choose_service
         self._now = now
--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -223,6 +223,21 @@
     ) -> RequestHead:
         """Return the request head that forwards ``call`` to a backend server."""
 
+    @abc.abstractmethod
+    def pass_on_request(
+        self,
+        call: ForwardedCall,
+        *,
+        seconds_left: float,
+        last_event_id: bytes | None,
+        first_call_id: str | None,
+    ) -> RequestHead:
+        """Return the request head that passes ``call`` on to another instance.
+
+        It is like the caller's, with the time left; a stream that has begun is taken
+        up after ``last_event_id`` of the call ``first_call_id``.
+        """
+
     @abc.abstractmethod
     def parse_answer(self, call: ForwardedCall, head: ResponseHead) -> AnswerMetadata:
         """Parse the headers of a backend server's answer to ``call``."""
@@ -253,6 +268,14 @@
     ) -> tuple[RequestHead, bytes]:
         """Return the head and body of the request that changes an engine's stage."""
 
+    @abc.abstractmethod
+    def health_request(self, server: BackendServer, path: str) -> RequestHead:
+        """Return the request for a server's health."""
+
+    @abc.abstractmethod
+    def parse_retry_after(self, head: ResponseHead) -> float | None:
+        """Return the seconds after which an answer asks to retry, if any."""
+
     @abc.abstractmethod
     def retry_after(self, seconds: float) -> Headers:
         """Return the headers that tell a caller when to retry."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -68,11 +68,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Service:
-    """A kind of backend server; ``engines`` is set for model services."""
+    """A kind of backend server; ``engines`` is set for model services.
+
+    Servers answer at ``health_path`` whether they are healthy.
+    """
 
     name: str
     max_connections: int
     engines: EnginePool | None = None
+    health_path: str = "/"
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -17,6 +17,7 @@
 from .event_log import EventLog
 from .forwarding_metrics import ForwardingMetrics
 from .model_calls import ModelCalls
+from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
 from .resend_budget import ResendBudget
 from .store_view import StoreView
@@ -57,6 +58,7 @@
         budget: ResendBudget,
         plain_calls: PlainCalls,
         model_calls: ModelCalls,
+        peer_calls: PeerCalls,
         log: EventLog,
         metrics: ForwardingMetrics,
     ) -> None:
@@ -68,6 +70,7 @@
         self._budget = budget
         self._plain_calls = plain_calls
         self._model_calls = model_calls
+        self._peer_calls = peer_calls
         self._log = log
         self._metrics = metrics
         self._draining = False
@@ -96,11 +99,20 @@
         return self._draining or not self._store_view.fresh_enough_for_keys()
 
     def handle(
-        self, head: RequestHead, body: bytes, responder: Responder
+        self,
+        head: RequestHead,
+        body: bytes,
+        responder: Responder,
+        *,
+        passed_on: bool = False,
     ) -> "Deferred[None]":
-        """Handle a request; cancel the returned deferred if the caller disconnects."""
+        """Handle a request; cancel the returned deferred if the caller disconnects.
+
+        One that another instance has ``passed_on`` was counted there for the account's
+        limit, and is not passed on again.
+        """
         self.open_calls += 1
-        served = Deferred.fromCoroutine(self._serve(head, body, responder))
+        served = Deferred.fromCoroutine(self._serve(head, body, responder, passed_on))
 
         def ended(result: Any) -> Any:
             self.open_calls -= 1
@@ -111,7 +123,7 @@
         return served
 
     async def _serve(
-        self, head: RequestHead, body: bytes, responder: Responder
+        self, head: RequestHead, body: bytes, responder: Responder, passed_on: bool
     ) -> None:
         started = self._clock.seconds()
         state: CallState | None = None
@@ -119,7 +131,11 @@
         try:
             call = self._codec.parse_call(head, body, started)
             state = CallState(
-                call, self._resolve, self._choose_service, self._clock.seconds
+                call,
+                self._resolve,
+                self._choose_service,
+                self._clock.seconds,
+                passed_on=passed_on,
             )
             state.longest_time_limit = self._longest_time_limit(state)
             self._refuse_if_stopping(state)
@@ -157,12 +173,16 @@
         cost = 0
         if account is not None:
             cost = account.cost(call.prompt.tokens if call.prompt else None)
-            wait = self._usage.admit(account, cost)
+            # A call that was passed on counts at the instance where it arrived.
+            if state.passed_on:
+                cost = 0
+            wait = self._usage.admit(account, cost) if cost else 0.0
             if wait > 0:
                 inputs = {"cost": cost, "rate": account.rate, "burst": account.burst}
                 raise Refused(429, "over_limit", retry_after=wait, inputs=inputs)
             state.account_usage = self._usage.used_fraction(account)
-        self._budget.record_call(state.service())
+        if not state.passed_on:
+            self._budget.record_call(state.service())
         run = Deferred.fromCoroutine(self._run(state, responder))
 
         def expire() -> None:
@@ -186,6 +206,15 @@
                 self._usage.refund(account, cost)
 
     async def _run(self, state: CallState, responder: Responder) -> None:
+        """Run a call here, or pass it on if this instance has no way to servers."""
+        try:
+            await self._run_here(state, responder)
+        except Refused as refused:
+            if not self._peer_calls.may_pass_on(state, responder, refused):
+                raise
+            await self._peer_calls.run(state, responder, refused)
+
+    async def _run_here(self, state: CallState, responder: Responder) -> None:
         service = self._store_view.deployment.services_by_name.get(state.service())
         if service is not None and service.engines is not None:
             await self._model_calls.run(state, responder)
@@ -295,6 +324,7 @@
             id=call.id if call else "",
             first_call_id=call.first_call_id if call else None,
             request=f"{state.request_key:016x}" if state else None,
+            passed_on=bool(state and state.passed_on),
             route=route.name if route else "",
             kind=route.kind.value if route else "",
             account=state.account_name if state else None,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -22,10 +22,13 @@
 from .event_log import EventLog
 from .forwarder import Forwarder
 from .forwarding_metrics import ForwardingMetrics
+from .instance_availability import InstanceAvailability
 from .instance_groups import Peer
 from .instance_reports import Report, ReportExchange, waiting_from
 from .loads import Loads
 from .model_calls import ModelCalls
+from .passed_on_calls import PassedOnCalls
+from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
 from .prefills import Prefills
 from .registration import Registration
@@ -36,6 +39,7 @@
 from .server_choice import ServerChoicePolicy, server_choice
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_probes import ServerProbes
 from .server_reach import ServerReach
 from .stage_orders import PREFILL_SHARE, StageOrders
 from .store_follower import StoreFollower
@@ -115,6 +119,7 @@
         self._run = random.getrandbits(RUN_ID_BITS)
         self._server_choice = server_choice(settings.server_choice, random)
         self._started = reactor.seconds()
+        self._draining = False
         self._key = layout.instances_prefix + settings.instance
         self._pool = ConnectionPool(reactor)
         self._loads = Loads(reactor)
@@ -130,7 +135,11 @@
             self._server_unusable,
             grace=REMOVAL_GRACE_FRACTION * settings.server_drain_seconds,
         )
-        self._reach = ServerReach(self._backends, log)
+        self._reach = ServerReach(reactor, self._backends, log)
+        self._availability = InstanceAvailability(reactor, random, settings.instance)
+        self._availability.own_unavailable = lambda: (
+            self._draining or bool(self._reach.services_out_of_reach())
+        )
         self._queues_by_service: dict[str, EngineQueue] = {}
         self._remote_queues = RemoteQueues(reactor)
         self._origins = StreamOrigins(
@@ -171,6 +180,7 @@
             origins=self._origins,
             quarantine=self._quarantine,
             limits=self._limits,
+            availability=self._availability,
             log=log,
         )
         metrics = ForwardingMetrics()
@@ -188,6 +198,9 @@
             log=log,
             on_load_changed=self._relay.schedule_report,
         )
+        self._reach.probe = ServerProbes(context, self.store_view).probe
+        self._reach.on_change = self._availability_changed
+        self._peer_calls = PeerCalls(context, self._availability, random)
         self._prefills = Prefills(context, log)
         self.forwarder = Forwarder(
             clock=reactor,
@@ -202,6 +215,7 @@
             model_calls=ModelCalls(
                 context, self._prefills, self._queue_for, self._origins
             ),
+            peer_calls=self._peer_calls,
             log=log,
             metrics=metrics,
         )
@@ -230,8 +244,10 @@
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
+        self._peer_site = HttpSite(
+            PassedOnCalls(self.forwarder), reactor, self._rejected
+        )
         self._pages = TextPages(settings.ready_path, self._ready, metrics.render)
-        self._draining = False
         self._tasks: list[Deferred[None]] = []
 
     async def start(self) -> None:
@@ -242,6 +258,8 @@
             await self._endpoint(port).listen(self._pages)
         front = self._endpoint(settings.front_port, backlog=512)
         self._listener = await front.listen(self._site)
+        peers = self._endpoint(settings.peer_port)
+        self._peer_listener = await peers.listen(self._peer_site)
         self._reactor.listenUDP(
             settings.peer_port, self._exchange, interface=settings.host
         )
@@ -280,6 +298,11 @@
             except (ValueError, KeyError, TypeError) as error:
                 self._log.event("instance_rejected", key=name, reason=str(error))
         self._relay.set_peers(peers)
+        self._peer_calls.set_peers(peers)
+
+    def _availability_changed(self) -> None:
+        self._availability.report_at_once()
+        self._relay.schedule_report()
 
     def _queue_for(self, service: str) -> EngineQueue:
         queue = self._queues_by_service.get(service)
@@ -383,6 +406,7 @@
         started = self._reactor.seconds()
         self._log.event("draining", open_calls=self.forwarder.open_calls)
         self._draining = True
+        self._availability_changed()
         self._stage_orders.stop()
         until = started + self._settings.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
         self.forwarder.begin_drain(
@@ -390,9 +414,12 @@
         )
         await deferLater(self._reactor, READINESS_PROPAGATION_SECONDS)
         await self._listener.stopListening()
+        await self._peer_listener.stopListening()
+        sites = (self._site, self._peer_site)
         while self._reactor.seconds() < until:
-            self._site.close_idle()
-            if not self.forwarder.open_calls and not self._site.connections:
+            for site in sites:
+                site.close_idle()
+            if not self.forwarder.open_calls and not any(s.connections for s in sites):
                 break
             await deferLater(self._reactor, 0.05)
         self._relay.stop()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -59,6 +59,7 @@
     of the calls under which servers ended, ``sound`` the keys that were disproved.
     ``limits`` has the limits that servers named, and their ends; ``sends`` the new
     requests to such servers, and how often instances asked to send one.
+    ``unavailable`` names instances that can take no calls of others.
     """
 
     instance: str
@@ -82,6 +83,7 @@
     sound: list[int] = field(default_factory=list)
     limits: ReportedLimits = field(default_factory=list)
     sends: dict[str, Tally] = field(default_factory=dict)
+    unavailable: list[str] = field(default_factory=list)
 
     def calls_by_server(self) -> dict[str, ServerCalls]:
         """Return the reported calls and tokens by backend server."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -82,6 +82,7 @@
             resumable=state.resolved.route.resumable,
             last_id=state.call.last_event_id,
         )
+        state.stream = stream
         if stream.resumable and stream.last_id is not None:
             stream.origin = self._origin_of_taken_up(state)
         health, clock = self._context.health, self._context.clock
@@ -90,8 +91,9 @@
         failed_servers: set[str] = set()
         while True:
             resolved = state.resolve()
-            self._context.ensure_not_quarantined(state)
             service = state.service()
+            self._context.ensure_in_reach(service)
+            self._context.ensure_not_quarantined(state)
             if state.send_count and not self._context.budget.remaining(service):
                 raise state.give_up_refusal("resend_budget")
             queue = self._queue_for(service)
@@ -285,7 +287,7 @@
                 while caches:
                     self._prefills.discard(caches.pop())
                 raise
-            context.record_notice(server, head, sent_at)
+            context.record_notice(server, exchange, head, sent_at)
             metadata = context.codec.parse_answer(state.call, head)
             if metadata.not_run:
                 state.record_not_run(server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -77,8 +77,10 @@
             resolved = state.resolve()
             if best is not None and self._context.quarantined_for(state) > 0:
                 return best
-            self._context.ensure_not_quarantined(state)
             service = state.service()
+            if best is None:
+                self._context.ensure_in_reach(service)
+            self._context.ensure_not_quarantined(state)
             server = self._choose(service, tried | rejected)
             if server is None and tried:
                 server = self._choose(service, rejected)
@@ -195,6 +197,10 @@
         self._loads.begin(server.id, 0)
         self._context.on_load_changed()
         exchange: Exchange | None = None
+        objective = resolved.route.objective.total_seconds()
+        look = self._clock.callLater(
+            objective, self._context.reach.look_into, server.service
+        )
         try:
             connection = await self._context.connect(
                 state, server, max_idle_seconds=idle
@@ -215,10 +221,7 @@
             )
             is_last_attempt = is_retry or resolved.route.max_servers == 1
             if resolved.route.kind is CallKind.SAFE and not is_last_attempt:
-                seconds = (
-                    FIRST_SEND_TIMEOUT_OBJECTIVES
-                    * resolved.route.objective.total_seconds()
-                )
+                seconds = FIRST_SEND_TIMEOUT_OBJECTIVES * objective
                 if self._can_retry_elsewhere(state.service(), server):
                     answer.addTimeout(
                         seconds, self._clock, on_silence(server, "answer")
@@ -236,6 +239,8 @@
                 ensure_whole_stream(stream, whole.head, server.id)
             return whole
         finally:
+            if look.active():
+                look.cancel()
             if exchange is not None:
                 exchange.cancel()
             self._loads.end(server.id, 0)
@@ -257,7 +262,7 @@
         sent_at: float,
     ) -> CompleteAnswer:
         head = await exchange.read_head()
-        self._context.record_notice(server, head, sent_at)
+        self._context.record_notice(server, exchange, head, sent_at)
         body = await self._context.body_memory.read_body(exchange)
         metadata = self._codec.parse_answer(call, head)
         validate_answer(metadata, server.id)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -197,7 +197,7 @@
     ) -> str:
         context = self._context
         head = await exchange.read_head()
-        context.record_notice(server, head, sent_at)
+        context.record_notice(server, exchange, head, sent_at)
         body = await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         metadata = self._context.codec.parse_answer(state.call, head)
         if metadata.not_run or not metadata.success:
@@ -227,7 +227,7 @@
         exchange.start(connection, context.pool.release)
         try:
             head = await exchange.read_head()
-            context.record_notice(cache.server, head, sent_at)
+            context.record_notice(cache.server, exchange, head, sent_at)
             await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         finally:
             exchange.cancel()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -8,6 +8,7 @@
 
 from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
+from .instance_availability import InstanceAvailability
 from .instance_groups import InstanceGroups, Peer
 from .instance_reports import Report, ReportKind, waiting_from
 from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads, ServerCalls
@@ -114,6 +115,7 @@
         origins: StreamOrigins,
         quarantine: CrashQuarantine,
         limits: ServerLimits,
+        availability: InstanceAvailability,
         log: EventLog,
     ) -> None:
         self._clock = clock
@@ -132,6 +134,7 @@
         self._origins = origins
         self._quarantine = quarantine
         self._limits = limits
+        self._availability = availability
         limits.coverage = lambda: (usage.covered(), usage.instances)
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
@@ -319,6 +322,7 @@
         self._quarantine.apply_reported(report.crashes, report.sound, scope)
         self._limits.apply_reported(report.limits, scope, report.instance)
         self._limits.apply_sends(report.sends)
+        self._availability.apply_reported(report.unavailable, scope)
         self._loads.apply_report(report.instance, report.calls_by_server())
         self._usage.apply_report(
             report.instance,
@@ -402,6 +406,7 @@
             sound=sound,
             limits=self._limits.take_due(scope),
             sends=news.sends,
+            unavailable=self._availability.take_due(scope),
         )
         if kind is ReportKind.MEMBER:
             self._send_to(own, self._contact)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -13,7 +13,12 @@
     BackendUnreachableError,
 )
 from ..transport.body_memory import BodyMemory
-from ..transport.http_exchange import ConnectionPool, ResponseHead, ServerConnection
+from ..transport.http_exchange import (
+    ConnectionPool,
+    Exchange,
+    ResponseHead,
+    ServerConnection,
+)
 from .backends import Backends, BackendServer
 from .call_state import CallState
 from .calls import CallCodec, Refused
@@ -30,6 +35,13 @@
 a second, and trying another server is faster."""
 
 
+OUT_OF_REACH = "servers_out_of_reach"
+"""Reason of a refusal by an instance that has no way to a service's servers."""
+
+OUT_OF_REACH_RETRY_SECONDS = 0.5
+"""Retry delay while no server can be reached; as often one is probed."""
+
+
 @dataclass(frozen=True, slots=True)
 class SendContext:
     """The components of an instance that are needed to send calls.
@@ -67,10 +79,8 @@
                 timeout=CONNECT_TIMEOUT_SECONDS,
             )
         except BackendUnreachableError:
-            self.reach.record_unreachable(server)
+            self.reach.record_failure(server, connected=False, look=True)
             raise
-        if not connection.reused:
-            self.reach.record_connected(server)
         try:
             self.revalidate(state, server)
         except (Refused, BackendNotServingError):
@@ -88,6 +98,11 @@
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
 
+    def ensure_in_reach(self, service: str) -> None:
+        """Raise ``Refused`` if this instance has no way to a service's servers."""
+        if self.reach.out_of_reach(service):
+            raise Refused(503, OUT_OF_REACH, retry_after=OUT_OF_REACH_RETRY_SECONDS)
+
     def quarantined_for(self, state: CallState) -> float:
         """Return the seconds for which the call must not be sent to a server."""
         return self.quarantine.seconds_left(state.crash_keys)
@@ -103,9 +118,12 @@
     ) -> None:
         """Record which requests a server ran when its connection ended.
 
-        A server that is silent, or whose answer can't be read, goes on.
+        A server that is silent, or whose answer can't be read, goes on. Either may be
+        out of reach.
         """
         lost = isinstance(error, BackendLostError)
+        if lost:
+            self.reach.record_failure(server, connected=True, look=True)
         if lost and not isinstance(error, BackendSilentError):
             self.quarantine.record_crash(state.crash_keys, server.run)
             self.on_load_changed()
@@ -121,13 +139,19 @@
             self.on_load_changed()
 
     def record_notice(
-        self, server: BackendServer, head: ResponseHead, sent_at: float
+        self,
+        server: BackendServer,
+        exchange: Exchange,
+        head: ResponseHead,
+        sent_at: float,
     ) -> None:
         """Record what the head of an answer says about its server.
 
         This must be called with the head of every answer of a backend server, and the
         time at which the request was sent.
         """
+        on_new_connection = not exchange.connection.reused
+        self.reach.record_contact(server, on_new_connection=on_new_connection)
         notice = self.codec.parse_notice(head)
         if notice.leaving and self.backends.mark_leaving(server.id, server.started_ms):
             self.log.event("server_leaving", server=server.id, source="answer")
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -284,7 +284,7 @@
         answer.addTimeout(CALL_TIMEOUT_SECONDS, self._clock)
         try:
             head, content = await answer
-            self._context.record_notice(server, head, sent_at)
+            self._context.record_notice(server, exchange, head, sent_at)
             return head, content
         finally:
             exchange.cancel()
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -19,8 +19,8 @@
 from pomeloglade_platform_standin.deployment import configuration, settings_text
 from pomeloglade_platform_standin.store import StoreStandIn
 
-from .proxy import LinkMode, Proxy
-from .sockets import owns_port
+from .proxy import Address, LinkMode, Proxy
+from .sockets import has_socket, inode_of
 
 HOST = "127.0.0.1"
 ZONES = ("zone-a", "zone-b")
@@ -93,9 +93,9 @@
         self.paused = number is signal.SIGSTOP
         self._process.signalProcess(number.value)
 
-    def owns_port(self, port: int) -> bool:
-        """Return whether the process has a connection from a local port."""
-        return self.running and owns_port(self._process.pid, port)
+    def has_socket(self, inode: int) -> bool:
+        """Return whether the process has a socket open."""
+        return self.running and has_socket(self._process.pid, inode)
 
     def peak_memory_mb(self) -> float:
         """Return the largest memory that the process has had since its start."""
@@ -172,7 +172,7 @@
             )
             port = await self._listen(backend)
             proxy = Proxy(self.reactor, HOST, (HOST, port))
-            proxy.mode_by_port = self._cut_mode_of_port
+            proxy.mode_of_client = self._cut_mode
             backend.address = proxy.address
             peers[proxy.address] = backend
             backend.on_stage_change = lambda backend=backend: self.register(backend)
@@ -207,9 +207,11 @@
         for proxy in self.backend_proxies.values():
             proxy.update_clients()
 
-    def _cut_mode_of_port(self, port: int) -> LinkMode | None:
-        for cut in self._open_cuts:
-            if any(each.owns_port(port) for each in cut.instances):
+    def _cut_mode(self, client: Address, server: Address) -> LinkMode | None:
+        """Return what a cut does to a connection of an instance to a server."""
+        inode = inode_of(client, server) if self._open_cuts else None
+        for cut in self._open_cuts if inode else ():
+            if any(each.has_socket(inode) for each in cut.instances):
                 return cut.mode
         return None
 
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -20,14 +20,16 @@
 
 DELAY_SECONDS = 0.1
 
+Address = tuple[str, int]
+
 
 class Proxy(Factory):
     """Forwards connections to one address as its mode demands.
 
     ``SILENCE`` holds back the bytes of both directions until the mode changes,
     ``ONE_WAY`` only those from the target. ``RESET`` aborts all connections, also new
-    ones; ``REFUSE`` aborts only the new ones. ``mode_by_port`` returns another mode
-    for the connection from a client's port, or ``None``.
+    ones; ``REFUSE`` aborts only the new ones. ``mode_of_client`` returns another mode
+    for the connection from a client's address to the proxy's, or ``None``.
     """
 
     noisy = False
@@ -37,7 +39,9 @@
         self.target = target
         self.mode = LinkMode.PASS
         self.connections: set[_ProxyConnection] = set()
-        self.mode_by_port: Callable[[int], LinkMode | None] = lambda port: None
+        self.mode_of_client: Callable[[Address, Address], LinkMode | None] = (
+            lambda client, server: None
+        )
         self._host = host
         self._port = reactor.listenTCP(0, self, interface=host)
         self._port_number = self._port.getHost().port
@@ -53,11 +57,11 @@
                 connection.flush()
 
     def update_clients(self) -> None:
-        """Apply ``mode_by_port`` to the open connections."""
+        """Apply ``mode_of_client`` to the open connections."""
         for connection in list(self.connections):
             if connection.from_target or connection.peer is None:
                 continue
-            mode = self.mode_by_port(connection.port)
+            mode = connection.client_mode()
             connection.mode = connection.peer.mode = mode
             if mode is LinkMode.RESET:
                 connection.transport.abortConnection()
@@ -79,16 +83,15 @@
 
     def buildProtocol(self, addr: Any) -> "_ProxyConnection":  # noqa: N802
         """Return the protocol for a connection accepted from a client."""
-        return _ProxyConnection(self, from_target=False, port=addr.port)
+        return _ProxyConnection(self, from_target=False)
 
 
 class _ProxyConnection(Protocol):
     """Connection to the client or the target; forwards what it receives to its peer."""
 
-    def __init__(self, proxy: Proxy, *, from_target: bool, port: int = 0) -> None:
+    def __init__(self, proxy: Proxy, *, from_target: bool) -> None:
         self._proxy = proxy
         self.from_target = from_target
-        self.port = port
         self.mode: LinkMode | None = None
         self._buffered: list[bytes] = []
         self._closed = False
@@ -97,7 +100,7 @@
     def connectionMade(self) -> None:  # noqa: N802
         proxy = self._proxy
         if not self.from_target:
-            self.mode = proxy.mode_by_port(self.port)
+            self.mode = self.client_mode()
         if (self.mode or proxy.mode) in (LinkMode.RESET, LinkMode.REFUSE):
             self.transport.abortConnection()
             return
@@ -107,6 +110,13 @@
             host, port = proxy.target
             proxy.reactor.connectTCP(host, port, _TargetFactory(proxy, self), timeout=5)
 
+    def client_mode(self) -> LinkMode | None:
+        """Return the mode of the connection's client, if it has one of its own."""
+        client, server = self.transport.getPeer(), self.transport.getHost()
+        return self._proxy.mode_of_client(
+            (client.host, client.port), (server.host, server.port)
+        )
+
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         self._buffered.append(data)
         if (self.mode or self._proxy.mode) is LinkMode.DELAY:
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -23,8 +23,10 @@
 from pomeloglade.forwarding.engine_queue import EngineQueue
 from pomeloglade.forwarding.forwarder import Forwarder
 from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
+from pomeloglade.forwarding.instance_availability import InstanceAvailability
 from pomeloglade.forwarding.loads import Loads
 from pomeloglade.forwarding.model_calls import ModelCalls
+from pomeloglade.forwarding.peer_calls import PeerCalls
 from pomeloglade.forwarding.plain_calls import PlainCalls
 from pomeloglade.forwarding.prefills import Prefills
 from pomeloglade.forwarding.remote_queues import RemoteQueues
@@ -33,6 +35,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.server_limits import ServerLimits
+from pomeloglade.forwarding.server_probes import ServerProbes
 from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigins
@@ -333,7 +336,7 @@
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
-        self.reach = ServerReach(self.backends, self.log)
+        self.reach = ServerReach(self.clock, self.backends, self.log)
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
@@ -349,6 +352,9 @@
             on_load_changed=lambda: None,
         )
         self.body_memory = context.body_memory
+        self.probes = ServerProbes(context, self.store_view)
+        self.availability = InstanceAvailability(self.clock, Random(1), "entry-0")
+        self.peer_calls = PeerCalls(context, self.availability, Random(1))
         self.origins = StreamOrigins(
             self.clock,
             lambda name: self.backends.software_versions(name, ORIGIN_SECONDS),
@@ -372,6 +378,7 @@
             model_calls=ModelCalls(
                 context, self.prefills, lambda _: self.queue, self.origins
             ),
+            peer_calls=self.peer_calls,
             log=self.log,
             metrics=ForwardingMetrics(),
         )
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
+from pomeloglade.forwarding.instance_availability import InstanceAvailability
 from pomeloglade.forwarding.instance_groups import (
     MAX_DIRECT_INSTANCES,
     Peer,
@@ -80,6 +81,7 @@
         self.budget = ResendBudget(fleet.clock, LIMIT)
         self.origins = StreamOrigins(fleet.clock, lambda _: fleet.versions)
         self.quarantine = CrashQuarantine(fleet.clock, self.log)
+        self.availability = InstanceAvailability(fleet.clock, Random(number), self.name)
         self.limits = ServerLimits(fleet.clock, self.log, Random(number + 7))
         self.store = FaultyStore(fleet.clock, fleet.clock, fleet.store)
         self.view = View()
@@ -106,6 +108,7 @@
             origins=self.origins,
             quarantine=self.quarantine,
             limits=self.limits,
+            availability=self.availability,
             log=self.log,
         )
 
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -62,7 +62,7 @@
             budget=ResendBudget(self.clock, ResendLimit(0.2, 10.0, 10.0)),
             quarantine=CrashQuarantine(self.clock, self.log),
             limits=ServerLimits(self.clock, self.log, Random(1)),
-            reach=ServerReach(self.backends, self.log),
+            reach=ServerReach(self.clock, self.backends, self.log),
             log=self.log,
             on_load_changed=lambda: None,
         )
