Count the servers that may have run a call where it is passed on

A lookup that was lost at one server and then passed on could be sent to two more, though its route allows two in all; found by reading the change. The number of servers goes with the call, in a header that only instances set, and a call that has used them up is not passed on. test_servers_that_may_have_run_a_call_count_where_it_is_passed_on sees two sends without it (one allowed).

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -57,6 +57,7 @@
     ) -> None:
         self.call = call
         self.passed_on = passed_on
+        self.servers_tried = call.servers_tried if passed_on else 0
         self.stream: EventStream | None = None
         self._resolve = resolve
         self._choose_service = choose_service
@@ -81,8 +82,11 @@
 
     @property
     def run_count(self) -> int:
-        """The number of backend servers that may have run the call."""
-        return len(self._unresolved_sends_by_server)
+        """The number of backend servers that may have run the call.
+
+        Those at the instance that passed it on count too.
+        """
+        return self.servers_tried + len(self._unresolved_sends_by_server)
 
     @property
     def account_name(self) -> str | None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -92,6 +92,8 @@
     The caller waits for ``time_limit`` seconds from ``arrived`` on. ``headers`` are
     the ones that are forwarded unchanged. A call that takes a stream up after
     ``last_event_id`` names in ``first_call_id`` the one that brought its first event.
+    ``servers_tried`` counts the servers that may have run a call which another instance
+    passes on.
     """
 
     id: str
@@ -107,6 +109,7 @@
     prompt: Prompt | None = None
     last_event_id: bytes | None = None
     first_call_id: str | None = None
+    servers_tried: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -229,12 +232,14 @@
         call: ForwardedCall,
         *,
         seconds_left: float,
+        servers_tried: int,
         last_event_id: bytes | None,
         first_call_id: str | None,
     ) -> RequestHead:
         """Return the request head that passes ``call`` on to another instance.
 
-        It is like the caller's, with the time left; a stream that has begun is taken
+        It is like the caller's, with the time left and the number of servers that may
+        have run it; a stream that has begun is taken
         up after ``last_event_id`` of the call ``first_call_id``.
         """
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -138,7 +138,8 @@
                 excluded.add(server.id)
                 if (
                     not resolved.route.resumable
-                    or len(failed_servers) >= resolved.route.max_servers
+                    or state.servers_tried + len(failed_servers)
+                    >= resolved.route.max_servers
                 ):
                     raise state.give_up_refusal("stream_lost") from error
             finally:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -59,10 +59,11 @@
 
     The other instance resolves the call, chooses servers and sends; it keeps to its
     configuration, the servers' limits, the retry budget and the quarantine, of which it
-    knows more: servers that this one has lost may have answered it. This one
-    has counted the call for its account's limit and for the retry budget. A call that
-    may have run is passed on only if it may run again. Answers are passed back
-    unchanged, and a call that was passed on once is not passed on again.
+    knows more: servers that this one has lost may have answered it. This one has
+    counted the call for its account's limit and for the retry budget. A call that may
+    have run is passed on only if it may run again, and at as many servers as are left.
+    Answers are passed back unchanged, and a call that was passed on once is not passed
+    on again.
 
     Parameters
     ----------
@@ -96,7 +97,10 @@
             return False
         if not self._context.reach.out_of_reach(state.service()):
             return False
-        if state.may_have_run and not state.resolved.route.idempotent:
+        route = state.resolved.route
+        if state.may_have_run and (
+            not route.idempotent or state.run_count >= route.max_servers
+        ):
             return False
         stream = state.stream
         return not responder.head_sent or (stream is not None and stream.resumable)
@@ -174,6 +178,7 @@
         head = context.codec.pass_on_request(
             call,
             seconds_left=max(0.001, state.seconds_left() - TRANSIT_SECONDS),
+            servers_tried=state.run_count,
             last_event_id=stream.last_id if stream is not None else call.last_event_id,
             first_call_id=call.first_call_id or (call.id if begun else None),
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -72,7 +72,7 @@
         best: CompleteAnswer | None = None
         tried: set[str] = set()
         rejected: set[str] = set()
-        runs = 0
+        runs = state.servers_tried
         while True:
             resolved = state.resolve()
             if best is not None and self._context.quarantined_for(state) > 0:
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -440,8 +440,8 @@
         "TWICE, passed on",
         "a call that may have run is passed on again",
         FORWARDING + "peer_calls.py",
-        "        if state.may_have_run and not state.resolved.route.idempotent:\n",
-        "        if False:\n",
+        "            not route.idempotent or state.run_count >= route.max_servers\n",
+        "            False\n",
         ("tests/test_peer_calls.py",),
     ),
     Mutation(
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -177,6 +177,27 @@
         assert len(passed_on(harness)) == expected
 
 
+# Guards against more servers for a call than its route allows: BUDGET (second1,
+# issue 28).
+def test_servers_that_may_have_run_a_call_count_where_it_is_passed_on():
+    servers = server("a"), server("bb"), server("ccc")
+    harness = cut_off(*servers)
+    harness.network.down = set()
+    harness.call(LOOKUP)
+    harness.network.down = {each.address for each in servers}
+    for each in servers:
+        harness.reach.record_failure(each, connected=False)
+    harness.network.requests[0].reset()
+    (request,) = passed_on(harness)
+    other = Harness(*servers)
+    other.network.on_request = lambda sent: sent.reset()
+    responder = FakeResponder()
+    other.forwarder.handle(request.head, b"body", responder, passed_on=True)
+    assert len(other.network.requests) == 1
+    assert responder.status == 502
+    assert other.network.requests[0].header("X-Pomeloglade-Servers-Tried") is None
+
+
 def test_call_that_is_passed_on_counts_here_and_is_refunded_if_it_did_not_run():
     servers = server("a"), server("bb")
     harness = cut_off(*servers, configuration=deployment(rate=1000.0, burst=400.0))
