Probe a service out of reach once each half second only

Found by reading: a service that was in reach for less than half a second between two cuts was probed by two timers, and evidence of a lost answer was kept for ever. Both have tests that fail before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_reach.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_reach.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from twisted.internet.interfaces import IReactorTime
+from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from .backends import Backends, BackendServer
 from .event_log import EventLog
@@ -79,6 +79,7 @@
         self._answered_at_by_service: dict[str, float] = {}
         self._looked_at_by_service: dict[str, float] = {}
         self._probes_by_service: dict[str, int] = {}
+        self._timers_by_service: dict[str, IDelayedCall] = {}
         self.on_change: Callable[[], None] = lambda: None
 
     def record_contact(self, server: BackendServer, *, on_new_connection: bool) -> None:
@@ -88,9 +89,8 @@
         if not on_new_connection:
             return
         self._failures_by_service.pop(service, None)
-        if self._probes_by_service.pop(service, None) is not None:
-            self._log.event("service_in_reach", service=service, server=server.id)
-            self.on_change()
+        if service in self._probes_by_service:
+            self._end_cut(service, server.id)
 
     def record_failure(
         self, server: BackendServer, *, connected: bool, look: bool = False
@@ -103,6 +103,8 @@
         now, service = self._clock.seconds(), server.service
         failures = self._failures_by_service.setdefault(service, {})
         failure = failures.setdefault(server.id, _Failure(now))
+        if now - failure.at > FAILURE_SECONDS:
+            failure.evidence = 0
         failure.at = now
         # An answer may be lost for a reason of its own, a connection hardly.
         failure.evidence += 1 if connected else MIN_UNREACHABLE
@@ -161,15 +163,21 @@
 
     def _probe_next(self, service: str) -> None:
         """Probe one server after the other until one answers or all have left."""
-        number = self._probes_by_service.get(service)
-        if number is None:
-            return
         servers = self._backends.registered(service)
         if not servers:
-            del self._probes_by_service[service]
-            self._log.event("service_in_reach", service=service, server=None)
-            self.on_change()
+            self._end_cut(service, None)
             return
+        number = self._probes_by_service[service]
         self._probes_by_service[service] = number + 1
-        self._clock.callLater(PROBE_SECONDS, self._probe_next, service)
+        self._timers_by_service[service] = self._clock.callLater(
+            PROBE_SECONDS, self._probe_next, service
+        )
         self.probe(servers[number % len(servers)])
+
+    def _end_cut(self, service: str, server: str | None) -> None:
+        del self._probes_by_service[service]
+        timer = self._timers_by_service.pop(service)
+        if timer.active():
+            timer.cancel()
+        self._log.event("service_in_reach", service=service, server=server)
+        self.on_change()
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -161,29 +161,48 @@
 
 # Guards against each instance keeping to a limit by itself: LIMIT (inc1, issue 28).
 @pytest.mark.parametrize(
-    ("size", "callers", "rate"),
+    ("size", "callers", "rate", "calls_per_second"),
     [
-        (6, "few", 2.5),
-        (6, "all", 0.5),
-        (6, "all", 20.0),
-        (16, "all", 2.5),
-        (40, "few", 2.5),
-        (40, "all", 0.5),
-        (40, "all", 20.0),
-        (130, "few", 20.0),
-        (130, "all", 2.5),
+        (6, "few", 2.5, 20),
+        (6, "all", 0.5, 20),
+        (6, "all", 20.0, 80),
+        (16, "all", 2.5, 20),
+        (40, "few", 2.5, 20),
+        (40, "all", 0.5, 20),
+        (40, "all", 20.0, 80),
+        (130, "few", 20.0, 80),
+        (130, "all", 2.5, 20),
     ],
 )
-def test_fleet_of_any_size_keeps_a_limit_and_uses_it(size, callers, rate):
+def test_fleet_of_any_size_keeps_a_limit_and_uses_it(
+    size, callers, rate, calls_per_second
+):
     fleet = Fleet(size)
     server = LimitedServer(fleet, "a", rate)
     instances = fleet.instances[:2] if callers == "few" else fleet.instances
-    demand(fleet, server, 11.0, max(20.0, 4 * rate), instances)
+    demand(fleet, server, 11.0, calls_per_second, instances)
     times = since(server, 8.0)
     assert most_in_window(times) <= server.allowed()
     assert len(times) >= 0.75 * rate * 8.0 - 1
 
 
+# Guards against all instances sending at once when a limit has room: LIMIT (inc1,
+# issue 28).
+def test_busy_fleet_keeps_a_limit(monkeypatch):
+    """Its reports take some time, and each waits for the shortest interval."""
+    monkeypatch.setattr("tests.report_fleet.TRANSIT_SECONDS", 0.03)
+    fleet = Fleet(40)
+    server = LimitedServer(fleet, "a", LIMIT)
+    random = Random(1)
+    for _ in range(8 * 200):
+        server.ask(random.choice(fleet.instances))
+        for _ in range(4):
+            random.choice(fleet.instances).relay.schedule_report()
+        fleet.run(0.005)
+    assert most_in_window(since(server, 6.0)) <= server.allowed()
+    assert len(since(server, 6.0)) >= 0.75 * LIMIT * 6.0 - 1
+
+
 # Guards against instances that fall back to their former ways: LIMIT (inc1, issue 28).
 @pytest.mark.parametrize("size", [6, 40])
 def test_restarted_instances_keep_a_limit(size):
--- a/tests/test_server_reach.py
+++ b/tests/test_server_reach.py
@@ -94,6 +94,29 @@
     assert harness.call("/bookings/2")[0].status == 200
 
 
+def test_probes_of_a_cut_that_comes_back_at_once_are_not_doubled(servers):
+    harness = cut(*servers[:3])
+    probed = []
+    harness.reach.probe = probed.append
+    for _ in range(5):
+        for each in servers[:3]:
+            harness.reach.record_failure(each, connected=False)
+        harness.reach.record_contact(servers[0], on_new_connection=True)
+    for each in servers[:3]:
+        harness.reach.record_failure(each, connected=False)
+    probed.clear()
+    harness.advance(5.05)
+    assert 9 <= len(probed) <= 10
+
+
+def test_lost_answers_of_the_only_server_over_a_long_time_are_no_cut(servers):
+    harness = Harness(servers[0])
+    for _ in range(5):
+        harness.reach.record_failure(servers[0], connected=True)
+        harness.advance(5.0)
+    assert events(harness) == []
+
+
 def test_answers_on_open_connections_do_not_end_a_cut(servers):
     harness = cut(*servers[:3])
     harness.call("/bookings/1")
