--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -1,7 +1,7 @@
 """Passes reports between instances, through one contact of each group of them."""
 
 from collections.abc import Callable, Iterable, Mapping
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 from typing import Any
 
 from twisted.internet.interfaces import IReactorTime
@@ -13,13 +13,13 @@
 from .instance_reports import Report, ReportKind, waiting_from
 from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads, ServerCalls
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
+from .report_news import News, without
 from .report_scope import ReportScope
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 from .store_follower import StoreFollower
 from .stream_origins import StreamOrigins
-from .tally import NO_CALLS, Tally, add_tallies
 from .usage import SharedUsage
 
 REPORT_DELAY_SECONDS = 0.002
@@ -145,8 +145,8 @@
         self._digest_heard_at: dict[str, float] = {}
         self._members: dict[str, tuple[float, Report]] = {}
         self._contacts: dict[str, tuple[float, Report]] = {}
-        self._news_by_kind: dict[ReportKind, _News] = {}
-        self._news_by_member: dict[str, _News] = {}
+        self._news_by_kind: dict[ReportKind, News] = {}
+        self._news_by_member: dict[str, News] = {}
         self._last_heard: dict[str, tuple[int, float]] = {}
         self._returned_at: dict[str, float] = {}
         self._sent_at_by_kind: dict[ReportKind, float] = {}
@@ -217,9 +217,9 @@
             if group != self._own_group:
                 return
             self._members[report.instance] = (now, report)
-            news = _News(report.failures, report.resends, report.sends)
+            news = News(report.failures, report.resends, report.sends)
             self._pass_on(news, ReportKind.GROUP, ReportKind.DIGEST)
-            self._news_by_member.setdefault(report.instance, _News()).add(news)
+            self._news_by_member.setdefault(report.instance, News()).add(news)
             self._schedule(ReportKind.GROUP)
             self._schedule(ReportKind.DIGEST)
         else:
@@ -227,7 +227,7 @@
             if known is not None and known[1].instance != report.instance:
                 self._forget(known[1].instance)
             self._contacts[group] = (now, report)
-            news = _News(report.failures, report.resends, report.sends)
+            news = News(report.failures, report.resends, report.sends)
             self._pass_on(news, ReportKind.DIGEST)
             self._schedule(ReportKind.DIGEST)
         self._apply(report)
@@ -308,10 +308,10 @@
         if run == self._own_report().run:
             self._follower.apply_relayed(report.store, stamp - report.store.age)
 
-    def _pass_on(self, news: "_News", *kinds: ReportKind) -> None:
+    def _pass_on(self, news: News, *kinds: ReportKind) -> None:
         """Add news to the next report of each kind that this instance sends."""
         for kind in set(kinds) & set(self._kinds()):
-            self._news_by_kind.setdefault(kind, _News()).add(news)
+            self._news_by_kind.setdefault(kind, News()).add(news)
 
     def _apply(self, report: Report) -> None:
         self._health.apply_outcomes(report.failures)
@@ -385,13 +385,13 @@
             return
         self._sent_at_by_kind[kind] = self._clock.seconds()
         self._sequence += 1
-        own_news = _News(
+        own_news = News(
             self._health.take_unreported(),
             self._budget.take_unreported(),
             self._limits.take_unreported(),
         )
         self._pass_on(own_news, *ReportKind)
-        news = self._news_by_kind.pop(kind, _News())
+        news = self._news_by_kind.pop(kind, News())
         seconds, scope = ORIGINS_BY_KIND[kind]
         crashes, sound = self._quarantine.take_due(scope)
         own = replace(
@@ -472,7 +472,7 @@
                 continue
             rest = _picked(queues, [each for each in queues if each != name])
             merged = merge_queues([own_queues, *rest])
-            own_news = own_news_by_member.get(name, _News())
+            own_news = own_news_by_member.get(name, News())
             digest = replace(
                 own,
                 covers=covers - (name in self._members),
@@ -480,9 +480,9 @@
                 usage=self._usage.totals_without(name),
                 waiting=waiting_from(merged, now),
                 changing=changing,
-                failures=_without(own.failures, own_news.failures),
-                resends=_without(own.resends, own_news.resends),
-                sends=_without(own.sends, own_news.sends),
+                failures=without(own.failures, own_news.failures),
+                resends=without(own.resends, own_news.resends),
+                sends=without(own.sends, own_news.sends),
                 echo=self._echo(name),
                 store=store,
             )
@@ -499,34 +499,6 @@
         return own.queues_by_service(self._clock.seconds())
 
 
-@dataclass(frozen=True, slots=True)
-class _News:
-    """What happened since the last report.
-
-    Failures, and requests to limited servers, by server, and retries by service.
-    """
-
-    failures: dict[str, Tally] = field(default_factory=dict)
-    resends: dict[str, Tally] = field(default_factory=dict)
-    sends: dict[str, Tally] = field(default_factory=dict)
-
-    def add(self, other: "_News") -> None:
-        add_tallies(self.failures, other.failures)
-        add_tallies(self.resends, other.resends)
-        add_tallies(self.sends, other.sends)
-
-
-def _without(sums: dict[str, Tally], part: dict[str, Tally]) -> dict[str, Tally]:
-    """Return sums less a part of them, without those that are left with no calls."""
-    rest = {}
-    for key, tally in sums.items():
-        events, calls = part.get(key, NO_CALLS)
-        left = Tally(tally.events - events, tally.calls - calls)
-        if left != NO_CALLS:
-            rest[key] = left
-    return rest
-
-
 def _work(calls_by_server: dict[str, ServerCalls]) -> dict[str, tuple[int, int]]:
     return {
         server: (calls.calls, calls.tokens) for server, calls in calls_by_server.items()
