Pass a call on to one server at a time

Two instances that it was passed on to had lost it, the first at two servers; the instance that passed it on counted each instance as one server. Each pass now allows one server. The new test sees three runs without this.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -61,7 +61,7 @@
     configuration, the servers' limits, the retry budget and the quarantine, of which it
     knows more: servers that this one has lost may have answered it. This one has
     counted the call for its account's limit and for the retry budget. A call that may
-    have run is passed on only if it may run again, and at as many servers as are left.
+    have run is passed on only if it may run again, to one server each time.
     Answers are passed back unchanged, and a call that was passed on once is not passed
     on again.
 
@@ -178,7 +178,8 @@
         head = context.codec.pass_on_request(
             call,
             seconds_left=max(0.001, state.seconds_left() - TRANSIT_SECONDS),
-            servers_tried=state.run_count,
+            # One server each time: what a lost instance has used can't be known.
+            servers_tried=state.resolved.route.max_servers - 1,
             last_event_id=stream.last_id if stream is not None else call.last_event_id,
             first_call_id=call.first_call_id or (call.id if begun else None),
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -219,7 +219,9 @@
             answer = Deferred.fromCoroutine(
                 self._receive_answer(call, exchange, server, sent_at)
             )
-            is_last_attempt = is_retry or resolved.route.max_servers == 1
+            is_last_attempt = is_retry or (
+                state.run_count >= resolved.route.max_servers
+            )
             if resolved.route.kind is CallKind.SAFE and not is_last_attempt:
                 seconds = FIRST_SEND_TIMEOUT_OBJECTIVES * objective
                 if self._can_retry_elsewhere(state.service(), server):
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -198,6 +198,25 @@
     assert other.network.requests[0].header("X-Pomeloglade-Servers-Tried") is None
 
 
+# Guards against more servers for a call than its route allows: BUDGET (soak seed 512).
+def test_lookup_that_other_instances_lose_runs_at_two_servers_at_most():
+    servers = server("a"), server("bb"), server("ccc")
+    harness = cut_off(*servers)
+    responder, _ = harness.call(LOOKUP)
+    runs = 0
+    for number in range(2):
+        other = Harness(*servers)
+        other.network.on_request = lambda sent: sent.reset()
+        lost = FakeResponder()
+        head = passed_on(harness)[number].head
+        other.forwarder.handle(head, b"body", lost, passed_on=True)
+        runs += len(other.network.requests)
+        refuse(passed_on(harness)[number], lost.reason, lost.status)
+    assert runs == 2
+    assert len(passed_on(harness)) == 2
+    assert responder.status == 502
+
+
 def test_call_that_is_passed_on_counts_here_and_is_refunded_if_it_did_not_run():
     servers = server("a"), server("bb")
     harness = cut_off(*servers, configuration=deployment(rate=1000.0, burst=400.0))
