--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -145,12 +145,19 @@
         raise refused
 
     def _choose(self, tried: set[str]) -> str | None:
+        """Return the instance to ask next, or ``None``.
+
+        If all are reported as unavailable, one is asked all the same: it may lack
+        another service's servers.
+        """
         now = self._context.clock.seconds()
         available = [
             name
             for name in self._addresses_by_instance
             if name not in tried and self._availability.available(name)
         ]
+        if not available and not tried:
+            available = list(self._addresses_by_instance)
         candidates = [
             name
             for name in available
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -109,6 +109,20 @@
     assert {each.address for each in passed_on(harness)} == {"10.9.0.3:7500"}
 
 
+# Guards against refusing calls to one service as another is down everywhere: RECOVER
+# (soak seed 532).
+def test_one_instance_is_asked_if_all_are_reported_as_unavailable(harness):
+    harness.availability.apply_reported(PEERS, 2)
+    responder, _ = harness.call(BOOKING)
+    (request,) = passed_on(harness)
+    request.answer(200, b"whole")
+    assert responder.status == 200
+    responder, _ = harness.call(BOOKING)
+    refuse(passed_on(harness)[1], "servers_out_of_reach")
+    assert responder.status == 503
+    assert len(passed_on(harness)) == 2
+
+
 def test_another_instance_is_asked_if_one_refuses(harness):
     responder, _ = harness.call(BOOKING)
     refuse(passed_on(harness)[0], "servers_out_of_reach")
