Choose within servers' limits in one place

Plain calls and the queue of engines had the same loop that takes the best server whose limit has room; it is choose_within_limits now. Of the coverage that ServerLimits remembered only one bit was read, and a parameter was always 1.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -11,7 +11,7 @@
 from .deployment import EnginePool
 from .loads import Loads
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
-from .server_choice import ServerChoice
+from .server_choice import ServerChoice, choose_within_limits
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 
@@ -363,12 +363,7 @@
             free = [
                 server for server in free if self._can_prefill(server, requirements)
             ]
-        while free:
-            server = self._server_choice(free, self._cost)
-            if self._limits.try_take(server.run):
-                return server
-            free.remove(server)
-        return None
+        return choose_within_limits(free, self._server_choice, self._cost, self._limits)
 
     def _can_prefill(
         self, server: BackendServer, requirements: EngineRequirements
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -19,7 +19,7 @@
 from .deployment import CallKind, Route
 from .event_stream import EventStream
 from .send_context import SendContext, on_silence
-from .server_choice import ServerChoice
+from .server_choice import ServerChoice, choose_within_limits
 
 FIRST_SEND_TIMEOUT_OBJECTIVES = 0.5
 """Fraction of the objective after which a safe call is retried at another server; the
@@ -145,12 +145,9 @@
             if self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
             < MAX_CALLS_PER_SLOT * server.slots
         ]
-        while candidates:
-            server = self._server_choice(candidates, self._cost)
-            if self._limits.try_take(server.run):
-                return server
-            candidates.remove(server)
-        return None
+        return choose_within_limits(
+            candidates, self._server_choice, self._cost, self._limits
+        )
 
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_choice.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_choice.py
@@ -6,11 +6,31 @@
 from typing import Any
 
 from .backends import BackendServer
+from .server_limits import ServerLimits
 
 Cost = Callable[[BackendServer], Any]
 ServerChoice = Callable[[Sequence[BackendServer], Cost], BackendServer]
 
 
+def choose_within_limits(
+    servers: Sequence[BackendServer],
+    choice: ServerChoice,
+    cost: Cost,
+    limits: ServerLimits,
+) -> BackendServer | None:
+    """Return the best server whose limit has room, or ``None``.
+
+    The request counts for the limit of that server from now on.
+    """
+    candidates = list(servers)
+    while candidates:
+        server = choice(candidates, cost)
+        if limits.try_take(server.run):
+            return server
+        candidates.remove(server)
+    return None
+
+
 class ServerChoicePolicy(enum.Enum):
     """The policies, with their names in settings."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_limits.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_limits.py
@@ -92,14 +92,6 @@
     reported_serial: int = 0
 
 
-@dataclass(slots=True)
-class _Coverage:
-    """The number of instances that the reports cover, and of all."""
-
-    covered: int = 1
-    instances: int = 1
-
-
 class ServerLimits:
     """Keeps the requests of all instances within the limits that servers name.
 
@@ -155,7 +147,7 @@
         self._asks_reported_at = float("-inf")
         self._last_serial = 0
         self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
-        self._coverage = _Coverage()
+        self._was_alone = True
         self.coverage: Callable[[], tuple[int, int]] = lambda: (1, 1)
 
     def count(self) -> int:
@@ -189,7 +181,7 @@
         chance = self._chance(limit)
         if now - limit.asked_at >= ASK_SECONDS or chance >= 1.0:
             limit.asked_at = now
-            self._ask(run, limit, 1)
+            self._ask(run, limit)
             if has_room and self._random.random() < chance:
                 self._take(run, limit)
                 return True
@@ -384,10 +376,10 @@
 
         What was saved up belongs to all instances, each of which may be left alone.
         """
-        covered, instances = self.coverage()
-        before = self._coverage.covered
-        self._coverage = _Coverage(covered, instances)
-        if (covered == 1) is not (before == 1):
+        covered, _ = self.coverage()
+        alone = covered == 1
+        if alone is not self._was_alone:
+            self._was_alone = alone
             for each in self._limits_by_run.values():
                 each.level = min(each.level, self._first_level())
                 each.leveled_at = self._clock.seconds()
@@ -419,9 +411,9 @@
         limit.demand += asks
         limit.demand_at = now
 
-    def _ask(self, run: ServerRun, limit: _Limit, asks: int) -> None:
-        self._add_demand(limit, asks)
-        add_tallies(self._unreported_by_server, {run[0]: Tally(0, asks)})
+    def _ask(self, run: ServerRun, limit: _Limit) -> None:
+        self._add_demand(limit, 1)
+        add_tallies(self._unreported_by_server, {run[0]: Tally(0, 1)})
 
     def _take(self, run: ServerRun, limit: _Limit) -> None:
         self._lower(limit, 1)
