--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -20,6 +20,7 @@
 from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
 from .event_log import EventLog
+from .fleet_news import FleetNews, NewsDatagram
 from .forwarder import Forwarder
 from .forwarding_metrics import ForwardingMetrics
 from .instance_availability import InstanceAvailability
@@ -163,7 +164,8 @@
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
-        self._exchange = ReportExchange(self._receive_report, log)
+        self._news = FleetNews(reactor)
+        self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
             instance=settings.instance,
@@ -181,6 +183,7 @@
             quarantine=self._quarantine,
             limits=self._limits,
             availability=self._availability,
+            news=self._news,
             log=log,
         )
         metrics = ForwardingMetrics()
@@ -379,6 +382,9 @@
     def _receive_report(self, report: Report, address: tuple[str, int]) -> None:
         self._relay.receive(report, address)
 
+    def _receive_news(self, datagram: NewsDatagram, address: tuple[str, int]) -> None:
+        self._relay.receive_news(datagram, address)
+
     def _report_applied(self, report: Report) -> None:
         for server in report.changing:
             self._health.avoid(server, STAGE_CHANGE_AVOID_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -3,6 +3,7 @@
 import enum
 from collections.abc import Callable
 from dataclasses import dataclass, field, fields
+from functools import singledispatch
 from typing import Any
 
 import cbor2
@@ -11,6 +12,13 @@
 
 from .crash_quarantine import ReportedCrashes
 from .event_log import EventLog
+from .fleet_news import (
+    DATAGRAM_MARK,
+    MAX_DATAGRAM_BYTES,
+    NewsDatagram,
+    decode_news,
+    encode_news,
+)
 from .loads import ServerCalls
 from .remote_queues import QueueRank, QueueSummary
 from .server_limits import ReportedLimits
@@ -18,7 +26,6 @@
 from .stream_origins import ReportedOrigins
 from .tally import Tally
 
-MAX_REPORT_BYTES = 60_000
 MAX_ENDED_RUNS = 1_000
 """Limit on the remembered former runs of instances, whose late reports are dropped."""
 
@@ -123,15 +130,26 @@
     }
 
 
-def encode(report: Report) -> bytes:
-    """Return a report as a CBOR array of its fields."""
+@singledispatch
+def encode(report: Any) -> bytes:
+    """Return a report, or rows, as a CBOR array."""
+    raise TypeError(f"{type(report).__name__} can't be encoded")
+
+
+encode.register(NewsDatagram, encode_news)
+
+
+@encode.register
+def _(report: Report) -> bytes:
     return cbor2.dumps([getattr(report, each.name) for each in fields(Report)])
 
 
-def decode(data: bytes) -> Report:
-    """Decode the report in a datagram, or raise ``ValueError``."""
+def decode(data: bytes) -> Report | NewsDatagram:
+    """Decode the report, or the rows, in a datagram, or raise ``ValueError``."""
     try:
         values = cbor2.loads(data)
+        if isinstance(values, list) and values[:1] == [DATAGRAM_MARK]:
+            return decode_news(values)
         names = [each.name for each in fields(Report)]
         if not isinstance(values, list) or len(values) != len(names):
             raise ValueError(f"datagram is not a report: {data[:20]!r}")
@@ -150,12 +168,18 @@
     ----------
     on_report : callable
         Called with each new report of a peer and the address that it came from.
+    on_news : callable
+        Called with the rows of a peer (see ``FleetNews``) and the address.
     """
 
     def __init__(
-        self, on_report: Callable[[Report, tuple[str, int]], None], log: EventLog
+        self,
+        on_report: Callable[[Report, tuple[str, int]], None],
+        log: EventLog,
+        on_news: Callable[[NewsDatagram, tuple[str, int]], None] = lambda *_: None,
     ) -> None:
         self._on_report = on_report
+        self._on_news = on_news
         self._log = log
         self._newest_by_instance: dict[str, tuple[int, int]] = {}
         self._ended_runs: set[tuple[str, int]] = set()
@@ -163,12 +187,12 @@
         self.sent = 0
         self.received = 0
 
-    def send(self, report: Report, address: tuple[str, int]) -> None:
-        """Send a report, unless the socket is not open yet."""
+    def send(self, report: Report | NewsDatagram, address: tuple[str, int]) -> None:
+        """Send a report or rows, unless the socket is not open yet."""
         if self.transport is None:
             return
         data = encode(report)
-        if len(data) > MAX_REPORT_BYTES:
+        if len(data) > MAX_DATAGRAM_BYTES:
             self._log.event("report_too_large", bytes=len(data))
             return
         self.sent += 1
@@ -183,7 +207,10 @@
             self.bad_reports += 1
             self._log.event("bad_report", sender=str(addr), reason=str(error))
             return
-        if self._is_new(report):
+        if isinstance(report, NewsDatagram):
+            if (report.instance, report.run) not in self._ended_runs:
+                self._on_news(report, addr)
+        elif self._is_new(report):
             self._newest_by_instance[report.instance] = (report.run, report.sequence)
             self._on_report(report, addr)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -1,6 +1,6 @@
 """Passes reports between instances, through one contact of each group of them."""
 
-from collections.abc import Callable, Iterable, Mapping
+from collections.abc import Callable, Mapping
 from dataclasses import replace
 from typing import Any
 
@@ -8,13 +8,30 @@
 
 from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
+from .fleet_news import FleetNews, NewsDatagram, NewsRows
 from .instance_availability import InstanceAvailability
 from .instance_groups import InstanceGroups, Peer
 from .instance_reports import Report, ReportKind, waiting_from
-from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads, ServerCalls
+from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
+from .report_intervals import (
+    BUSY_INTERVAL_SECONDS,
+    CANDIDATES_PER_GROUP,
+    CHECK_INTERVAL_SECONDS,
+    CONTACT_SILENCE_SECONDS,
+    IDLE_INTERVAL_SECONDS,
+    MAX_TAKEOVER_STEPS,
+    MEMBER_SILENCE_SECONDS,
+    MIN_INTERVAL_SECONDS_BY_KIND,
+    ORIGINS_BY_KIND,
+    REPORT_DELAY_SECONDS,
+    RETURN_SECONDS,
+    TAKEOVER_PAUSE_SECONDS,
+    TAKEOVER_STEP_SECONDS,
+)
 from .report_news import News, without
 from .report_scope import ReportScope
+from .report_sums import changing_in, queues_of, work_from
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
@@ -22,56 +39,6 @@
 from .stream_origins import StreamOrigins
 from .usage import SharedUsage
 
-REPORT_DELAY_SECONDS = 0.002
-"""Delay of a report after a change, so that several changes share one report."""
-
-MIN_INTERVAL_SECONDS_BY_KIND = {
-    ReportKind.MEMBER: 0.01,
-    ReportKind.GROUP: 0.04,
-    ReportKind.DIGEST: 0.08,
-}
-"""Shortest intervals of reports in groups of more than one instance. In groups of one
-there is nothing to merge."""
-
-BUSY_INTERVAL_SECONDS = 0.25
-"""Interval of reports while there are running calls, so that a lost report is replaced
-soon."""
-
-ORIGINS_BY_KIND = {
-    ReportKind.MEMBER: (2.0, ReportScope.OWN),
-    ReportKind.GROUP: (2.0, ReportScope.GROUP),
-    ReportKind.DIGEST: (0.75, ReportScope.FLEET),
-}
-"""For how many seconds each kind of report repeats the origin of a stream, and whose.
-Datagrams may be lost, and a contact that dies is replaced within 1.5 s. Digests are
-many and come from one contact, whose successor has the origins from the reports."""
-
-RETURN_SECONDS = 0.75
-"""Silence after which an instance may have missed origins, and the time for which it is
-then sent all of them."""
-
-IDLE_INTERVAL_SECONDS = 0.5
-CHECK_INTERVAL_SECONDS = 0.1
-
-CONTACT_SILENCE_SECONDS = 0.7
-"""Silence after which a contact is replaced. It is longer than the interval of idle
-reports."""
-
-MEMBER_SILENCE_SECONDS = 1.2
-"""Silence after which a member's calls are no longer counted by its contact."""
-
-TAKEOVER_STEP_SECONDS = 0.15
-"""Time that each candidate waits longer than the one before it, whose digest it would
-receive within that time."""
-
-MAX_TAKEOVER_STEPS = 5
-TAKEOVER_PAUSE_SECONDS = 0.3
-"""Time in which a new contact gets its members' reports, before it reports their sum in
-place of the former contact's."""
-
-CANDIDATES_PER_GROUP = 2
-"""Candidates of a group that get reports while its contact is not known."""
-
 
 class ReportRelay:
     """Keeps this instance's knowledge of the fleet up to date, and the fleet's of it.
@@ -104,7 +71,7 @@
         instance: str,
         availability_zone: str,
         own_report: Callable[[], Report],
-        send: Callable[[Report, tuple[str, int]], None],
+        send: Callable[[Report | NewsDatagram, tuple[str, int]], None],
         on_report: Callable[[Report], None],
         loads: Loads,
         usage: SharedUsage,
@@ -116,6 +83,7 @@
         quarantine: CrashQuarantine,
         limits: ServerLimits,
         availability: InstanceAvailability,
+        news: FleetNews,
         log: EventLog,
     ) -> None:
         self._clock = clock
@@ -135,6 +103,8 @@
         self._quarantine = quarantine
         self._limits = limits
         self._availability = availability
+        self._news = news
+        self._due_rows: NewsRows = {}
         limits.coverage = lambda: (usage.covered(), usage.instances)
         self._log = log
         self._peers_by_instance: dict[str, Peer] = {}
@@ -232,6 +202,22 @@
             self._schedule(ReportKind.DIGEST)
         self._apply(report)
 
+    def receive_news(self, datagram: NewsDatagram, address: tuple[str, int]) -> None:
+        """Apply the rows of an instance whose reports this instance applies too."""
+        peer = self._peers_by_instance.get(datagram.instance)
+        if peer is None or peer.address != address:
+            return
+        in_group = self._groups.group_of(datagram.instance) == self._own_group
+        if datagram.kind == ReportKind.DIGEST:
+            applies = in_group and datagram.instance == self._contact
+        else:
+            is_member = datagram.kind == ReportKind.MEMBER
+            applies = self._is_contact and in_group == is_member
+        if applies:
+            self._news.apply(datagram.rows, _scope_of(datagram.kind))
+            if self._is_contact and len(self._ranking) > 1:
+                self.schedule_report()
+
     @property
     def _is_contact(self) -> bool:
         return self._contact == self._instance
@@ -316,8 +302,7 @@
     def _apply(self, report: Report) -> None:
         self._health.apply_outcomes(report.failures)
         self._budget.apply_reported(report.resends)
-        of_group = report.kind is ReportKind.MEMBER
-        scope = ReportScope.GROUP if of_group else ReportScope.FLEET
+        scope = _scope_of(report.kind)
         self._origins.apply_reported(report.origins, scope)
         self._quarantine.apply_reported(report.crashes, report.sound, scope)
         self._limits.apply_reported(report.limits, scope, report.instance)
@@ -394,6 +379,7 @@
         news = self._news_by_kind.pop(kind, News())
         seconds, scope = ORIGINS_BY_KIND[kind]
         crashes, sound = self._quarantine.take_due(scope)
+        self._due_rows = self._news.take_due(scope)
         own = replace(
             self._own_report(),
             sequence=self._sequence,
@@ -430,19 +416,23 @@
         if returned and report.kind is not ReportKind.MEMBER:
             report = replace(report, origins=self._origins.everything())
         self._send_report(report, peer.address)
+        rows = self._news.everything() if returned else self._due_rows
+        if rows:
+            news = NewsDatagram(self._instance, report.run, int(report.kind), rows)
+            self._send_report(news, peer.address)
 
     def _send_group_report(self, own: Report) -> None:
         members = [report for _, report in self._members.values()]
         names = [each.instance for each in members]
         queues = self._remote_queues.fresh_by_instance()
-        merged = merge_queues([self._own_queues(own), *_picked(queues, names)])
+        merged = merge_queues([self._own_queues(own), *queues_of(queues, names)])
         report = replace(
             own,
             covers=1 + len(members),
-            work=_work(self._loads.sum_with(names)),
+            work=work_from(self._loads.sum_with(names)),
             usage=self._usage.group_totals(),
             waiting=waiting_from(merged, self._clock.seconds()),
-            changing=sorted({*own.changing, *_changing(members)}),
+            changing=sorted({*own.changing, *changing_in(members)}),
         )
         for group in self._groups.names():
             if group == self._own_group:
@@ -461,7 +451,7 @@
             report for heard_at, report in self._contacts.values() if heard_at >= oldest
         ]
         queues = self._remote_queues.fresh_by_instance()
-        changing = sorted({*own.changing, *_changing([*members, *others])})
+        changing = sorted({*own.changing, *changing_in([*members, *others])})
         covers = 1 + len(members) + sum(each.covers for each in others)
         now = self._clock.seconds()
         store = self._follower.proof()
@@ -470,13 +460,13 @@
         for name in self._ranking:
             if name == self._instance:
                 continue
-            rest = _picked(queues, [each for each in queues if each != name])
+            rest = queues_of(queues, [each for each in queues if each != name])
             merged = merge_queues([own_queues, *rest])
             own_news = own_news_by_member.get(name, News())
             digest = replace(
                 own,
                 covers=covers - (name in self._members),
-                work=_work(self._loads.sum_without(name)),
+                work=work_from(self._loads.sum_without(name)),
                 usage=self._usage.totals_without(name),
                 waiting=waiting_from(merged, now),
                 changing=changing,
@@ -499,17 +489,6 @@
         return own.queues_by_service(self._clock.seconds())
 
 
-def _work(calls_by_server: dict[str, ServerCalls]) -> dict[str, tuple[int, int]]:
-    return {
-        server: (calls.calls, calls.tokens) for server, calls in calls_by_server.items()
-    }
-
-
-def _picked(
-    queues: dict[str, dict[str, QueueSummary]], names: Iterable[str]
-) -> list[dict[str, QueueSummary]]:
-    return [queues[name] for name in names if name in queues]
-
-
-def _changing(reports: Iterable[Report]) -> set[str]:
-    return {server for report in reports for server in report.changing}
+def _scope_of(kind: int) -> ReportScope:
+    """Return whose news a report of a kind has for its receiver."""
+    return ReportScope.GROUP if kind == ReportKind.MEMBER else ReportScope.FLEET
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -11,6 +11,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
+from pomeloglade.forwarding.fleet_news import FleetNews, NewsTopic
 from pomeloglade.forwarding.instance_availability import InstanceAvailability
 from pomeloglade.forwarding.instance_groups import (
     MAX_DIRECT_INSTANCES,
@@ -38,6 +39,7 @@
 
 LIMIT = ResendLimit(ratio=0.2, slack=430.0, window=10.0)
 ZONES = ("zone-a", "zone-b", "zone-c")
+NEWS_TOPIC = NewsTopic("test", max_age=5.0, max_reported=20)
 TRANSIT_SECONDS = 0.001
 SETTLED_SECONDS = 2.0
 KNOWN_WITHIN_SECONDS = 0.3
@@ -89,7 +91,9 @@
             fleet.clock, self.store, "", self.view, self.log, Random(number)
         )
         self.follower.start()
-        self.exchange = ReportExchange(self.receive, self.log)
+        self.news = FleetNews(fleet.clock)
+        self.news.add_topic(NEWS_TOPIC)
+        self.exchange = ReportExchange(self.receive, self.log, self.receive_news)
         self.exchange.transport = self
         self.bytes = 0
         self.relay = ReportRelay(
@@ -109,6 +113,7 @@
             quarantine=self.quarantine,
             limits=self.limits,
             availability=self.availability,
+            news=self.news,
             log=self.log,
         )
 
@@ -119,6 +124,17 @@
     def receive(self, report, address):
         self.relay.receive(report, address)
 
+    def receive_news(self, datagram, address):
+        self.relay.receive_news(datagram, address)
+
+    def observe(self, key, value):
+        if self.news.put(NEWS_TOPIC.name, key, value):
+            self.relay.schedule_report()
+
+    def known_value(self, key):
+        row = self.news.rows(NEWS_TOPIC.name).get(key)
+        return None if row is None else row.value
+
     def own_report(self):
         now = self.fleet.clock.seconds()
         return Report(
