Reject prefill answers of other calls, and drop connections with stray answers

Cause: a server may send a second copy of an answer on a connection that is in use again. The id in a prefill's answer was not compared, so that the KV cache of another call's prompt could be used. A plain answer with another call's id was rejected, but its connection went back to the pool while the true answer was still on its way, so the next call on it was lost as well.

Change: an answer that echoes another call's id fails the exchange and its connection is reset.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -144,8 +144,9 @@
     """The parsed headers of a backend server's answer.
 
     ``not_run`` is the backend server's promise that it has not run the call.
-    ``has_seal`` says whether the answer carries the backend server's seal, and
-    ``echoes_call_id`` whether it echoes the id of the call that was sent.
+    ``has_seal`` says whether the answer carries the backend server's seal,
+    ``echoes_call_id`` whether it echoes the id of the call that was sent, and
+    ``echoes_other_id`` whether it echoes that of another one.
     """
 
     status: int
@@ -154,6 +155,7 @@
     echoes_call_id: bool
     has_content_encoding: bool
     load: ServerLoad | None = None
+    echoes_other_id: bool = False
 
     @property
     def success(self) -> bool:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -264,7 +264,13 @@
         self._context.record_notice(server, exchange, head, sent_at)
         body = await self._context.body_memory.read_body(exchange)
         metadata = self._codec.parse_answer(call, head)
-        validate_answer(metadata, server.id)
+        try:
+            validate_answer(metadata, server.id)
+        except InvalidBackendResponseError:
+            if metadata.echoes_other_id:
+                # The answer to this call may follow, on the next call's exchange.
+                exchange.connection.abort()
+            raise
         return CompleteAnswer(head, metadata, body)
 
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -4,7 +4,11 @@
 
 from twisted.internet.defer import Deferred
 
-from ..errors import BackendError, BackendNotServingError
+from ..errors import (
+    BackendError,
+    BackendNotServingError,
+    InvalidBackendResponseError,
+)
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ServerConnection
 from .backends import BackendServer
@@ -200,6 +204,11 @@
         context.record_notice(server, exchange, head, sent_at)
         body = await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         metadata = self._context.codec.parse_answer(state.call, head)
+        if metadata.echoes_other_id:
+            # A late second copy of an answer names the KV cache of another call.
+            exchange.connection.abort()
+            text = f"prefill's answer of backend server {server.id!r} is another call's"
+            raise InvalidBackendResponseError(text, step="prefill", peer=server.id)
         if metadata.not_run or not metadata.success:
             # A rejected prefill counts against the retry budget.
             self._context.budget.try_spend(state.service())
