Resume stalled streams that still send bytes, and bound empty events

Cause: each chunk restarted the time after which a silent resumable stream is resumed, so an engine that sent comments, ids or single bytes kept a stalled stream open until its time limit. Events without data had no bound at all.

Change: only events with data count as progress; 256 KB of events without data end the stream as invalid. While a caller does not read, its engine's time stands still.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -10,7 +10,8 @@
 
 
 MAX_EVENT_BYTES = 256 * 1024
-"""Limit on one event. An event usually has a few tokens."""
+"""Limit on one event, and on events without data that follow each other. An event
+usually has a few tokens, and servers that send empty ones do so once a second."""
 
 
 class EventStream:
@@ -28,6 +29,12 @@
     last_id : bytes or None
         Id of the last event that the caller has received.
 
+    Attributes
+    ----------
+    data_events : int
+        Number of whole events with data so far. Comments and empty events, which
+        servers send to keep a connection open, don't count.
+
     Examples
     --------
     >>> stream = EventStream(resumable=True)
@@ -47,11 +54,14 @@
         self.origin: StreamOrigin | None = None
         self.forwarded_bytes = 0
         self.forwarded_at = 0.0
+        self.data_events = 0
+        self._bytes_without_data = 0
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the part that may be forwarded.
 
-        Raises ``InvalidBackendResponseError`` if an event is too long.
+        Raises ``InvalidBackendResponseError`` if an event is too long, or if too many
+        have no data.
         """
         received = self._partial + data
         end = 0
@@ -62,12 +72,21 @@
             text = f"event has more than {MAX_EVENT_BYTES} bytes"
             raise InvalidBackendResponseError(text, step="stream")
         self._answer_has_events = self._answer_has_events or bool(whole)
-        if not self.resumable:
-            return data
-        for line in whole.splitlines():
-            if line.startswith(b"id:"):
+        self._read_fields(whole)
+        return whole if self.resumable else data
+
+    def _read_fields(self, events: bytes) -> None:
+        """Keep the last id of whole events, and count those with data."""
+        self._bytes_without_data += len(events)
+        for line in events.splitlines():
+            if line.startswith(b"id:") and self.resumable:
                 self.last_id = line[3:].strip()
-        return whole
+            elif line.startswith(b"data:") and line[5:].strip():
+                self.data_events += 1
+                self._bytes_without_data = 0
+        if self._bytes_without_data > MAX_EVENT_BYTES:
+            text = f"events without data have more than {MAX_EVENT_BYTES} bytes"
+            raise InvalidBackendResponseError(text, step="stream")
 
     @property
     def held_bytes(self) -> int:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -39,8 +39,10 @@
 instance may know it, and one that has just started learns it within this time."""
 
 STREAM_SILENCE_SECONDS = 2.0
-"""Silence after which a resumable stream is resumed at another engine. Callers give up
-after twice that time; events usually follow each other within a tenth of a second."""
+"""Time without an event with data after which a resumable stream is resumed at another
+engine. Callers give up after twice that time; events usually follow each other within a
+tenth of a second. Other bytes don't count, as an engine that stalls may
+still send some."""
 
 
 class ModelCalls:
@@ -281,7 +283,7 @@
             exchange.start(connection, context.pool.release)
             try:
                 head = await self._with_silence_timeout(
-                    stream, server, exchange.read_head()
+                    stream, server, exchange.read_head(), STREAM_SILENCE_SECONDS
                 )
             except BackendError:
                 # The engine may have fetched the KV cache before it failed.
@@ -335,16 +337,24 @@
             self._record_origin(state, stream, server)
             state.record_step("", "head")
             responder.write_head(head.status, answer_headers(head))
+        clock = self._context.clock
+        stalls_at = clock.seconds() + STREAM_SILENCE_SECONDS
         try:
             while chunk := await self._with_silence_timeout(
-                stream, server, exchange.read_chunk()
+                stream, server, exchange.read_chunk(), stalls_at - clock.seconds()
             ):
+                data_events = stream.data_events
                 data = stream.feed(chunk)
+                if stream.data_events > data_events:
+                    stalls_at = clock.seconds() + STREAM_SILENCE_SECONDS
                 self._context.body_memory.hold(exchange, stream.held_bytes)
                 if data:
                     self._record_pause(state, stream, len(data))
                     responder.write(data)
+                    written_at = clock.seconds()
                     await responder.wait_writable()
+                    # While the caller does not read, neither is the engine read.
+                    stalls_at += clock.seconds() - written_at
             place = "inside an event" if stream.inside_event else "after an event"
             state.record_step(server.id, "end", f"{head.framing.value}, {place}")
             ensure_whole_stream(stream, head, server.id)
@@ -378,13 +388,17 @@
         )
 
     async def _with_silence_timeout(
-        self, stream: EventStream, server: BackendServer, receiving: object
+        self,
+        stream: EventStream,
+        server: BackendServer,
+        receiving: object,
+        seconds: float,
     ) -> object:
         """Wait for a stream's next part, with a timeout if the stream is resumable."""
         part = Deferred.fromCoroutine(receiving)
         if stream.resumable:
             part.addTimeout(
-                STREAM_SILENCE_SECONDS,
+                max(0.0, seconds),
                 self._context.clock,
                 on_silence(server, "stream"),
             )
