Bound the memory of slow uploads and unread responses by client account

Cause: request bodies (up to 4 MB each) were received without a bound on all of them, so a few dozen callers that send slowly could end an instance on a machine of 128 MB. A response was not read further as soon as its caller read slowly, and servers cut off what stays unread for some seconds.

Change: an eighth of the machine's memory may be held. Up to half of that anyone may hold what they need, above it an even part by account. Beyond, new bodies are refused with 503 and a retry delay; responses are read on up to 256 KB, then wait for 3 s at most. The settings' memory size is read.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -222,6 +222,10 @@
     ) -> ForwardedCall:
         """Parse a caller's request; raise ``BadRequestError`` if it is malformed."""
 
+    @abc.abstractmethod
+    def parse_api_key(self, head: RequestHead) -> str | None:
+        """Return the API key of a caller's request, if it has one."""
+
     @abc.abstractmethod
     def forward_request(
         self, call: ForwardedCall, parameters: SendParameters
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -94,6 +94,15 @@
         deployment = self._store_view.deployment
         return deployment.limits if deployment is not None else ConnectionLimits()
 
+    def owner_of(self, head: RequestHead) -> str:
+        """Return the client account whose key a request has, or an empty string."""
+        deployment = self._store_view.deployment
+        key = self._codec.parse_api_key(head)
+        if deployment is None or key is None:
+            return ""
+        account = deployment.account(key)
+        return account.name if account is not None else ""
+
     def is_draining(self) -> bool:
         """Return whether answers ask callers to close the connection."""
         return self._draining or not self._store_view.fresh_enough_for_keys()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -12,6 +12,11 @@
 
 from pomeloglade_coordination.key_value import KeyValueStore
 
+from ..transport.held_memory import (
+    DEFAULT_MACHINE_BYTES,
+    HeldMemory,
+    max_held_bytes,
+)
 from ..transport.http_exchange import ConnectionPool
 from ..transport.http_site import HttpSite
 from ..transport.text_pages import TextPages
@@ -90,6 +95,7 @@
     usage_startup_burst: float
     server_choice: ServerChoicePolicy = ServerChoicePolicy.LEAST_LOADED
     prefill_share: float = PREFILL_SHARE
+    machine_bytes: int = DEFAULT_MACHINE_BYTES
 
 
 class ForwardingInstance:
@@ -246,9 +252,18 @@
         )
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
-        self._site = HttpSite(self.forwarder, reactor, self._rejected)
+        memory = HeldMemory(max_held_bytes(settings.machine_bytes))
+        metrics.gauge("held_bytes", lambda: memory.total)
+        metrics.gauge("held_bytes_refused", lambda: memory.refused)
+        self._site = HttpSite(
+            self.forwarder, reactor, self._rejected, memory, self.forwarder.owner_of
+        )
         self._peer_site = HttpSite(
-            PassedOnCalls(self.forwarder), reactor, self._rejected
+            PassedOnCalls(self.forwarder),
+            reactor,
+            self._rejected,
+            memory,
+            self.forwarder.owner_of,
         )
         self._pages = TextPages(settings.ready_path, self._ready, metrics.render)
         self._tasks: list[Deferred[None]] = []
--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -12,6 +12,7 @@
 from zope.interface import implementer
 
 from ..state.connection_limits import ConnectionLimits
+from .held_memory import HeldMemory
 from .http_exchange import Headers, RequestHead
 
 MAX_PARSED_HEAD_BYTES = 65_536
@@ -20,6 +21,20 @@
 MAX_PIPELINED_BYTES = 1_048_576
 """Bytes that a caller may send ahead while its request is being processed."""
 
+SMALL_BODY_BYTES = 16_384
+"""Size up to which a request body is received without being counted."""
+
+MAX_UNREAD_BYTES = 256 * 1024
+"""What a caller may leave unread, beside the transport's buffer, before the response's
+source is no longer read. It is more than a usual stream has altogether."""
+
+MAX_UNREAD_SECONDS = 3.0
+"""Time after which a response that its caller does not read is broken off. Backend
+servers cut off what is left unread for some seconds, and hold a slot meanwhile."""
+
+MEMORY_RETRY_AFTER = b"1"
+"""Retry delay in seconds of a request that there is no memory for."""
+
 CLOSE_TIMEOUT_SECONDS = 2.0
 """Time that a closing connection has to flush its response before it is reset."""
 
@@ -99,6 +114,8 @@
         self._responder: Responder | None = None
         self._timer: Any = None
         self._resumed: Deferred[None] | None = None
+        self._unread_bytes = 0
+        self._unread_timer: Any = None
         self._closing = False
         self.arrived = 0.0
 
@@ -133,6 +150,7 @@
         self._closing = True
         self._cancel_timer()
         self.resumeProducing()
+        self._release_request()
         task, self._task = self._task, None
         if task is not None:
             task.cancel()
@@ -169,12 +187,16 @@
 
     def write(self, data: bytes) -> None:
         """Write a part of a response body."""
-        if not self._closing:
-            self._send(h11.Data(data=data))
+        if self._closing:
+            return
+        if self._resumed is not None:
+            self._unread_bytes += len(data)
+        self._send(h11.Data(data=data))
 
     def end(self) -> None:
         """Complete a response, then close or wait for the next request."""
         self._task = None
+        self._release_request()
         if self._closing:
             return
         self._send(h11.EndOfMessage())
@@ -196,9 +218,16 @@
             self.close()
 
     def wait_writable(self) -> "Deferred[None]":
-        """Wait while the write buffer of the transport is full."""
-        if self._resumed is None:
+        """Wait while the caller leaves too much unread.
+
+        What fits into memory need not be waited for: a source that is not read may
+        break off its response. A caller that reads nothing for ``MAX_UNREAD_SECONDS``
+        is disconnected.
+        """
+        if self._resumed is None or self._holds_unread():
             return succeed(None)
+        if self._unread_timer is None and self._site.memory is not None:
+            self._unread_timer = self._clock.callLater(MAX_UNREAD_SECONDS, self._abort)
         waiting: Deferred[None] = Deferred()
         self._resumed.chainDeferred(waiting)
         return waiting
@@ -211,12 +240,38 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Fire the Deferreds of ``wait_writable``: the write buffer has room."""
         resumed, self._resumed = self._resumed, None
+        self._unread_bytes = 0
+        timer, self._unread_timer = self._unread_timer, None
+        if timer is not None and timer.active():
+            timer.cancel()
+        if self._site.memory is not None:
+            self._site.memory.release(("response", self))
         if resumed is not None:
             resumed.callback(None)
 
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: ``connectionLost`` follows."""
 
+    def _holds_unread(self) -> bool:
+        """Return whether the unread part of the response may be held."""
+        memory = self._site.memory
+        if memory is None or self._unread_bytes > MAX_UNREAD_BYTES:
+            return False
+        owner = self._site.owner_of(self._head) if self._head is not None else ""
+        return memory.try_hold(("response", self), owner, self._unread_bytes)
+
+    def _holds_body(self) -> bool:
+        """Return whether the request body received so far may be held."""
+        memory = self._site.memory
+        if memory is None or self._body_bytes <= SMALL_BODY_BYTES:
+            return True
+        owner = self._site.owner_of(self._head)
+        return memory.try_hold(("request", self), owner, self._body_bytes)
+
+    def _release_request(self) -> None:
+        if self._site.memory is not None:
+            self._site.memory.release(("request", self))
+
     def _has_unparsed_bytes(self) -> bool:
         return bool(self._h11.trailing_data[0])
 
@@ -268,6 +323,9 @@
         if self._body_bytes > self._site.handler.limits().max_body_bytes:
             self._reject(413, f"request body has at least {self._body_bytes} bytes")
             return
+        if not self._holds_body():
+            self._reject(503, "memory", ((b"Retry-After", MEMORY_RETRY_AFTER),))
+            return
         self._body_chunks.append(data)
 
     def _serve(self) -> None:
@@ -279,12 +337,15 @@
         if not responder.done:
             self._task = task
 
-    def _reject(self, status: int, reason: str) -> None:
-        """Respond to an invalid request with an error status, and close."""
+    def _reject(self, status: int, reason: str, headers: Headers = ()) -> None:
+        """Respond to a request that is not handled with an error status, and close."""
+        self._body_chunks = []
+        self._release_request()
         self._site.on_reject(status, reason)
         if self._h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-            headers = [(b"Content-Length", b"0"), (b"Connection", b"close")]
-            self._send(h11.Response(status_code=status, headers=headers))
+            closing = ((b"Content-Length", b"0"), (b"Connection", b"close"))
+            sent = [*headers, *closing]
+            self._send(h11.Response(status_code=status, headers=sent))
             self._send(h11.EndOfMessage())
         self._close_write_side()
 
@@ -335,7 +396,15 @@
 
 
 class HttpSite(Factory):
-    """Builds a ``CallerConnection`` for each accepted connection."""
+    """Builds a ``CallerConnection`` for each accepted connection.
+
+    Parameters
+    ----------
+    memory : HeldMemory or None
+        Bounds what is held of request bodies and unread responses.
+    owner_of : callable
+        Returns the client account that a request's memory counts for.
+    """
 
     noisy = False
 
@@ -344,8 +413,12 @@
         handler: Handler,
         clock: IReactorTime,
         on_reject: Callable[[int, str], None],
+        memory: HeldMemory | None = None,
+        owner_of: Callable[[RequestHead], str] = lambda head: "",
     ) -> None:
         self.handler = handler
+        self.memory = memory
+        self.owner_of = owner_of
         self.on_reject = on_reject
         self.connections: set[CallerConnection] = set()
         self._clock = clock
