Relay changes of the store from contacts to their groups

Cause: a contact told its members only that the store had changed.

Change: a contact passes relevant changes on in batches that name the position before them, so that a member notices a missing one and asks the store. The proof counts relevant changes only. What the store's position must prove is unchanged.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
@@ -124,11 +124,23 @@
         """
         self._tables_by_topic[topic.name] = _Table(topic, on_row)
 
-    def put(self, topic: str, key: str, value: Any, *, age: float = 0.0) -> bool:
-        """Keep what this instance has observed; return whether that is news."""
+    def put(
+        self,
+        topic: str,
+        key: str,
+        value: Any,
+        *,
+        age: float = 0.0,
+        scope: ReportScope = ReportScope.OWN,
+    ) -> bool:
+        """Keep what this instance has observed; return whether that is news.
+
+        With ``ReportScope.FLEET``, only members of this instance's group are told, by
+        it as their contact.
+        """
         observed_at = self._clock.seconds() - age
         table = self._tables_by_topic[topic]
-        return self._put(table, key, NewsRow(value, observed_at), ReportScope.OWN)
+        return self._put(table, key, NewsRow(value, observed_at), scope)
 
     def rows(self, topic: str) -> dict[str, NewsRow]:
         """Return the rows of a topic that are not too old, by key."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -17,6 +17,7 @@
 from ..transport.text_pages import TextPages
 from .backends import Backends, BackendServer
 from .calls import CallCodec
+from .change_relay import ChangeRelay
 from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
 from .event_log import EventLog
@@ -157,14 +158,17 @@
             transit_seconds=settings.transit_seconds,
             apply_seconds=settings.config_apply_seconds,
         )
-        self._follower = StoreFollower(reactor, store, "", self.store_view, log, random)
+        self._news = FleetNews(reactor)
+        changes = ChangeRelay(self._news, log, lambda: self._relay.schedule_report())
+        self._follower = StoreFollower(
+            reactor, store, "", self.store_view, log, random, changes
+        )
         self.store_view.age = self._follower.age
         self.store_view.on_instances_changed = self._peers_changed
         self.store_view.on_change = self._place_waiting
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
-        self._news = FleetNews(reactor)
         self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -415,11 +415,12 @@
             )
         if returned and report.kind is not ReportKind.MEMBER:
             report = replace(report, origins=self._origins.everything())
-        self._send_report(report, peer.address)
         rows = self._news.everything() if returned else self._due_rows
         if rows:
+            # Before the report, whose proof of the store may rely on a change in them.
             news = NewsDatagram(self._instance, report.run, int(report.kind), rows)
             self._send_report(news, peer.address)
+        self._send_report(report, peer.address)
 
     def _send_group_report(self, own: Report) -> None:
         members = [report for _, report in self._members.values()]
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -12,6 +12,7 @@
 from pomeloglade_coordination.key_value import Entry, KeyValueStore, Snapshot
 from pomeloglade_coordination.store_era import era_of
 
+from .change_relay import ChangeRelay
 from .event_log import EventLog
 
 MAX_WATCH_SECONDS = 2.5
@@ -60,6 +61,9 @@
     def urgent(self, entry: Entry) -> bool:
         """Return whether changes of this entry must be applied without delay."""
 
+    def relevant(self, entry: Entry) -> bool:
+        """Return whether a change of this entry makes a difference."""
+
     def replace_all(
         self, entries: tuple[Entry, ...], *, lenient: bool, restored: bool
     ) -> None:
@@ -93,6 +97,9 @@
         The platform's store.
     prefix : str
         Prefix of the keys to follow.
+    relay : ChangeRelay or None
+        Passes relevant changes on to the members of this instance's group, or brings
+        them from its contact.
     """
 
     def __init__(
@@ -103,8 +110,12 @@
         listener: StoreListener,
         log: EventLog,
         random: Random,
+        relay: ChangeRelay | None = None,
     ) -> None:
         self._clock = clock
+        self._relay = relay
+        if relay is not None:
+            relay.on_batch = self._apply_relayed_changes
         self._store = store
         self._prefix = prefix
         self._listener = listener
@@ -139,7 +150,8 @@
         """Return the proof for other instances, or ``None`` before the first read."""
         if self._revision is None:
             return None
-        return StoreProof(self._revision, self._urgent_position, self.age())
+        position = self._revision if self._relay is None else self._relay.position
+        return StoreProof(position, self._urgent_position, self.age())
 
     def apply_relayed(self, proof: StoreProof, confirmed_at: float) -> None:
         """Apply a contact's proof, which was true at ``confirmed_at`` or later."""
@@ -155,6 +167,35 @@
         else:
             self._end_pause()
 
+    def _apply_relayed_changes(self) -> None:
+        """Apply the changes that the contact has passed on, as far as none is missing.
+
+        A watch that is under way may still bring some of them, which are ignored then.
+        """
+        while self._revision is not None:
+            batch = self._relay.take_applicable(self._revision)
+            if batch is None:
+                return
+            self._apply(_newer(batch.entries, self._revision))
+            self._revision = batch.position
+            if self._relayed is not None and self._relayed.position <= batch.position:
+                self._behind_since = None
+
+    def _apply(self, entries: tuple[Entry, ...]) -> list[Entry]:
+        """Apply changes, and return the urgent ones."""
+        # Before they are applied: a removal is urgent only while the server is known.
+        urgent = [each for each in entries if self._listener.urgent(each)]
+        relevant = []
+        for entry in entries:
+            if self._relay is not None and self._listener.relevant(entry):
+                relevant.append(entry)
+            self._listener.apply_change(entry, lenient=self._lenient())
+        if self._relay is not None:
+            self._relay.publish(relevant, to_members=self.relays_proofs)
+        newest = max((each.revision for each in urgent), default=0)
+        self._urgent_position = max(self._urgent_position, newest)
+        return urgent
+
     def _covered_by_relay(self) -> bool:
         """Return whether a relayed proof makes a call to the store needless."""
         if self.relays_proofs or self._relayed is None:
@@ -217,6 +258,8 @@
                 result.entries, lenient=self._lenient(), restored=restored
             )
             self._revision = self._urgent_position = result.revision
+            if self._relay is not None:
+                self._relay.restart(result.revision)
             self._behind_since = None
             self._confirm(sent_at)
             return
@@ -224,20 +267,20 @@
         wait = max(MIN_WATCH_SECONDS, longest - min(self.age(), longest))
         if self._failures or self._behind_since is not None:
             wait = MIN_WATCH_SECONDS
+        watched_from = self._revision
         self._watch = self._store.changes(
-            self._prefix, self._revision, timedelta(seconds=wait)
+            self._prefix, watched_from, timedelta(seconds=wait)
         )
         try:
             result = await self._watch
         finally:
             self._watch = None
         self._succeeded()
-        # Before they are applied: a removal is urgent only while the server is known.
-        urgent = [each for each in result.entries if self._listener.urgent(each)]
-        for entry in result.entries:
-            self._listener.apply_change(entry, lenient=self._lenient())
-        newest = max((each.revision for each in urgent), default=0)
-        self._urgent_position = max(self._urgent_position, newest)
+        entries = result.entries
+        if self._revision != watched_from:
+            # Relayed changes were applied meanwhile.
+            entries = _newer(entries, self._revision)
+        urgent = self._apply(entries)
         self._revision = max(self._revision, result.revision)
         self._behind_since = None
         timed_out = self._clock.seconds() - sent_at >= wait
@@ -273,3 +316,7 @@
     def _lenient(self) -> bool:
         since = self._clock.seconds() - self._recovered_at
         return self._failures > 0 or since < RECOVERY_SECONDS
+
+
+def _newer(entries: tuple[Entry, ...], revision: int) -> tuple[Entry, ...]:
+    return tuple(each for each in entries if each.revision > revision)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -115,6 +115,27 @@
             return False
         return server.draining or (known is not None and known != server)
 
+    def relevant(self, entry: Entry) -> bool:
+        """Return whether a change of this entry makes a difference to this view.
+
+        Backend servers write their registrations again and again, mostly unchanged.
+        """
+        layout = self._layout
+        if entry.key.startswith(layout.servers_prefix):
+            known = self._backends.get(entry.key.removeprefix(layout.servers_prefix))
+            if not entry.value:
+                return known is not None
+            try:
+                return layout.decode_server(entry.key, entry.value) != known
+            except BadRegistrationError:
+                return False
+        if entry.key.startswith(layout.instances_prefix):
+            name = entry.key.removeprefix(layout.instances_prefix)
+            return self.instances.get(name, b"") != entry.value
+        if entry.key == layout.order_lease_key:
+            return bool(entry.value) != self.order_lease_held
+        return True
+
     def replace_all(
         self, entries: tuple[Entry, ...], *, lenient: bool, restored: bool = False
     ) -> None:
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -10,6 +10,7 @@
 from tests.forwarding_fakes import ListLog
 from twisted.internet.task import Clock
 
+from pomeloglade.forwarding.change_relay import ChangeRelay
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.fleet_news import FleetNews, NewsTopic
 from pomeloglade.forwarding.instance_availability import InstanceAvailability
@@ -56,11 +57,16 @@
     def urgent(self, entry):
         return entry.key == "op/config"
 
+    def relevant(self, entry):
+        return self.entries.get(entry.key, b"") != entry.value
+
     def replace_all(self, entries, *, lenient, restored):
         self.entries = {each.key: each.value for each in entries}
 
     def apply_change(self, entry, *, lenient):
         self.entries[entry.key] = entry.value
+        if not entry.value:
+            del self.entries[entry.key]
 
 
 class Instance:
@@ -87,12 +93,20 @@
         self.limits = ServerLimits(fleet.clock, self.log, Random(number + 7))
         self.store = FaultyStore(fleet.clock, fleet.clock, fleet.store)
         self.view = View()
-        self.follower = StoreFollower(
-            fleet.clock, self.store, "", self.view, self.log, Random(number)
-        )
-        self.follower.start()
         self.news = FleetNews(fleet.clock)
         self.news.add_topic(NEWS_TOPIC)
+        self.changes = ChangeRelay(
+            self.news, self.log, lambda: self.relay.schedule_report()
+        )
+        self.follower = StoreFollower(
+            fleet.clock,
+            self.store,
+            "",
+            self.view,
+            self.log,
+            Random(number),
+            self.changes,
+        )
         self.exchange = ReportExchange(self.receive, self.log, self.receive_news)
         self.exchange.transport = self
         self.bytes = 0
@@ -116,6 +130,7 @@
             news=self.news,
             log=self.log,
         )
+        self.follower.start()
 
     def write(self, data, address):
         self.bytes += len(data)
@@ -180,6 +195,7 @@
         self.cut_zone = None
         self.versions = {"v1", "v2"}
         self.datagrams = 0
+        self.loses_datagram = lambda: False
         self.instances = [Instance(self, number) for number in range(size)]
         self.by_address = {each.address: each for each in self.instances}
         self.register()
@@ -204,6 +220,8 @@
         if not sender.alive or not receiver.alive or cut:
             return
         self.datagrams += 1
+        if self.loses_datagram():
+            return
         self.clock.callLater(TRANSIT_SECONDS, self.deliver, sender, data, receiver)
 
     def deliver(self, sender, data, receiver):
