Take the servers of a zone out of use while the operator's key exists

The operator writes op/evacuate/ZONE to keep all requests from a zone's backend servers. Instances did not read the key, so requests went on.

ZoneEvacuations follows the keys through StoreView, for which each change is urgent: a member of a large fleet reads it before it relies on its contact's proof. Backends leaves such servers out of those that serve and may be used, which covers first and repeated sends, prefills, probes and resumed streams. Checks after connecting were missing for stage orders, probes and the release of KV caches, and for KV caches that an engine of the zone holds or finishes after the change.

A service with all servers out of use refuses at once with zone_out_of_use; so do calls that wait for an engine. A zone stays out of use for 30 s if a store that was restored from a copy lacks its key.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import BackendNotServingError
+from .zone_evacuations import ZoneChange, ZoneEvacuations
 
 
 @dataclass(frozen=True, slots=True)
@@ -35,6 +36,13 @@
 MAX_COPY_AGE_SECONDS = 30.0
 """Age that a copy has at most from which the store returns after an outage."""
 
+ZONE_OUT_OF_USE = "zone_out_of_use"
+"""Reason of a refusal if all servers of a service are in zones out of use."""
+
+ZONE_RETRY_SECONDS = 1.0
+"""Retry delay with this reason. A zone may return at any time; a caller is not asked
+to wait longer than the third of its time limit that it is willing to wait."""
+
 MAX_VERSIONS_SEEN = 1_000
 """Limit on the remembered software versions whose servers were removed."""
 
@@ -58,6 +66,11 @@
     grace : float
         Seconds for which a server whose entry lapsed during a store outage is kept
         as a last resort. Live servers register again soon after the outage.
+
+    Attributes
+    ----------
+    evacuations : ZoneEvacuations
+        The zones whose servers are out of use, whatever the servers say themselves.
     """
 
     def __init__(
@@ -77,6 +90,8 @@
         self._paused_until_by_run: dict[tuple[str, int], float] = {}
         self._count_by_version: Counter[tuple[str, str]] = Counter()
         self._last_seen_by_version: dict[tuple[str, str], float] = {}
+        self.evacuations = ZoneEvacuations(clock, kept_seconds=MAX_COPY_AGE_SECONDS)
+        self.evacuations.subscribe(self._zone_changed)
 
     def replace_all(
         self,
@@ -197,11 +212,14 @@
     def usable(self, server: BackendServer) -> bool:
         """Return whether a call may still be sent to ``server``, an entry read earlier.
 
-        It may not once the server drains or has left, asked for a pause, or has
-        registered with another address, service, stage or software version.
+        It may not once the server drains or has left, asked for a pause, is in a zone
+        out of use, or has registered with another address, service, stage or software
+        version.
         """
         if server.run in self._leaving_runs or self.paused_for(server) > 0:
             return False
+        if not self.in_use(server):
+            return False
         known = self._servers_by_id.get(server.id)
         if known is not None:
             return (
@@ -215,6 +233,39 @@
         lapsed = self._lapsed_by_id.get(server.id)
         return lapsed is not None and self._clock.seconds() < lapsed[1]
 
+    def in_use(self, server: BackendServer) -> bool:
+        """Return whether the zone of a server, an entry read earlier, is in use.
+
+        A KV cache of a server whose zone is not must not be fetched either.
+        """
+        if not len(self.evacuations):
+            return True
+        known = self._servers_by_id.get(server.id, server)
+        return not (
+            self.evacuations.out_of_use(server.availability_zone)
+            or self.evacuations.out_of_use(known.availability_zone)
+        )
+
+    def return_cost(self, server: BackendServer) -> float:
+        """Return the cost of a server's zone, which is above 1 after its return."""
+        return self.evacuations.return_cost(server.availability_zone)
+
+    def unavailable_reason(self, service: str, stage: str | None = None) -> str | None:
+        """Return why none of a service's servers may be used, or ``None``.
+
+        ``None`` means that some may, or that there are none.
+        """
+        if self.registered(service, stage):
+            return None
+        return ZONE_OUT_OF_USE if self._listed(service, stage) else None
+
+    def _zone_changed(self, change: ZoneChange) -> None:
+        if not change.out_of_use:
+            return
+        for server in list(self._servers_by_id.values()):
+            if server.availability_zone == change.zone:
+                self._on_unusable(server)
+
     def ensure_serves(self, server: BackendServer, service: str) -> None:
         """Raise ``BackendNotServingError`` unless a server still serves ``service``."""
         if server.service != service or not self.usable(server):
@@ -231,9 +282,16 @@
     def registered(self, service: str, stage: str | None = None) -> list[BackendServer]:
         """Return the servers of a service that don't leave, also the paused ones.
 
-        Servers in their grace period are returned only if there are no others.
+        Those in zones out of use are left out. Servers in their grace period are
+        returned only if there are no others.
         """
+        return self._listed(service, stage, in_use=True)
+
+    def _listed(
+        self, service: str, stage: str | None, *, in_use: bool = False
+    ) -> list[BackendServer]:
         now = self._clock.seconds()
+        in_use = in_use and len(self.evacuations) > 0
         lapsed = (each for each, until in self._lapsed_by_id.values() if now < until)
         for servers in (self._servers_by_id.values(), lapsed):
             found = [
@@ -243,6 +301,7 @@
                 and not each.draining
                 and (stage is None or each.stage == stage)
                 and each.run not in self._leaving_runs
+                and (not in_use or self.in_use(each))
             ]
             if found:
                 return found
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -6,7 +6,7 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from .backends import Backends, BackendServer
+from .backends import ZONE_RETRY_SECONDS, Backends, BackendServer
 from .calls import Refused
 from .deployment import EnginePool
 from .loads import Loads
@@ -281,16 +281,35 @@
         return False
 
     def _refuse_stranded(self) -> None:
-        """Refuse the waiting calls whose software version has no engine any more."""
+        """Refuse the waiting calls for which there is no engine any more.
+
+        Without any engine, calls that could go to several wait for one to register,
+        unless the operator has taken all zones with engines out of use.
+        """
+        if not self._waiters:
+            return
+        out_of_use = self._unavailable_reason() is not None
         for waiter in list(self._waiters):
             requirements = waiter.requirements
-            if requirements.software_version is None or self._candidates(requirements):
+            may_wait = requirements.software_version is None and not out_of_use
+            if may_wait or self._candidates(requirements):
                 continue
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
                 waiter.placed.errback(self._no_engine_refusal())
 
+    def _unavailable_reason(self) -> str | None:
+        """Return why no engine may be used at all, or ``None``."""
+        if self._engines():
+            return None
+        return self._backends.unavailable_reason(self._service, "decode") or (
+            self._backends.unavailable_reason(self._service, "")
+        )
+
     def _no_engine_refusal(self) -> Refused:
+        unavailable = self._unavailable_reason()
+        if unavailable is not None:
+            return Refused(503, unavailable, retry_after=ZONE_RETRY_SECONDS)
         reason = "no_engine_of_version" if self._engines() else "no_engine"
         return Refused(503, reason, retry_after=NO_ENGINE_RETRY_AFTER_SECONDS)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -241,6 +241,7 @@
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("limited_servers", self._limits.count)
+        metrics.gauge("zones_out_of_use", lambda: len(self._backends.evacuations))
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -218,9 +218,11 @@
     def _drop_expired(self, caches: list[KvCache]) -> None:
         now = self._context.clock.seconds()
         # A server that leaves or is paused still passes on the caches that it holds.
+        backends = self._context.backends
         if caches and not (
             now < caches[0].expires_at
-            and self._context.backends.get(caches[0].server.id)
+            and backends.get(caches[0].server.id)
+            and backends.in_use(caches[0].server)
         ):
             caches.clear()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -11,6 +11,7 @@
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ResponseHead
 from ..transport.http_site import Responder
+from .backends import ZONE_OUT_OF_USE
 from .call_state import CallState
 from .calls import Refused, answer_headers
 from .event_stream import EventStream
@@ -31,7 +32,7 @@
 )
 """Reasons for which a call is not refused but passed on by such an instance."""
 
-FINAL_REASONS = frozenset(("ends_servers", "servers_limited"))
+FINAL_REASONS = frozenset(("ends_servers", "servers_limited", ZONE_OUT_OF_USE))
 """Reasons of other instances' refusals that all of them have."""
 
 NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 408, 413, 421, 429, 431, 503))
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -13,7 +13,7 @@
     InvalidBackendResponseError,
 )
 from ..transport.http_exchange import BodyFraming, Exchange, ResponseHead
-from .backends import BackendServer
+from .backends import ZONE_RETRY_SECONDS, BackendServer
 from .call_state import CallState
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
 from .deployment import CallKind, Route
@@ -182,6 +182,9 @@
         pause = self._backends.soonest_resumption(service)
         if pause is not None:
             return Refused(503, "servers_paused", retry_after=pause)
+        reason = self._backends.unavailable_reason(service)
+        if reason is not None:
+            return Refused(503, reason, retry_after=ZONE_RETRY_SECONDS)
         return Refused(503, "no_server", retry_after=0.5)
 
     async def _send(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -127,6 +127,9 @@
             context.health.record_success(server.id)
             if not queued:
                 self._record_rate(tokens, context.clock.seconds() - started)
+            if not context.backends.in_use(server):
+                text = f"zone {server.availability_zone!r} is out of use"
+                raise BackendNotServingError(text, step="prefill", peer=server.id)
             expires_at = (
                 context.clock.seconds() + HANDLE_LIFETIME_FRACTION * handle_seconds
             )
@@ -220,6 +223,9 @@
             max_idle_seconds=FREE_MAX_IDLE_SECONDS,
             timeout=CONNECT_TIMEOUT_SECONDS,
         )
+        if not context.backends.in_use(cache.server):
+            context.pool.release(connection)
+            return
         exchange = Exchange(
             context.codec.free_kv_cache_request(cache.handle, address), b""
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_probes.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_probes.py
@@ -39,6 +39,9 @@
         connection = await context.pool.acquire_connection(
             server.address, max_idle_seconds=0.0, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        if not context.backends.in_use(server):
+            context.pool.release(connection)
+            return
         request = context.codec.engine_report_request(server)
         if not server.stage:
             path = self._health_path(server.service)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -276,6 +276,12 @@
                 f"engine {server.id!r} not called: order lease is invalid or too new",
                 step="order",
             )
+        if not self._backends.in_use(server):
+            self._pool.release(connection)
+            raise BackendError(
+                f"engine {server.id!r} not called: its zone is out of use",
+                step="order",
+            )
         exchange = Exchange(request, body)
         sent_at = self._clock.seconds()
         self._context.limits.record_send(server.run)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -9,6 +9,7 @@
 from .backends import Backends, BackendServer
 from .deployment import Deployment
 from .event_log import EventLog
+from .zone_evacuations import ZoneChange
 
 WATCH_STALL_SECONDS = 1.0
 """Longest time for which a watch may miss changes before the store closes it."""
@@ -21,6 +22,9 @@
 class StoreLayout:
     """Keys and prefixes of the entries in the store, and decoders of their values.
 
+    An entry under ``evacuations_prefix`` takes the zone that its key names out of use.
+    ``None`` stands for a platform without such entries.
+
     ``decode_deployment`` raises ``BadConfigurationError`` and ``decode_server``
     raises ``BadRegistrationError``.
     """
@@ -31,6 +35,7 @@
     order_lease_key: str
     decode_deployment: Callable[[bytes], Deployment]
     decode_server: Callable[[str, bytes], BackendServer]
+    evacuations_prefix: str | None = None
 
 
 class StoreView:
@@ -59,6 +64,8 @@
     ) -> None:
         self._layout = layout
         self._backends = backends
+        self._evacuations = backends.evacuations
+        self._evacuations.subscribe(self._zone_changed)
         self._log = log
         self._max_age_for_keys = float("inf")
         if revoke_seconds is not None:
@@ -99,9 +106,12 @@
         """Return whether changes of this entry must be applied without delay.
 
         A new server and a repeated registration may wait, as nothing is sent wrongly
-        meanwhile.
+        meanwhile. Of zones, also a repeated entry is urgent: an instance that started
+        after the store had returned from a copy may not know the first one.
         """
         layout = self._layout
+        if self._evacuated_zone(entry) is not None:
+            return True
         if not entry.key.startswith(layout.servers_prefix):
             return entry.key == layout.configuration_key
         name = entry.key.removeprefix(layout.servers_prefix)
@@ -121,11 +131,13 @@
         """Replace the view by a full read of the store.
 
         A ``restored`` store may be older than the view: configurations older than the
-        one in force are ignored, and so are servers that have left since.
+        one in force are ignored, and so are servers that have left since. Zones that
+        were out of use stay so for a while.
         """
         layout = self._layout
         servers = []
         instances = {}
+        revision_by_zone = {}
         for entry in entries:
             if entry.key == layout.configuration_key:
                 self._apply_deployment(entry)
@@ -135,7 +147,10 @@
                     servers.append(server)
             elif entry.key.startswith(layout.instances_prefix):
                 instances[entry.key.removeprefix(layout.instances_prefix)] = entry.value
+            elif (zone := self._evacuated_zone(entry)) is not None:
+                revision_by_zone[zone] = entry.revision
         self._backends.replace_all(servers, lenient=lenient, restored=restored)
+        self._evacuations.replace_all(revision_by_zone, restored=restored)
         self.instances = instances
         self.order_lease_held = any(e.key == layout.order_lease_key for e in entries)
         self.on_instances_changed()
@@ -158,6 +173,36 @@
             else:
                 self.instances.pop(name, None)
             self.on_instances_changed()
+        elif (zone := self._evacuated_zone(entry)) is not None:
+            if entry.value:
+                self._evacuations.put(zone, entry.revision)
+            else:
+                self._evacuations.remove(zone, entry.revision)
+        self.on_change()
+
+    def _evacuated_zone(self, entry: Entry) -> str | None:
+        """Return the zone that an entry takes out of use, or ``None``."""
+        prefix = self._layout.evacuations_prefix
+        if prefix is None or not entry.key.startswith(prefix):
+            return None
+        return entry.key.removeprefix(prefix) or None
+
+    def _zone_changed(self, change: ZoneChange) -> None:
+        if change.out_of_use:
+            self._log.event(
+                "zone_taken_out",
+                zone=change.zone,
+                revision=change.revision,
+                age=round(self.age(), 3),
+            )
+        else:
+            self._log.event(
+                "zone_returned",
+                zone=change.zone,
+                revision=change.revision,
+                age=round(self.age(), 3),
+                seconds=round(change.seconds, 3),
+            )
         self.on_change()
 
     def _apply_deployment(self, entry: Entry) -> None:
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -315,7 +315,9 @@
         self.usage = SharedUsage(self.clock)
         self.budget = ResendBudget(self.clock, ResendLimit(0.2, slack, 10.0))
         self.store_view = StoreView(
-            layout=StoreLayout("op/config", "servers/", "i/", "orders", None, None),
+            layout=StoreLayout(
+                "op/config", "servers/", "i/", "orders", None, None, "op/evacuate/"
+            ),
             backends=self.backends,
             log=self.log,
             revoke_seconds=5.0,
--- a/tests/test_stage_orders.py
+++ b/tests/test_stage_orders.py
@@ -5,8 +5,10 @@
 
 import pytest
 from tests.forwarding_fakes import FakeNetwork, ListLog, deployment, server
+from twisted.internet.defer import Deferred
 from twisted.internet.task import Clock
 
+from pomeloglade.errors import BackendError
 from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.loads import Loads
@@ -202,3 +204,19 @@
     fleet.store.get = lambda key: calls.append(key) or get(key)
     fleet.advance(20.0)
     assert calls == []
+
+
+# Guards against orders to engines of a zone that the operator has emptied, and against
+# a report request on a connection that was opened before.
+def test_engine_out_of_use_gets_no_order(engines):
+    fleet = Fleet(*engines)
+    fleet.backends.evacuations.put("zone-a", revision=1)
+    fleet.advance(20.0)
+    assert not fleet.orders
+    orders, _ = fleet.networks[0]
+    orders._may_order = lambda: True
+    failed = []
+    done = Deferred.fromCoroutine(orders._order(engines[0], "decode"))
+    done.addErrback(failed.append)
+    assert failed[0].check(BackendError)
+    assert not fleet.orders
