Let the share of a returning zone rise over two seconds

All instances see the servers of a zone empty when the operator's key is removed, and placement by the fewest calls would send them every call of a burst.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -401,6 +401,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
         server_calls = self._loads.total(server.id)
         calls = (server_calls.calls + 1) * self._health.penalty(server.id)
+        calls *= self._backends.return_cost(server)
         far = server.availability_zone != self._availability_zone
         return calls + (0.5 if far else 0.0), server_calls.tokens, server.id
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -152,6 +152,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
         cost = (calls + 1) / server.slots * self._health.penalty(server.id)
+        cost *= self._backends.return_cost(server)
         near = server.availability_zone == self._availability_zone
         # This zone is preferred by half a call, as the others are 0.5 ms away.
         return cost - (0.5 / server.slots if near else 0.0), self._random.random()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -185,6 +185,7 @@
             far = server.availability_zone != zone
             # Without the constant, an idle engine that fails would cost nothing.
             queued += IDLE_COST_TOKENS + (CROSS_ZONE_PENALTY_TOKENS if far else 0)
+            queued *= context.backends.return_cost(server)
             return queued * context.health.penalty(server.id)
 
         best = min(servers, key=cost)
--- a/tests/test_zone_evacuations.py
+++ b/tests/test_zone_evacuations.py
@@ -9,7 +9,11 @@
 
 from pomeloglade.forwarding.backends import MAX_COPY_AGE_SECONDS
 from pomeloglade.forwarding.store_follower import StoreFollower, StoreProof
-from pomeloglade.forwarding.zone_evacuations import ZoneEvacuations
+from pomeloglade.forwarding.zone_evacuations import (
+    RETURN_COST,
+    RETURN_SECONDS,
+    ZoneEvacuations,
+)
 from pomeloglade_coordination.errors import KeyValueUnavailableError
 from pomeloglade_coordination.key_value import Entry, Snapshot
 from pomeloglade_coordination.store_era import position
@@ -175,6 +179,50 @@
     assert not harness.network.requests
 
 
+def share_of_the_zone(harness, servers, seconds):
+    """Return the zone's share of 200 calls a second, answered after 60 ms each."""
+    before = len(harness.network.requests)
+    for _ in range(round(seconds / 0.005)):
+        harness.call("/bookings/1")
+        request = harness.network.requests[-1]
+        harness.clock.callLater(0.06, request.answer)
+        harness.clock.advance(0.005)
+    sent = harness.network.requests[before:]
+    zone = {each.address for each in servers if each.availability_zone == "zone-b"}
+    return sum(each.address in zone for each in sent) / len(sent)
+
+
+# Guards against a burst that meets the empty servers of a zone that has returned.
+def test_share_of_a_returning_zone_rises_gradually(harness, plain_servers):
+    usual = share_of_the_zone(harness, plain_servers, 0.5)
+    evacuate(harness)
+    assert share_of_the_zone(harness, plain_servers, 0.5) == 0
+    end_evacuation(harness)
+    assert harness.backends.return_cost(plain_servers[1]) == RETURN_COST
+    shares = [
+        share_of_the_zone(harness, plain_servers, RETURN_SECONDS / 4) for _ in range(5)
+    ]
+    # At first the other server still has the calls of all three.
+    assert 0 < max(shares[:2]) < 0.75 * usual
+    assert shares[1:] == sorted(shares[1:])
+    assert shares[-1] == pytest.approx(usual, abs=0.05)
+    assert harness.backends.return_cost(plain_servers[1]) == 1.0
+
+
+# Guards against calls that wait for engines during an evacuation going to one engine
+# that has just returned, and against prefills doing so.
+def test_returning_engines_are_chosen_after_equally_busy_ones(model_harness, engines):
+    prefill, _, _, returning = engines
+    model_harness.backends.put(server("pre-near", "llm", "prefill", zone="zone-a"))
+    evacuate(model_harness)
+    model_harness.model_call(prompt=3000)
+    end_evacuation(model_harness)
+    model_harness.model_call(prompt=3000)
+    assert not model_harness.network.requests_to(prefill.address)
+    model_harness.model_call(prompt=3000)
+    assert not model_harness.loads.total(returning.id).calls
+
+
 @pytest.fixture
 def clock():
     clock = Clock()
