--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -13,7 +13,7 @@
     InvalidBackendResponseError,
 )
 from ..transport.http_exchange import BodyFraming, Exchange, ResponseHead
-from .backends import BackendServer
+from .backends import ZONE_RETRY_SECONDS, BackendServer
 from .call_state import CallState
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
 from .deployment import CallKind, Route
@@ -152,6 +152,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
         cost = (calls + 1) / server.slots * self._health.penalty(server.id)
+        cost *= self._backends.return_cost(server)
         near = server.availability_zone == self._availability_zone
         # This zone is preferred by half a call, as the others are 0.5 ms away.
         return cost - (0.5 / server.slots if near else 0.0), self._random.random()
@@ -182,6 +183,9 @@
         pause = self._backends.soonest_resumption(service)
         if pause is not None:
             return Refused(503, "servers_paused", retry_after=pause)
+        reason = self._backends.unavailable_reason(service)
+        if reason is not None:
+            return Refused(503, reason, retry_after=ZONE_RETRY_SECONDS)
         return Refused(503, "no_server", retry_after=0.5)
 
     async def _send(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -131,6 +131,9 @@
             context.health.record_success(server.id)
             if not queued:
                 self._record_rate(tokens, context.clock.seconds() - started)
+            if not context.backends.in_use(server):
+                text = f"zone {server.availability_zone!r} is out of use"
+                raise BackendNotServingError(text, step="prefill", peer=server.id)
             expires_at = (
                 context.clock.seconds() + HANDLE_LIFETIME_FRACTION * handle_seconds
             )
@@ -186,6 +189,7 @@
             far = server.availability_zone != zone
             # Without the constant, an idle engine that fails would cost nothing.
             queued += IDLE_COST_TOKENS + (CROSS_ZONE_PENALTY_TOKENS if far else 0)
+            queued *= context.backends.return_cost(server)
             return queued * context.health.penalty(server.id)
 
         best = min(servers, key=cost)
@@ -229,6 +233,9 @@
             max_idle_seconds=FREE_MAX_IDLE_SECONDS,
             timeout=CONNECT_TIMEOUT_SECONDS,
         )
+        if not context.backends.in_use(cache.server):
+            context.pool.release(connection)
+            return
         exchange = Exchange(
             context.codec.free_kv_cache_request(cache.handle, address), b""
         )
