Add the pace of each server run, reported or estimated

Servers share their machines with others and are slow for some hundred milliseconds at a time. Nothing keeps that: the pace that they report is not read, and response times are not compared.

ServerPace keeps the reported figure with its age and, for services that report none, an estimate from response times that has an effect only when estimates differ by more than a quarter for two seconds. Figures are shared as topics of FleetNews, at most four rows a second for each instance and only changes of more than a tenth. ratio(run) is 1 where nothing is known. Nothing calls it yet.

--- /dev/null
+++ b/tests/test_server_pace.py
@@ -0,0 +1,170 @@
+"""How long work takes at each server: reported, estimated, and told by others."""
+
+import cbor2
+import pytest
+from tests.forwarding_fakes import server
+
+from pomeloglade.forwarding.fleet_news import FleetNews
+from pomeloglade.forwarding.report_scope import ReportScope
+from pomeloglade.forwarding.server_pace import (
+    DIFFERENCE_SECONDS,
+    ESTIMATE_MAX_AGE_SECONDS,
+    MAX_RATIO,
+    REPORTED_MAX_AGE_SECONDS,
+    REPORTING_SECONDS,
+    ServerPace,
+)
+
+A, B, C = (server(name, slots=6) for name in ("a", "b", "c"))
+BY_ID = {each.id: each for each in (A, B, C)}
+
+
+@pytest.fixture
+def pace(clock):
+    return ServerPace(clock, FleetNews(clock), server_by_id=BY_ID.get)
+
+
+def told(clock):
+    """Return an instance's pace and its news."""
+    news = FleetNews(clock)
+    return ServerPace(clock, news, server_by_id=BY_ID.get), news
+
+
+def work(pace, clock, seconds_by_server, responses=100):
+    """Record responses of each server, 20 ms apart."""
+    for _ in range(responses):
+        for each, seconds in seconds_by_server.items():
+            pace.record_work(each, "lookups", seconds)
+        clock.advance(0.02)
+
+
+def test_a_service_without_any_figure_has_the_normal_pace(pace):
+    assert pace.ratio(A.run) == 1.0
+    assert not pace.affects("api")
+    assert pace.slowest() == 1.0
+
+
+def test_a_reported_figure_counts_fully_at_first_and_less_as_it_ages(pace, clock):
+    pace.record_reported(A, 250)
+    ratios = []
+    for _ in range(6):
+        ratios.append(round(pace.ratio(A.run), 2))
+        clock.advance(0.3)
+    assert ratios == [2.5, 2.5, 1.75, 1.38, 1.19, 1.09]
+    clock.advance(REPORTED_MAX_AGE_SECONDS)
+    assert pace.ratio(A.run) == 1.0
+    assert pace.affects("api")
+    clock.advance(REPORTING_SECONDS)
+    assert not pace.affects("api")
+
+
+def test_a_wrong_figure_is_bounded_and_concerns_one_run_only(pace):
+    pace.record_reported(A, 1_000_000)
+    assert pace.ratio(A.run) == MAX_RATIO
+    restarted = server("a", slots=6, started_ms=7)
+    assert pace.ratio(restarted.run) == 1.0
+    pace.record_reported(A, 1)
+    assert pace.ratio(A.run) == 0.25
+
+
+def test_lasting_slow_and_fast_servers_are_found_without_a_reported_figure(pace, clock):
+    work(pace, clock, {A: 0.03, B: 0.06, C: 0.09})
+    assert not pace.affects("api")
+    clock.advance(DIFFERENCE_SECONDS)
+    assert pace.affects("api")
+    assert pace.ratio(A.run) == pytest.approx(0.5, abs=0.1)
+    assert pace.ratio(C.run) == pytest.approx(1.5, abs=0.1)
+    # It is tried again, as it may get no calls while it is the slowest.
+    clock.advance(ESTIMATE_MAX_AGE_SECONDS)
+    assert pace.ratio(C.run) == 1.0
+
+
+def test_equal_servers_with_varying_response_times_keep_the_normal_pace(pace, clock):
+    for number in range(1_000):
+        for offset, each in enumerate((A, B, C)):
+            seconds = 0.02 + 0.01 * ((number * 7 + offset * 3) % 10)
+            pace.record_work(each, "lookups", seconds)
+        clock.advance(0.02)
+        assert not pace.affects("api")
+
+
+def test_a_difference_that_does_not_last_has_no_effect(pace, clock):
+    work(pace, clock, {A: 0.06, B: 0.06}, responses=200)
+    work(pace, clock, {A: 0.06, B: 0.15}, responses=30)
+    work(pace, clock, {A: 0.06, B: 0.06}, responses=200)
+    assert not pace.affects("api")
+
+
+def test_another_instances_figure_counts_unless_a_newer_one_is_known(clock):
+    clock.advance(100.0)
+    one, one_news = told(clock)
+    two, two_news = told(clock)
+    one.record_reported(A, 250)
+    rows = one_news.take_due(ReportScope.OWN)
+    clock.advance(0.1)
+    two_news.apply({"pace": [("a/0", 250, 0.1), ("b/0", 90, 0.1)]}, ReportScope.FLEET)
+    assert rows == {"pace": [("a/0", 250, 0.0)]}
+    assert two.ratio(A.run) == 2.5
+    two.record_reported(A, 110)
+    two_news.apply({"pace": [("a/0", 300, 0.05)]}, ReportScope.FLEET)
+    assert two.ratio(A.run) == 1.1
+    two_news.apply({"pace": [("b/0", 300, 5.0)]}, ReportScope.FLEET)
+    assert two.ratio(B.run) == 0.9
+
+
+@pytest.mark.parametrize(
+    "row",
+    [
+        ("a/0", "fast", 0.0),
+        ("a/0", None, 0.0),
+        ("a/0", -5, 0.0),
+        ("a", 200, 0.0),
+        ("a/7", 200, 0.0),
+        ("unknown/0", 200, 0.0),
+    ],
+)
+def test_rows_of_other_shapes_or_unknown_runs_are_ignored(clock, row):
+    pace, news = told(clock)
+    rows = {"pace": [row], "pace_estimate": [row]}
+    news.apply(rows, ReportScope.FLEET)
+    assert pace.ratio(A.run) == 1.0
+
+
+def test_an_estimate_is_shared_with_instances_that_send_few_calls(clock):
+    clock.advance(100.0)
+    one, one_news = told(clock)
+    two, two_news = told(clock)
+    for _ in range(100):
+        work(one, clock, {A: 0.03, B: 0.09, C: 0.09}, responses=1)
+        two_news.apply(one_news.take_due(ReportScope.OWN), ReportScope.FLEET)
+    clock.advance(DIFFERENCE_SECONDS)
+    assert two.affects("api")
+    assert two.ratio(B.run) > 2 * two.ratio(A.run)
+
+
+def test_a_pace_that_changes_all_the_time_takes_few_bytes(clock):
+    clock.advance(100.0)
+    pace, news = told(clock)
+    sent = 0
+    for number in range(1_000):
+        for each in (A, B, C):
+            pace.record_reported(each, 100 if number % 2 else 250)
+        rows = news.take_due(ReportScope.OWN)
+        sent += len(cbor2.dumps(rows)) if rows else 0
+        clock.advance(0.01)
+    assert 0 < sent / 10.0 < 400
+
+
+def test_a_steady_pace_is_told_again_only_as_it_is_forgotten(clock):
+    clock.advance(100.0)
+    pace, news = told(clock)
+    told_at = []
+    for _ in range(200):
+        pace.record_reported(A, 250)
+        pace.record_reported(B, 105)
+        for key, _, age in news.take_due(ReportScope.OWN).get("pace", ()):
+            assert key == "a/0"
+            if age == 0:
+                told_at.append(clock.seconds())
+        clock.advance(0.01)
+    assert 1 < len(told_at) <= 6
