Read a server's load with three or four figures in all of its answers

The load header was read only in plain calls' answers, and one with a fourth figure, the pace, was discarded whole, so that no reported load counted where servers report their pace.

The codec now reads three or four figures, in parse_notice, which sees the head of every answer: also of health answers, prefills and streams. SendContext.record_notice passes the load to Loads and the pace to ServerPace. The load in an answer with 421 is another server's and is not read. The instance shares the pace and shows the slowest as a gauge.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -132,11 +132,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ServerLoad:
-    """Running and waiting requests at a backend server, and its number of slots."""
+    """Running and waiting requests at a backend server, and its number of slots.
+
+    ``pace`` is how long work currently takes there in percent of normal, or ``None``
+    if the server does not report it.
+    """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -168,12 +173,14 @@
     ``leaving`` is set by a server that is about to leave. ``pause`` is the time in
     seconds for which a server that turned a request away wants no more from this
     instance, or 0. ``limit`` is the number of requests a second that a server in need
-    takes from all instances together, or ``None``.
+    takes from all instances together, or ``None``. ``load`` is what the server has to
+    do at the time of the answer, or ``None``.
     """
 
     leaving: bool = False
     pause: float = 0.0
     limit: float | None = None
+    load: ServerLoad | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -40,6 +40,7 @@
 from .server_choice import ServerChoicePolicy, server_choice
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_pace import ServerPace
 from .server_probes import ServerProbes
 from .server_reach import ServerReach
 from .stage_orders import PREFILL_SHARE, StageOrders
@@ -165,6 +166,12 @@
             reactor, store, self._key, self._own_record, log
         )
         self._news = FleetNews(reactor)
+        self._pace = ServerPace(
+            reactor,
+            self._news,
+            server_by_id=self._backends.get,
+            on_news=lambda: self._relay.schedule_report(),
+        )
         self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
@@ -200,6 +207,7 @@
             reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
+            pace=self._pace,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -241,6 +249,7 @@
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("limited_servers", self._limits.count)
+        metrics.gauge("slowest_pace", self._pace.slowest)
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -117,7 +117,7 @@
                 self._peers_by_server[server] = left
 
     def record_reported_load(self, server: str, load: ServerLoad) -> None:
-        """Record the load that a backend server reported with an answer."""
+        """Record the load that a backend server reported with an answer just now."""
         self._reported_by_server[server] = (self._clock.seconds(), load)
 
     def total(self, server: str) -> ServerCalls:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -226,8 +226,6 @@
                         seconds, self._clock, on_silence(server, "answer")
                     )
             whole = await answer
-            if whole.metadata.load is not None:
-                self._loads.record_reported_load(server.id, whole.metadata.load)
             if whole.metadata.not_run:
                 state.record_not_run(server.id)
                 return whole
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -28,6 +28,7 @@
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_pace import ServerPace
 from .server_reach import ServerReach
 
 CONNECT_TIMEOUT_SECONDS = 0.25
@@ -63,6 +64,7 @@
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    pace: ServerPace | None = None
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
@@ -161,6 +163,10 @@
             self.log.event("server_paused", server=server.id, seconds=notice.pause)
         if self.limits.record_answer(server.run, notice.limit, sent_at):
             self.on_load_changed()
+        if notice.load is not None:
+            self.loads.record_reported_load(server.id, notice.load)
+            if notice.load.pace is not None and self.pace is not None:
+                self.pace.record_reported(server, notice.load.pace)
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -35,6 +35,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.server_limits import ServerLimits
+from pomeloglade.forwarding.server_pace import ServerPace
 from pomeloglade.forwarding.server_probes import ServerProbes
 from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
@@ -335,6 +336,7 @@
             self.limits,
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
+        self.pace = ServerPace(self.clock, server_by_id=self.backends.get)
         self.quarantine = CrashQuarantine(self.clock, self.log)
         self.reach = ServerReach(self.clock, self.backends, self.log)
         context = SendContext(
@@ -350,6 +352,7 @@
             reach=self.reach,
             log=self.log,
             on_load_changed=lambda: None,
+            pace=self.pace,
         )
         self.body_memory = context.body_memory
         self.probes = ServerProbes(context, self.store_view)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -339,6 +339,28 @@
     assert metadata(200, x_pomeloglade_server_load=b"lots").load is None
 
 
+@pytest.mark.parametrize(
+    ("value", "load"),
+    [
+        (b"3,0,8", ServerLoad(3, 0, 8)),
+        (b"3,0,8,250", ServerLoad(3, 0, 8, 250.0)),
+        (b"3, 0, 8, 97.5", ServerLoad(3, 0, 8, 97.5)),
+        (b"3,0,8,", ServerLoad(3, 0, 8)),
+        (b"3,0,8,-1", ServerLoad(3, 0, 8)),
+        (b"3,0,8,nan", ServerLoad(3, 0, 8)),
+        (b"3,0,8,0", ServerLoad(3, 0, 8)),
+        (b"3,0,8,100,7", ServerLoad(3, 0, 8, 100.0)),
+        (b"3,0", None),
+        (b"3,x,8,100", None),
+    ],
+)
+def test_a_load_of_three_or_four_figures_is_read_from_any_answer(codec, value, load):
+    # A header of four figures used to be dropped whole.
+    by_name = {b"x-pomeloglade-server-load": value}
+    assert codec.parse_notice(ResponseHead(200, (), by_name)).load == load
+    assert codec.parse_notice(ResponseHead(421, (), by_name)).load is None
+
+
 def test_engine_bodies_are_decoded_or_raise_a_typed_error(codec):
     assert codec.parse_prefill_result(b'{"kvHandle":"h","tokens":3}').handle == "h"
     assert codec.parse_engine_report(b'{"stage":"decode","seq":2}').accepted_orders == 2
--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -2,7 +2,7 @@
 
 import cbor2
 import pytest
-from tests.forwarding_fakes import server
+from tests.forwarding_fakes import Harness, server
 
 from pomeloglade.forwarding.fleet_news import FleetNews
 from pomeloglade.forwarding.report_scope import ReportScope
@@ -168,3 +168,24 @@
                 told_at.append(clock.seconds())
         clock.advance(0.01)
     assert 1 < len(told_at) <= 6
+
+
+@pytest.mark.parametrize("header", [b"5,3,6", b"5,3,6,250"])
+def test_an_answers_load_counts_though_it_has_a_fourth_figure(header):
+    harness = Harness(A)
+    harness.call("/lookups/1")
+    harness.network.requests[0].answer(x_pomeloglade_server_load=header)
+    assert harness.loads.calls(A.id, 0.2) == 8
+    assert harness.pace.ratio(A.run) == (2.5 if b"250" in header else 1.0)
+
+
+def test_a_health_answers_load_is_recorded_with_its_age():
+    # Instances that send a server no calls knew nothing of its load.
+    harness = Harness(A)
+    harness.probes.probe(A)
+    harness.network.requests[0].answer(x_pomeloglade_server_load=b"5,3,6,250")
+    assert harness.loads.calls(A.id, 0.2) == 8
+    assert harness.pace.ratio(A.run) == 2.5
+    harness.advance(0.6)
+    assert harness.loads.calls(A.id, 0.2) == 0
+    assert harness.pace.ratio(A.run) == pytest.approx(1.75)
