Place calls where they are expected to complete first

Servers were compared by their calls alone, so that a server which takes 2.5 times as long got as many calls as the others.

Where a service's pace is known, PlainCalls and EngineQueue compare the expected completion: the work ahead in each slot times the pace, plus the latency to another zone. A random delay of about two calls that are not counted yet spreads the calls of instances that have the same figures over nearly equal servers. Response times without the wait for a slot feed the estimate. Services without pace are placed as before. The step that sends a call gives the pace of its server.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
+from random import Random
 
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
@@ -9,11 +10,17 @@
 from .backends import Backends, BackendServer
 from .calls import Refused
 from .deployment import EnginePool
-from .loads import Loads
+from .expected_completion import (
+    ENGINE_CROWDING,
+    expected_completion,
+    spread_completion,
+)
+from .loads import Loads, ServerCalls
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
 from .server_choice import ServerChoice, choose_within_limits
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_pace import ServerPace
 
 MAX_WAIT_OBJECTIVES = 0.75
 """Fraction of the objective for which a call may wait for an engine; the rest is for
@@ -111,6 +118,10 @@
         call, so that two instances don't allocate the same slot.
     on_change : callable
         Called when a call joins the queue, to report it to the other instances.
+    pace : ServerPace, optional
+        How long work takes at each engine.
+    random : random.Random, optional
+        Chooses between engines that would complete a call at nearly the same time.
     """
 
     def __init__(
@@ -126,6 +137,8 @@
         server_choice: ServerChoice,
         remote_queues: RemoteQueues,
         on_change: Callable[[], None],
+        pace: ServerPace | None = None,
+        random: Random | None = None,
     ) -> None:
         self._service = service
         self._clock = clock
@@ -137,6 +150,8 @@
         self._server_choice = server_choice
         self._remote_queues = remote_queues
         self._on_change = on_change
+        self._pace = pace or ServerPace(clock)
+        self._random = random or Random()
         self._waiters: list[Waiter] = []
         self._last_sequence = 0
         self._retry_scheduled = False
@@ -381,10 +396,35 @@
 
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
         server_calls = self._loads.total(server.id)
-        calls = (server_calls.calls + 1) * self._health.penalty(server.id)
         far = server.availability_zone != self._availability_zone
+        if self._pace.affects(self._service):
+            return self._cost_by_pace(server, server_calls, far), 0, ""
+        calls = (server_calls.calls + 1) * self._health.penalty(server.id)
         return calls + (0.5 if far else 0.0), server_calls.tokens, server.id
 
+    def _cost_by_pace(
+        self, server: BackendServer, server_calls: ServerCalls, far: bool
+    ) -> float:
+        slots = min(server.slots, self.pool.slots)
+        pace, work = self._pace.ratio(server.run), self._duration
+        completion = expected_completion(
+            work=work,
+            calls=server_calls.calls,
+            slots=slots,
+            pace=pace,
+            crowding=ENGINE_CROWDING,
+            # A KV cache takes twice as long to another zone; as without pace, that
+            # counts as half a call.
+            latency=0.5 * work / slots if far else 0.0,
+        )
+        return spread_completion(
+            completion * self._health.penalty(server.id),
+            work=work,
+            slots=slots,
+            pace=pace,
+            random=self._random,
+        )
+
     def _time_out(self, waiter: Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -119,6 +119,7 @@
         self._store = store
         self._log = log
         self._run = random.getrandbits(RUN_ID_BITS)
+        self._random = random
         self._server_choice = server_choice(settings.server_choice, random)
         self._started = reactor.seconds()
         self._draining = False
@@ -330,6 +331,8 @@
                 server_choice=self._server_choice,
                 remote_queues=self._remote_queues,
                 on_change=self._relay.schedule_report,
+                pace=self._pace,
+                random=self._random,
             )
             objective = self._objective(service)
             queue.prefill_available = lambda: self._prefills.available(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -276,7 +276,8 @@
             )
             request = context.codec.forward_request(state.call, parameters)
             exchange = Exchange(request, state.call.body)
-            state.record_send(server.id, server.software_version)
+            details = (server.software_version, context.describe_pace(server))
+            state.record_send(server.id, " ".join(filter(None, details)))
             sent_at = context.clock.seconds()
             exchange.start(connection, context.pool.release)
             try:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -18,8 +18,15 @@
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
 from .deployment import CallKind, Route
 from .event_stream import EventStream
+from .expected_completion import (
+    ZONE_LATENCY_SECONDS,
+    expected_completion,
+    spread_completion,
+    unqueued_seconds,
+)
 from .send_context import SendContext, on_silence
 from .server_choice import ServerChoice, choose_within_limits
+from .server_pace import ServerPace
 
 FIRST_SEND_TIMEOUT_OBJECTIVES = 0.5
 """Fraction of the objective after which a safe call is retried at another server; the
@@ -64,6 +71,7 @@
         self._health = context.health
         self._limits = context.limits
         self._budget = context.budget
+        self._pace = context.pace or ServerPace(context.clock)
         self._availability_zone = availability_zone
         self._server_choice = server_choice
 
@@ -151,8 +159,26 @@
 
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
-        cost = (calls + 1) / server.slots * self._health.penalty(server.id)
         near = server.availability_zone == self._availability_zone
+        if self._pace.affects(server.service):
+            work = self._pace.work_seconds(server.service)
+            pace = self._pace.ratio(server.run)
+            completion = expected_completion(
+                work=work,
+                calls=calls,
+                slots=server.slots,
+                pace=pace,
+                latency=0.0 if near else ZONE_LATENCY_SECONDS,
+            )
+            cost = spread_completion(
+                completion * self._health.penalty(server.id),
+                work=work,
+                slots=server.slots,
+                pace=pace,
+                random=self._random,
+            )
+            return cost, 0.0
+        cost = (calls + 1) / server.slots * self._health.penalty(server.id)
         # This zone is preferred by half a call, as the others are 0.5 ms away.
         return cost - (0.5 / server.slots if near else 0.0), self._random.random()
 
@@ -210,7 +236,8 @@
             )
             head = self._codec.forward_request(call, parameters)
             exchange = Exchange(head, call.body)
-            state.record_send(server.id)
+            state.record_send(server.id, self._context.describe_pace(server))
+            calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
             sent_at = self._clock.seconds()
             exchange.start(connection, self._context.pool.release)
             answer = Deferred.fromCoroutine(
@@ -230,6 +257,10 @@
                 state.record_not_run(server.id)
                 return whole
             self._context.quarantine.record_alive(server.run, sent_at)
+            if whole.metadata.success:
+                seconds = self._clock.seconds() - sent_at
+                work = unqueued_seconds(seconds, calls, server.slots)
+                self._pace.record_work(server, resolved.route.name, work)
             if whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
                 stream = EventStream(resumable=False)
                 stream.feed(whole.body)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -100,6 +100,10 @@
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
 
+    def describe_pace(self, server: BackendServer) -> str:
+        """Return a server's pace for the log line of a call, or an empty text."""
+        return self.pace.describe(server) if self.pace is not None else ""
+
     def ensure_in_reach(self, service: str) -> None:
         """Raise ``Refused`` if this instance has no way to a service's servers."""
         if self.reach.out_of_reach(service):
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
@@ -252,6 +252,12 @@
         runs = {*self._reported_by_run, *self._estimates_by_run}
         return max(map(self.ratio, runs), default=NORMAL)
 
+    def describe(self, server: BackendServer) -> str:
+        """Return a server's pace for the log line of a call, or an empty text."""
+        if not self.affects(server.service):
+            return ""
+        return f"pace {self.ratio(server.run):.2f}"
+
     def record_reported(self, server: BackendServer, percent: float) -> None:
         """Record what a server's response says, in percent of normal."""
         now = self._clock.seconds()
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -285,7 +285,7 @@
     )
 
 
-def engine_queue(clock, backends, loads, health, remote_queues, limits=None):
+def engine_queue(clock, backends, loads, health, remote_queues, limits=None, pace=None):
     """Return an instance's queue of the service llm; the instance is in zone-a."""
     return EngineQueue(
         "llm",
@@ -298,6 +298,8 @@
         server_choice=server_choice(ServerChoicePolicy.LEAST_LOADED, Random(1)),
         remote_queues=remote_queues,
         on_change=lambda: None,
+        pace=pace,
+        random=Random(1),
     )
 
 
@@ -327,6 +329,7 @@
         self.store_view.age = lambda: self.age
         self.store_view.deployment = configuration or deployment()
         self.limits = ServerLimits(self.clock, self.log, Random(1))
+        self.pace = ServerPace(self.clock, server_by_id=self.backends.get)
         self.queue = engine_queue(
             self.clock,
             self.backends,
@@ -334,9 +337,9 @@
             self.health,
             RemoteQueues(self.clock),
             self.limits,
+            self.pace,
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
-        self.pace = ServerPace(self.clock, server_by_id=self.backends.get)
         self.quarantine = CrashQuarantine(self.clock, self.log)
         self.reach = ServerReach(self.clock, self.backends, self.log)
         context = SendContext(
