Count an engine's reported requests and KV memory as a lower bound

An engine's report gives its requests and KV memory, and nothing read them. Calls of an instance that ended or is cut off run on at engines and counted nowhere, so that further calls were sent to full engines.

EngineReport carries the figures. Loads keeps them with their age, 0.9 s when sent, as a lower bound that falls to nothing at 3 s, and the queue of engines uses it for room and cost. Reports are read where they were fetched already: by probes and before stage orders. Figures that can't be read leave the rest of a report in use.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -196,12 +196,20 @@
     """The state that an engine reports.
 
     ``busy`` is set while the engine carries out an order; ``accepted_orders`` counts
-    the orders that it has accepted since its start.
+    the orders that it has accepted since its start. ``waiting`` and ``running`` count
+    its requests, ``kv_used`` and ``kv_total`` the tokens that its KV memory cannot
+    evict and can hold, and ``kv_handles`` the KV caches that it holds for others;
+    each is ``None`` if the engine does not report it.
     """
 
     stage: str
     busy: bool
     accepted_orders: int
+    waiting: int | None = None
+    running: int | None = None
+    kv_used: int | None = None
+    kv_total: int | None = None
+    kv_handles: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -328,7 +328,7 @@
 
         An idle engine has room for a call of any size.
         """
-        server_calls = self._loads.total(server.id)
+        server_calls = self._loads.engine_calls(server.id)
         blocks = -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
         memory = MEMORY_FRACTION * self.pool.kv_capacity
         return server_calls.calls < min(server.slots, self.pool.slots) and (
@@ -389,13 +389,13 @@
         """
         if self._loads.local_prefills(server.id).calls:
             return False
-        if self._loads.total(server.id).calls <= MAX_DELAYED_STREAMS:
+        if self._loads.engine_calls(server.id).calls <= MAX_DELAYED_STREAMS:
             return True
         seconds = requirements.prompt_tokens / self.local_prefill_rate()
         return seconds <= MAX_PREFILL_PAUSE_FRACTION * requirements.longest_pause
 
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
-        server_calls = self._loads.total(server.id)
+        server_calls = self._loads.engine_calls(server.id)
         far = server.availability_zone != self._availability_zone
         if self._pace.affects(self._service):
             return self._cost_by_pace(server, server_calls, far), 0, ""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -5,7 +5,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from .calls import ServerLoad
+from .calls import EngineReport, ServerLoad
 
 PEER_LOAD_MAX_AGE_SECONDS = 3.0
 """Age at which a peer's report is dropped. Most calls are shorter, and an instance
@@ -14,6 +14,13 @@
 EXPIRY_CHECK_SECONDS = 0.25
 """Interval of the check for old reports."""
 
+ENGINE_REPORT_AGE_SECONDS = 0.9
+"""Age of the figures in an engine's report when it is sent."""
+
+ENGINE_REPORT_MAX_AGE_SECONDS = 3.0
+"""Age at which an engine's report counts no more. Until then the part of its requests
+that counts falls evenly, as streams of about this length end."""
+
 LOCAL_PREFILL_PREFIX = "reading/"
 """Prefix of the keys that count local prefills at decode engines. With it they are
 reported to peers in the same way as calls."""
@@ -38,6 +45,16 @@
 NO_CALLS = ServerCalls()
 
 
+def still_running(reported: ServerCalls, age: float) -> ServerCalls:
+    """Return which of an engine's reported calls run still, after ``age`` seconds.
+
+    >>> still_running(ServerCalls(12, 60_000), 1.5)
+    ServerCalls(calls=6, tokens=30000)
+    """
+    part = max(0.0, 1.0 - age / ENGINE_REPORT_MAX_AGE_SECONDS)
+    return ServerCalls(round(part * reported.calls), round(part * reported.tokens))
+
+
 class Loads:
     """Adds this instance's calls to those that the other instances report.
 
@@ -58,6 +75,7 @@
         self._peers_by_server: dict[str, ServerCalls] = {}
         self._last_expiry_check = clock.seconds()
         self._reported_by_server: dict[str, tuple[float, ServerLoad]] = {}
+        self._engine_reports_by_server: dict[str, tuple[float, ServerCalls]] = {}
 
     def begin(self, server: str, tokens: int) -> None:
         """Count a call that is placed at a server."""
@@ -120,6 +138,35 @@
         """Record the load that a backend server reported with an answer just now."""
         self._reported_by_server[server] = (self._clock.seconds(), load)
 
+    def record_engine_report(self, server: str, report: EngineReport) -> None:
+        """Record the calls in a report that an engine has sent just now, if any."""
+        if report.running is None:
+            return
+        reported = ServerCalls(
+            report.running + (report.waiting or 0), report.kv_used or 0
+        )
+        observed_at = self._clock.seconds() - ENGINE_REPORT_AGE_SECONDS
+        self._engine_reports_by_server[server] = (observed_at, reported)
+
+    def engine_calls(self, server: str) -> ServerCalls:
+        """Return the calls at an engine, at least those of its last report.
+
+        The report counts calls of which this instance does not know, such as those of
+        an instance that ended or is cut off.
+        """
+        known = self.total(server)
+        if server not in self._engine_reports_by_server:
+            return known
+        observed_at, reported = self._engine_reports_by_server[server]
+        age = self._clock.seconds() - observed_at
+        if age >= ENGINE_REPORT_MAX_AGE_SECONDS:
+            del self._engine_reports_by_server[server]
+            return known
+        least = still_running(reported, age)
+        return ServerCalls(
+            max(known.calls, least.calls), max(known.tokens, least.tokens)
+        )
+
     def total(self, server: str) -> ServerCalls:
         """Return the calls of all instances at a backend server, with their tokens."""
         self._expire()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_probes.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_probes.py
@@ -1,9 +1,15 @@
 """Requests that find out whether a backend server can be reached."""
 
+import contextlib
+
 from twisted.internet.defer import Deferred
 from twisted.python.failure import Failure
 
-from ..errors import BackendError, BackendUnreachableError
+from ..errors import (
+    BackendError,
+    BackendUnreachableError,
+    InvalidBackendResponseError,
+)
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange
 from .backends import BackendServer
@@ -53,9 +59,15 @@
             )
             head = await answer
             context.record_notice(server, exchange, head, sent_at)
-            await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
+            memory = context.body_memory
+            body = await memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
         finally:
             exchange.cancel()
+        if server.stage and 200 <= head.status < 300:
+            # An engine whose report can't be read has been reached all the same.
+            with contextlib.suppress(InvalidBackendResponseError):
+                report = context.codec.parse_engine_report(body)
+                context.loads.record_engine_report(server.id, report)
 
     def _health_path(self, service: str) -> str:
         deployment = self._store_view.deployment
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stage_orders.py
@@ -239,6 +239,7 @@
         request = self._codec.engine_report_request(server)
         _, body = await self._call(server, request, b"")
         report = self._codec.parse_engine_report(body)
+        self._loads.record_engine_report(server.id, report)
         if report.busy or report.stage == stage:
             self._log.event(
                 "stage_order_needless",
--- a/tests/test_forwarding_parts.py
+++ b/tests/test_forwarding_parts.py
@@ -13,7 +13,7 @@
 
 from pomeloglade.errors import BadConfigurationError, BadRegistrationError
 from pomeloglade.forwarding.backends import Backends
-from pomeloglade.forwarding.calls import ServerLoad, end_to_end_headers
+from pomeloglade.forwarding.calls import EngineReport, ServerLoad, end_to_end_headers
 from pomeloglade.forwarding.event_log import MAX_LINES_PER_SECOND, EventLog
 from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
 from pomeloglade.forwarding.instance_reports import (
@@ -493,3 +493,18 @@
     for _ in range(10):
         clock.advance(0.5)
     assert store.list("i/").result[0].value == b"here"
+
+
+def test_engines_report_is_a_lower_bound_that_falls_with_its_age(clock):
+    # Calls of an instance that ended run on at their engines and count nowhere else.
+    loads = Loads(clock)
+    loads.begin("a", 9_000)
+    loads.record_engine_report("a", EngineReport("decode", False, 0, 2, 8, 60_000))
+    assert loads.engine_calls("a") == ServerCalls(7, 42_000)
+    assert loads.total("a") == ServerCalls(1, 9_000)
+    clock.advance(1.5)
+    assert loads.engine_calls("a") == ServerCalls(2, 12_000)
+    clock.advance(0.6)
+    assert loads.engine_calls("a") == ServerCalls(1, 9_000)
+    loads.record_engine_report("a", EngineReport("decode", False, 0))
+    assert loads.engine_calls("a") == ServerCalls(1, 9_000)
--- a/tests/test_server_reach.py
+++ b/tests/test_server_reach.py
@@ -130,3 +130,26 @@
     harness.backends.replace_all([], lenient=False)
     harness.advance(0.6)
     assert not harness.reach.out_of_reach("api")
+
+
+@pytest.mark.parametrize("body", [b"no report", b"{}", b'{"running":3}'])
+def test_a_probed_engine_whose_report_cannot_be_read_is_reached(body):
+    engine = server("dec", "llm", "decode")
+    harness = Harness(engine)
+    failures = []
+    harness.reach.record_failure = lambda *args, **options: failures.append(args)
+    harness.probes.probe(engine)
+    harness.network.requests[0].answer(200, body)
+    assert failures == []
+    assert harness.loads.engine_calls("dec").calls == 0
+
+
+def test_a_probed_engines_report_bounds_the_calls_that_are_placed_there():
+    engine = server("dec", "llm", "decode", slots=4)
+    harness = Harness(engine)
+    harness.probes.probe(engine)
+    body = b'{"stage":"decode","running":6,"kvUsed":1000}'
+    harness.network.requests[0].answer(200, body)
+    assert not harness.queue.has_room(engine, 100)
+    harness.advance(1.0)
+    assert harness.queue.has_room(engine, 100)
