--- a/tests/test_server_pace.py
+++ b/tests/test_server_pace.py
@@ -1,8 +1,11 @@
 """How long work takes at each server: reported, estimated, and told by others."""
 
+from random import Random
+
 import cbor2
 import pytest
 from tests.forwarding_fakes import Harness, server
+from tests.report_fleet import KNOWN_WITHIN_SECONDS, SIZES, Fleet
 
 from pomeloglade.forwarding.fleet_news import FleetNews
 from pomeloglade.forwarding.report_scope import ReportScope
@@ -15,6 +18,9 @@
     ServerPace,
 )
 
+REPEAT_AFTER_CUT_SECONDS = 1.0
+"""Time after a cut within which each instance has heard its contact again."""
+
 A, B, C = (server(name, slots=6) for name in ("a", "b", "c"))
 BY_ID = {each.id: each for each in (A, B, C)}
 
@@ -189,3 +195,71 @@
     harness.advance(0.6)
     assert harness.loads.calls(A.id, 0.2) == 0
     assert harness.pace.ratio(A.run) == pytest.approx(1.75)
+
+
+def paces_of(fleet):
+    return [
+        ServerPace(
+            fleet.clock,
+            each.news,
+            server_by_id=BY_ID.get,
+            on_news=each.relay.schedule_report,
+        )
+        for each in fleet.instances
+    ]
+
+
+@pytest.mark.parametrize("size", SIZES)
+def test_all_instances_soon_know_a_pace_that_one_has_seen(size):
+    fleet = Fleet(size)
+    paces = paces_of(fleet)
+    paces[-1].record_reported(A, 250)
+    fleet.run(KNOWN_WITHIN_SECONDS)
+    assert all(each.ratio(A.run) > 2.0 for each in paces)
+    assert all(each.affects("api") for each in paces)
+    # Its end is known as soon, though the first figure has not faded.
+    paces[0].record_reported(A, 100)
+    fleet.run(KNOWN_WITHIN_SECONDS)
+    assert all(each.ratio(A.run) < 1.1 for each in paces)
+
+
+def test_a_cut_zone_places_by_its_own_figures_and_forgets_the_others():
+    fleet = Fleet(40)
+    paces = paces_of(fleet)
+    paces[1].record_reported(A, 250)
+    fleet.run(KNOWN_WITHIN_SECONDS)
+    inside = [
+        pace
+        for each, pace in zip(fleet.instances, paces, strict=True)
+        if each.zone == "zone-a"
+    ]
+    fleet.cut_zone = "zone-a"
+    for _ in range(5):
+        fleet.run(0.4)
+        paces[1].record_reported(A, 250)
+        inside[0].record_reported(B, 300)
+    assert inside[0].ratio(B.run) == 3.0
+    assert all(each.ratio(A.run) < 1.1 for each in inside)
+    assert paces[1].ratio(B.run) == 1.0
+    fleet.cut_zone = None
+    fleet.run(REPEAT_AFTER_CUT_SECONDS)
+    paces[1].record_reported(A, 250)
+    inside[0].record_reported(B, 300)
+    fleet.run(KNOWN_WITHIN_SECONDS)
+    assert all(each.ratio(A.run) > 2.0 for each in inside)
+    assert paces[1].ratio(B.run) > 2.0
+
+
+def test_control_traffic_has_room_for_paces_that_change_every_100_ms():
+    fleet, random = Fleet(40), Random(1)
+    paces = paces_of(fleet)
+    sent = sum(each.bytes for each in fleet.instances)
+    for _ in range(20):
+        percent_by_server = {each: random.choice((100, 250)) for each in (A, B, C)}
+        for _ in range(10):
+            pace, each = random.choice(paces), random.choice((A, B, C))
+            pace.record_reported(each, percent_by_server[each])
+            fleet.run(0.01)
+    sent = sum(each.bytes for each in fleet.instances) - sent
+    # All control traffic of an instance may take 4 KB a second.
+    assert sent / 40 / 2.0 < 2_000
