Prefill where the prompt ends first, and drop old estimates of pace

A prefill engine that shares its machine takes 2.5 times as long, and was chosen like the others by its queued tokens. Its responses also lowered the measured speed of all prefill engines, and with it the limits on their queues.

Where pace is known, the tokens ahead and the prompt count times the pace, also for the time-out, and the speed is measured at normal pace.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -12,6 +12,7 @@
 from .calls import SendParameters
 from .event_log import EventLog
 from .send_context import CONNECT_TIMEOUT_SECONDS, SendContext, on_silence
+from .server_pace import NORMAL
 
 INITIAL_TOKENS_PER_SECOND = 50_000.0
 """Initial value of the measured speed of prefill engines."""
@@ -88,16 +89,18 @@
         fails.
         """
         objective = state.resolved.route.objective.total_seconds()
-        server = self._choose(state.service(), objective, decode.availability_zone)
+        tokens = state.call.prompt.prompt_tokens
+        zone = decode.availability_zone
+        server = self._choose(state.service(), objective, zone, tokens)
         if server is None:
             return None
         if not self._context.limits.try_take(server.run):
             return None
         if state.prefill_count and not self._context.budget.try_spend(state.service()):
             return None
-        context, tokens = self._context, state.call.prompt.prompt_tokens
-        queued = context.loads.total(server.id).tokens
-        timeout = (queued + tokens) / self._rate + TIMEOUT_SECONDS
+        context = self._context
+        queued, pace = context.loads.total(server.id).tokens, self._pace(server)
+        timeout = (queued + tokens) * pace / self._rate + TIMEOUT_SECONDS
         context.loads.begin(server.id, tokens)
         context.on_load_changed()
         exchange: Exchange | None = None
@@ -126,7 +129,7 @@
             context.quarantine.record_alive(server.run, started)
             context.health.record_success(server.id)
             if not queued:
-                self._record_rate(tokens, context.clock.seconds() - started)
+                self._record_rate(tokens * pace, context.clock.seconds() - started)
             expires_at = (
                 context.clock.seconds() + HANDLE_LIFETIME_FRACTION * handle_seconds
             )
@@ -165,8 +168,13 @@
             )
         )
 
+    def _pace(self, server: BackendServer) -> float:
+        """Return how long a prefill takes at a server, relative to normal."""
+        pace = self._context.pace
+        return NORMAL if pace is None else pace.ratio(server.run)
+
     def _choose(
-        self, service: str, objective: float, zone: str
+        self, service: str, objective: float, zone: str, tokens: int = 0
     ) -> BackendServer | None:
         context = self._context
         servers = [
@@ -182,10 +190,14 @@
             far = server.availability_zone != zone
             # Without the constant, an idle engine that fails would cost nothing.
             queued += IDLE_COST_TOKENS + (CROSS_ZONE_PENALTY_TOKENS if far else 0)
+            if context.pace is not None and context.pace.affects(service):
+                # The prompt itself takes longer at a slow server, too.
+                queued = (queued + tokens) * self._pace(server)
             return queued * context.health.penalty(server.id)
 
         best = min(servers, key=cost)
-        queue_seconds = context.loads.total(best.id).tokens / self._rate
+        queued = context.loads.total(best.id).tokens
+        queue_seconds = queued * self._pace(best) / self._rate
         return best if queue_seconds <= MAX_QUEUE_OBJECTIVES * objective else None
 
     async def _receive_handle(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
@@ -314,6 +314,12 @@
         return since is not None and self._clock.seconds() - since > DIFFERENCE_SECONDS
 
     def _update_difference(self, service: str) -> None:
+        oldest = self._clock.seconds() - ESTIMATE_MAX_AGE_SECONDS
+        while self._estimates_by_run:
+            first, estimate = next(iter(self._estimates_by_run.items()))
+            if estimate.observed_at >= oldest:
+                break
+            del self._estimates_by_run[first]
         estimates = [
             each.mean.value
             for each in self._estimates_by_run.values()
--- a/tests/test_expected_completion.py
+++ b/tests/test_expected_completion.py
@@ -190,3 +190,23 @@
     for _ in range(12):
         harness.call("/bookings/1")
     assert addresses(harness)["a"] >= 2
+
+
+def test_a_prefill_goes_where_it_ends_first_and_a_slow_phase_changes_no_rate():
+    engines = [server(name, "llm", "prefill") for name in ("pre-a", "pre-bb")]
+    harness = Harness(*engines, server("dec", "llm", "decode"))
+    harness.loads.begin("pre-bb", 2_000)
+    for each, percent in zip(engines, (250, 100), strict=True):
+        harness.pace.record_reported(each, percent)
+    harness.model_call()
+    (request,) = harness.network.requests
+    assert request.address == engines[1].address
+    request.answer_prefill()
+    harness.loads.begin("pre-bb", 40_000)
+    rate = harness.prefills.local_prefill_rate()
+    harness.model_call()
+    request = harness.network.requests[-1]
+    assert request.address == engines[0].address
+    harness.clock.advance(2.5 * 5_000 / 50_000)
+    request.answer_prefill()
+    assert harness.prefills.local_prefill_rate() == pytest.approx(rate)
