--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -46,6 +46,7 @@
 from .server_choice import ServerChoicePolicy, server_choice
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
+from .server_pace import ServerPace
 from .server_probes import ServerProbes
 from .server_reach import ServerReach
 from .stage_orders import PREFILL_SHARE, StageOrders
@@ -125,6 +126,7 @@
         self._store = store
         self._log = log
         self._run = random.getrandbits(RUN_ID_BITS)
+        self._random = random
         self._server_choice = server_choice(settings.server_choice, random)
         self._started = reactor.seconds()
         self._draining = False
@@ -175,6 +177,12 @@
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
+        self._pace = ServerPace(
+            reactor,
+            self._news,
+            server_by_id=self._backends.get,
+            on_news=lambda: self._relay.schedule_report(),
+        )
         self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
@@ -210,6 +218,7 @@
             reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
+            pace=self._pace,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -252,6 +261,7 @@
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("limited_servers", self._limits.count)
         metrics.gauge("zones_out_of_use", lambda: len(self._backends.evacuations))
+        metrics.gauge("slowest_pace", self._pace.slowest)
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
@@ -341,6 +351,8 @@
                 server_choice=self._server_choice,
                 remote_queues=self._remote_queues,
                 on_change=self._relay.schedule_report,
+                pace=self._pace,
+                random=self._random,
             )
             objective = self._objective(service)
             queue.prefill_available = lambda: self._prefills.available(
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -35,6 +35,7 @@
 from pomeloglade.forwarding.server_choice import ServerChoicePolicy, server_choice
 from pomeloglade.forwarding.server_health import ServerHealth
 from pomeloglade.forwarding.server_limits import ServerLimits
+from pomeloglade.forwarding.server_pace import ServerPace
 from pomeloglade.forwarding.server_probes import ServerProbes
 from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
@@ -284,7 +285,7 @@
     )
 
 
-def engine_queue(clock, backends, loads, health, remote_queues, limits=None):
+def engine_queue(clock, backends, loads, health, remote_queues, limits=None, pace=None):
     """Return an instance's queue of the service llm; the instance is in zone-a."""
     return EngineQueue(
         "llm",
@@ -297,6 +298,8 @@
         server_choice=server_choice(ServerChoicePolicy.LEAST_LOADED, Random(1)),
         remote_queues=remote_queues,
         on_change=lambda: None,
+        pace=pace,
+        random=Random(1),
     )
 
 
@@ -328,6 +331,7 @@
         self.store_view.age = lambda: self.age
         self.store_view.deployment = configuration or deployment()
         self.limits = ServerLimits(self.clock, self.log, Random(1))
+        self.pace = ServerPace(self.clock, server_by_id=self.backends.get)
         self.queue = engine_queue(
             self.clock,
             self.backends,
@@ -335,6 +339,7 @@
             self.health,
             RemoteQueues(self.clock),
             self.limits,
+            self.pace,
         )
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
@@ -352,6 +357,7 @@
             reach=self.reach,
             log=self.log,
             on_load_changed=lambda: None,
+            pace=self.pace,
         )
         self.body_memory = context.body_memory
         self.probes = ServerProbes(context, self.store_view)
