Tell cuts of the network from servers that requests end

Each lost connection counted as the end of its server.

ServerEnds passes losses on to the quarantine unless they show a cut: three or more servers lost within 0.1 s without one request that was lost with all of them, or two or more services out of reach at the instance. Losses of the last 3 s are then withdrawn, at the other instances through FleetNews (topic not_ended), except where an instance with a way to the servers has seen the loss itself. A server that answers after its supposed end is made known in the same way. The new test fails without this by the refusal ends_servers.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -1,7 +1,7 @@
 """Requests and prompts that end the servers that run them, known to all instances."""
 
 from collections import defaultdict
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from twisted.internet.interfaces import IReactorTime
@@ -82,6 +82,11 @@
     another key that as many or more runs ended under. Instances report crashes, and
     answers under keys with crashes.
 
+    Attributes
+    ----------
+    on_not_ended : callable
+        Called with each run that answered after its supposed end.
+
     Examples
     --------
     >>> from twisted.internet.task import Clock
@@ -107,11 +112,17 @@
         self._news: list[_News] = []
         self._last_serial = 0
         self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+        self.on_not_ended: Callable[[ServerRun], None] = lambda run: None
 
     def count_suspected(self) -> int:
         """Return the number of keys under which enough servers ended."""
         return sum(map(self._has_enough_ends, self._records_by_key))
 
+    def count_ends(self, key: int) -> int:
+        """Return how many server runs ended under a key."""
+        record = self._records_by_key.get(key)
+        return len(record.runs) if record is not None else 0
+
     def record_crash(self, keys: Iterable[int], run: ServerRun) -> None:
         """Record that a server run ended while it ran a call with these keys."""
         for key in keys:
@@ -135,11 +146,22 @@
         If that was after its supposed end, only its connection was lost.
         """
         ended_at = self._ended_at_by_run.get(run)
-        if ended_at is None or sent_at <= ended_at:
+        if ended_at is not None and sent_at > ended_at:
+            self.withdraw(run)
+            self.on_not_ended(run)
+
+    def withdraw(self, run: ServerRun, age: float = 0.0) -> None:
+        """Forget that a server run ended, if that was ``age`` seconds ago or earlier.
+
+        Reports of its end are ignored as long as others may repeat them.
+        """
+        at = self._clock.seconds() - age
+        if self._ended_at_by_run.get(run, at) > at:
             return
-        self._alive_at_by_run[run] = self._clock.seconds()
-        del self._ended_at_by_run[run]
-        for key in self._keys_by_run.pop(run):
+        self._alive_at_by_run[run] = at
+        self._news = [each for each in self._news if each.run != run]
+        self._ended_at_by_run.pop(run, None)
+        for key in self._keys_by_run.pop(run, ()):
             record = self._records_by_key[key]
             record.runs.discard(run)
             if not record.runs:
@@ -197,7 +219,7 @@
             if each.serial > after and each.scope <= widest
         ]
         if len(due) > progress.keys_left:
-            due.sort(key=lambda each: -self._count_ends(each.key))
+            due.sort(key=lambda each: -self.count_ends(each.key))
             del due[progress.keys_left :]
         progress.keys_left -= len(due)
         sound = [each.key for each in due if each.run is None]
@@ -215,13 +237,8 @@
         pairs = [(run, key) for key, record in records for run in record.runs]
         return _by_run(pairs[:MAX_REPORTED_KEYS])
 
-    def _count_ends(self, key: int) -> int:
-        """Return how many server runs ended under a key."""
-        record = self._records_by_key.get(key)
-        return len(record.runs) if record is not None else 0
-
     def _has_enough_ends(self, key: int) -> bool:
-        return self._count_ends(key) >= CRASHES_TO_QUARANTINE
+        return self.count_ends(key) >= CRASHES_TO_QUARANTINE
 
     def _unexplained(self, key: int, keys: Sequence[int]) -> int:
         """Return how many ends under ``key`` no key outside ``keys`` explains.
@@ -242,7 +259,7 @@
         While two keys have equally few ends, calls with either are sent, as the next
         answer or end tells them apart. Not so if that has not happened for long.
         """
-        ends, others_ends = self._count_ends(key), self._count_ends(other)
+        ends, others_ends = self.count_ends(key), self.count_ends(other)
         if ends == others_ends >= MAX_TIED_CRASHES:
             return other > key
         return others_ends >= ends
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -203,6 +203,8 @@
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
+        self._ends = context.ends
+        self._ends.share(self._news, self._relay.schedule_report)
         self._peer_calls = PeerCalls(context, self._availability, random)
         self._prefills = Prefills(context, log)
         self.forwarder = Forwarder(
@@ -304,6 +306,7 @@
         self._peer_calls.set_peers(peers)
 
     def _availability_changed(self) -> None:
+        self._ends.review()
         self._availability.report_at_once()
         self._relay.schedule_report()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -26,6 +26,7 @@
 from .event_log import EventLog
 from .loads import Loads
 from .resend_budget import ResendBudget
+from .server_ends import ServerEnds
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 from .server_reach import ServerReach
@@ -63,6 +64,12 @@
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    ends: ServerEnds = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Combine the components that tell which servers have ended."""
+        ends = ServerEnds(self.clock, self.quarantine, self.reach, self.log)
+        object.__setattr__(self, "ends", ends)
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
@@ -125,7 +132,7 @@
         if lost:
             self.reach.record_failure(server, connected=True, look=True)
         if lost and not isinstance(error, BackendSilentError):
-            self.quarantine.record_crash(state.crash_keys, server.run)
+            self.ends.record_loss(state.crash_keys, server)
             self.on_load_changed()
 
     def record_answer(self, state: CallState, status: int) -> None:
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -0,0 +1,167 @@
+"""Which lost connections are ends of servers, and which show a cut of the network."""
+
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from typing import Any
+
+from twisted.internet.interfaces import IReactorTime
+
+from .backends import BackendServer
+from .crash_quarantine import CrashQuarantine, ServerRun
+from .event_log import EventLog
+from .fleet_news import FleetNews, NewsTopic
+from .server_reach import ServerReach
+
+CUT_SECONDS = 3.0
+"""Time before a cut is recognized in which lost connections belong to it. It takes
+several servers, some calls and a probe until a service is found to be out of reach."""
+
+CUT_SERVICES = 2
+"""Services that must be out of reach for a cut. A request that ends all servers of its
+service leaves the others in reach."""
+
+BURST_SECONDS = 0.1
+BURST_RUNS = 3
+"""Servers whose connections are lost within this time by a cut or an outage. A call
+that is sent again ends one server after the other, and is in the calls of each."""
+
+MAX_LOSSES = 1_000
+"""Limit on the losses that are kept. More within 3 s come from a cut only."""
+
+TOPIC = NewsTopic("not_ended", max_age=3.0, max_rows=500, max_reported=50)
+"""Runs of servers that others may believe to have ended."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Loss:
+    """A call that was lost with its connection to a server."""
+
+    at: float
+    service: str
+    run: ServerRun
+    request: int
+
+
+class ServerEnds:
+    """Passes lost connections on to the quarantine as ends, unless they show a cut.
+
+    A server that ends loses all its connections, and so does one that an instance is
+    cut from. Many servers at once, or servers of several services without one that can
+    be reached, are a cut or an outage: those losses are no evidence against the
+    requests that were lost, and what other instances were told about them is withdrawn.
+    An instance with a way to the servers keeps what it has seen itself.
+
+    Examples
+    --------
+    >>> from twisted.internet.task import Clock
+    >>> from .backends import Backends
+    >>> clock = Clock()
+    >>> log = EventLog(clock, 2)
+    >>> quarantine = CrashQuarantine(clock, log)
+    >>> reach = ServerReach(clock, Backends(clock, lambda _: None), log)
+    >>> ends = ServerEnds(clock, quarantine, reach, log)
+    >>> for number, name in enumerate(("a", "b")):
+    ...     server = BackendServer(name, "llm", "", "zone-a", 1)
+    ...     ends.record_loss((number, 17), server)
+    >>> quarantine.count_ends(17)
+    2
+    >>> ends.record_loss((2, 17), BackendServer("c", "llm", "", "zone-a", 1))
+    >>> quarantine.count_ends(17)
+    0
+    """
+
+    def __init__(
+        self,
+        clock: IReactorTime,
+        quarantine: CrashQuarantine,
+        reach: ServerReach,
+        log: EventLog,
+    ) -> None:
+        self._clock = clock
+        self._quarantine = quarantine
+        self._reach = reach
+        self._log = log
+        self._losses: list[_Loss] = []
+        self._news: FleetNews | None = None
+        self._on_news: Callable[[], None] = lambda: None
+        quarantine.on_not_ended = lambda run: self._tell(run, answered=True)
+
+    def share(self, news: FleetNews, on_news: Callable[[], None]) -> None:
+        """Exchange with other instances which servers have not ended."""
+        self._news = news
+        self._on_news = on_news
+        news.add_topic(TOPIC, self._apply)
+
+    def record_loss(self, keys: Sequence[int], server: BackendServer) -> None:
+        """Record that a call was lost with its connection; its request's key is first.
+
+        The loss counts as the server's end, unless it shows a cut.
+        """
+        now = self._clock.seconds()
+        if self._cut_off() and self._reach.out_of_reach(server.service):
+            return
+        recent = [each for each in self._losses if now - each.at <= CUT_SECONDS]
+        self._losses = recent[-MAX_LOSSES + 1 :]
+        self._losses.append(_Loss(now, server.service, server.run, keys[0]))
+        self._quarantine.record_crash(keys, server.run)
+        burst = [each for each in self._losses if now - each.at <= BURST_SECONDS]
+        if is_burst(burst):
+            self._withdraw(burst, "burst")
+
+    def review(self) -> None:
+        """Withdraw what was lost shortly before this instance found that it is cut."""
+        if not self._cut_off():
+            return
+        oldest = self._clock.seconds() - CUT_SECONDS
+        out_of_reach = self._reach.services_out_of_reach()
+        lost = [
+            each
+            for each in self._losses
+            if each.at >= oldest and each.service in out_of_reach
+        ]
+        if lost:
+            self._withdraw(lost, "out_of_reach")
+
+    def _cut_off(self) -> bool:
+        return len(self._reach.services_out_of_reach()) >= CUT_SERVICES
+
+    def _withdraw(self, losses: list[_Loss], reason: str) -> None:
+        runs = sorted({each.run for each in losses})
+        self._losses = [each for each in self._losses if each not in losses]
+        for run in runs:
+            self._quarantine.withdraw(run)
+            self._tell(run, answered=False)
+        servers = [server for server, _ in runs]
+        self._log.event("server_ends_withdrawn", servers=servers, reason=reason)
+
+    def _tell(self, run: ServerRun, *, answered: bool) -> None:
+        server, started_ms = run
+        if self._news is None:
+            return
+        if self._news.put(TOPIC.name, f"{started_ms}/{server}", answered):
+            self._on_news()
+
+    def _apply(self, key: str, value: Any, age: float) -> None:
+        """Learn from another instance that a server has not ended."""
+        started_ms, _, server = key.partition("/")
+        if not started_ms.isdecimal():
+            return
+        run = (server, int(started_ms))
+        seen_here = any(each.run == run for each in self._losses)
+        if value is not True and seen_here and not self._cut_off():
+            return
+        self._quarantine.withdraw(run, age)
+
+
+def is_burst(losses: Sequence[_Loss]) -> bool:
+    """Return whether so many servers were lost at once that none of them has crashed.
+
+    It is not if one request was lost with all of them.
+    """
+    runs = {each.run for each in losses}
+    if len(runs) < BURST_RUNS:
+        return False
+    runs_by_request: dict[int, set[ServerRun]] = {}
+    for each in losses:
+        runs_by_request.setdefault(each.request, set()).add(each.run)
+    return all(len(lost_with) < len(runs) for lost_with in runs_by_request.values())
--- /dev/null
+++ b/tests/test_server_ends.py
@@ -0,0 +1,157 @@
+"""Lost connections that show a cut or an outage, not requests that end servers."""
+
+import pytest
+from tests.forwarding_fakes import Harness, ListLog, server
+from twisted.internet.task import Clock
+
+from pomeloglade.forwarding.backends import Backends
+from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
+from pomeloglade.forwarding.fleet_news import FleetNews
+from pomeloglade.forwarding.report_scope import ReportScope
+from pomeloglade.forwarding.server_ends import ServerEnds
+from pomeloglade.forwarding.server_reach import ServerReach
+
+SHARED, OTHER = 7, 8
+PLAIN = [server("p" * number) for number in range(1, 4)]
+ENGINES = [server("d" * number, "llm", "decode") for number in range(1, 5)]
+
+
+class Instance:
+    """The components of one instance that tell which servers have ended."""
+
+    def __init__(self, clock, others):
+        self.clock = clock
+        backends = Backends(clock, lambda _: None)
+        backends.replace_all([*PLAIN, *ENGINES], lenient=False)
+        self.log = ListLog()
+        self.reach = ServerReach(clock, backends, self.log)
+        self.quarantine = CrashQuarantine(clock, self.log)
+        self.ends = ServerEnds(clock, self.quarantine, self.reach, self.log)
+        self.reach.on_change = self.ends.review
+        self.news = FleetNews(clock)
+        self.others = others
+        self.ends.share(self.news, self.report)
+
+    def report(self):
+        """Tell the others what is new, as the relay does after each change."""
+        crashes, sound = self.quarantine.take_due(ReportScope.OWN)
+        rows = self.news.take_due(ReportScope.OWN)
+        for each in self.others:
+            if each is not self:
+                each.quarantine.apply_reported(crashes, sound, ReportScope.FLEET)
+                each.news.apply(rows, ReportScope.FLEET)
+
+    def lose(self, number, *servers, key=SHARED):
+        for each in servers:
+            self.reach.record_failure(each, connected=True)
+            self.ends.record_loss((number, key), each)
+            self.report()
+
+
+@pytest.fixture
+def clock():
+    clock = Clock()
+    clock.advance(1000.0)
+    return clock
+
+
+@pytest.fixture
+def instances(clock):
+    instances = []
+    instances += [Instance(clock, instances) for _ in range(3)]
+    return instances
+
+
+def refused(instances, key=SHARED):
+    return [each.quarantine.seconds_left([key]) > 0 for each in instances]
+
+
+# Guards against blaming what streams share for a cut of all instances from all servers
+# (soak seed 509).
+def test_part_is_not_blamed_for_streams_that_a_cut_has_ended():
+    harness = Harness(*PLAIN, *ENGINES)
+    harness.reach.probe = harness.probes.probe
+    for number in range(4):
+        harness.model_call(f"/digests/{number}", parts=b"aa:100,%d:100" % number)
+        harness.call(f"/bookings/{number}")
+    for each in list(harness.network.requests):
+        each.reset()
+    harness.network.on_request = lambda request: request.answer()
+    harness.advance(5.0)
+    sent = len(harness.network.requests)
+    responder, _ = harness.model_call("/digests/9", parts=b"aa:100,9:100")
+    assert len(harness.network.requests) == sent + 1, responder.reason
+
+
+# Guards against blaming sound requests for a cut whose losses each instance sees only
+# in part, and one after the other (soak seed 509).
+def test_losses_before_a_cut_is_recognized_are_withdrawn_everywhere(instances, clock):
+    first, second, third = instances
+    for number, (each, *engines) in enumerate(
+        [(first, *ENGINES[:2]), (second, *ENGINES[1:3]), (third, ENGINES[3])]
+    ):
+        each.lose(number, *engines)
+        clock.advance(0.3)
+    assert refused(instances) == [True] * 3
+    for each in instances:
+        for lost in (*PLAIN, *ENGINES):
+            each.reach.record_failure(lost, connected=False)
+    assert refused(instances) == [False] * 3
+    assert "server_ends_withdrawn" in first.log.names()
+    # Other instances repeat for a while what they have learned.
+    clock.advance(1.0)
+    first.lose(9, ENGINES[0])
+    second.quarantine.apply_reported(
+        [(each.id, 0, [SHARED]) for each in ENGINES], [], ReportScope.FLEET
+    )
+    assert refused(instances) == [False] * 3
+
+
+# Guards against forgetting a request that ends all servers of its service: BUDGET
+# (inc1, issue 25).
+def test_request_that_ends_all_servers_of_one_service_is_blamed(instances, clock):
+    for each in PLAIN:
+        instances[0].lose(OTHER, each, key=OTHER)
+        clock.advance(0.03)
+    assert instances[0].reach.out_of_reach("api")
+    assert refused(instances, OTHER) == [True] * 3
+
+
+def test_servers_that_end_one_after_the_other_are_no_burst(instances, clock):
+    for number, each in enumerate(ENGINES[:3]):
+        instances[0].lose(number, each)
+        clock.advance(0.11)
+    assert refused(instances) == [True] * 3
+
+
+def test_instance_with_a_way_to_servers_keeps_what_it_has_seen(instances, clock):
+    """A server ends while another instance is cut from it."""
+    first, second, _ = instances
+    first.lose(1, ENGINES[0])
+    for number, each in enumerate(ENGINES[:3], 2):
+        second.lose(number, each)
+    assert first.quarantine.count_ends(SHARED) == 1
+    assert second.quarantine.count_ends(SHARED) == 0
+
+
+def test_answer_of_a_server_refutes_its_end_at_all_instances(instances, clock):
+    first, second, third = instances
+    for number, each in enumerate(ENGINES[:3]):
+        first.lose(number, each)
+        clock.advance(0.2)
+    assert refused(instances) == [True] * 3
+    third.quarantine.record_alive(ENGINES[0].run, clock.seconds())
+    assert refused(instances) == [False] * 3
+    # A later end of the same run counts again.
+    clock.advance(5.0)
+    second.lose(9, ENGINES[0])
+    assert refused(instances) == [True] * 3
+
+
+def test_rows_of_another_shape_are_ignored(instances):
+    first, second, _ = instances
+    second.lose(1, ENGINES[0])
+    for key in ("", "x/d", "12", "-1/d"):
+        first.news.put("not_ended", key, {"no": "value"})
+    first.report()
+    assert second.quarantine.count_ends(SHARED) == 1
