Recognize requests that share a crashing last part

The last part of a prompt had no key, so requests with a crashing one were recognized only if all else was equal too. It has the key of any other part now, also where it is not the last one of another prompt.

The first end under it must be reported: with 62 instances, an instance that waited for a second end of its own would wait for up to 63 ends, and three are the target. Nothing is reported unless a server ends. Last parts that an instance has lost go after keys with equally many ends if a report is full, and records with one end are dropped first if memory is full.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -106,10 +106,15 @@
         """The keys under which the ends of the servers that run the call count."""
         if self._crash_keys is None:
             prompt = self.call.prompt
-            shared = part_keys(prompt) if prompt is not None else ()
-            self._crash_keys = (self.request_key, *shared)
+            parts = part_keys(prompt) if prompt is not None else ()
+            self._crash_keys = (self.request_key, *parts)
         return self._crash_keys
 
+    @property
+    def last_part_key(self) -> int | None:
+        """The crash key of the prompt's last part, which few requests share."""
+        return self.crash_keys[-1] if len(self.crash_keys) > 1 else None
+
     def resolve(self) -> Resolution:
         """Resolve the call against the current configuration, before each send."""
         version = self.resolved.version
--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -61,6 +61,7 @@
     scope: ReportScope
     key: int
     run: ServerRun | None = None
+    last_part: bool = False
 
 
 @dataclass(slots=True)
@@ -123,10 +124,15 @@
         record = self._records_by_key.get(key)
         return len(record.runs) if record is not None else 0
 
-    def record_crash(self, keys: Iterable[int], run: ServerRun) -> None:
-        """Record that a server run ended while it ran a call with these keys."""
+    def record_crash(
+        self, keys: Iterable[int], run: ServerRun, last_part: int | None = None
+    ) -> None:
+        """Record that a server run ended while it ran a call with these keys.
+
+        ``last_part`` is the key among them that other calls hardly have.
+        """
         for key in keys:
-            self._add_crash(key, run, ReportScope.OWN)
+            self._add_crash(key, run, ReportScope.OWN, key == last_part)
 
     def record_answer(self, keys: Iterable[int]) -> bool:
         """Record that a call with these keys was run to its end.
@@ -201,7 +207,8 @@
         """Return the crashes and the sound keys for the next report of a scope.
 
         These are the ones that were not reported yet, and now and then all recent ones.
-        If they are too many, the keys with the most crashes go first.
+        If they are too many, the keys with the most crashes go first, and of those with
+        equally many, last parts that this instance has lost go last.
         """
         now = self._clock.seconds()
         oldest = now - REPORTED_SECONDS
@@ -219,7 +226,7 @@
             if each.serial > after and each.scope <= widest
         ]
         if len(due) > progress.keys_left:
-            due.sort(key=lambda each: -self.count_ends(each.key))
+            due.sort(key=lambda each: (-self.count_ends(each.key), each.last_part))
             del due[progress.keys_left :]
         progress.keys_left -= len(due)
         sound = [each.key for each in due if each.run is None]
@@ -273,7 +280,9 @@
         sound_at = self._sound_at_by_key.get(key, float("-inf"))
         return self._clock.seconds() - sound_at <= SOUND_SECONDS
 
-    def _add_crash(self, key: int, run: ServerRun, scope: ReportScope) -> None:
+    def _add_crash(
+        self, key: int, run: ServerRun, scope: ReportScope, last_part: bool = False
+    ) -> None:
         if self._is_sound(key) or self._was_answered(key):
             return
         self._drop_old()
@@ -287,7 +296,7 @@
         record.runs.add(run)
         self._keys_by_run.setdefault(run, set()).add(key)
         self._ended_at_by_run.setdefault(run, record.last_crash_at)
-        self._add_news(scope, key, run)
+        self._add_news(scope, key, run, last_part)
         if len(record.runs) == CRASHES_TO_QUARANTINE:
             servers = sorted(server for server, _ in record.runs)
             self._log.event("crashes_suspected", key=f"{key:016x}", servers=servers)
@@ -313,12 +322,15 @@
         times_by_key[key] = now
 
     def _add_news(
-        self, scope: ReportScope, key: int, run: ServerRun | None = None
+        self,
+        scope: ReportScope,
+        key: int,
+        run: ServerRun | None = None,
+        last_part: bool = False,
     ) -> None:
         self._last_serial += 1
-        self._news.append(
-            _News(self._last_serial, self._clock.seconds(), scope, key, run)
-        )
+        now = self._clock.seconds()
+        self._news.append(_News(self._last_serial, now, scope, key, run, last_part))
 
     def _forget(self, key: int) -> None:
         record = self._records_by_key.pop(key, None)
@@ -331,7 +343,10 @@
                 del self._ended_at_by_run[run]
 
     def _drop_old(self) -> None:
-        """Drop old records, and others than quarantined ones beyond the limit."""
+        """Drop old records, and beyond the limit one with as few ends as possible.
+
+        Most keys with one end are of requests and last parts that come only once.
+        """
         now = self._clock.seconds()
         for run, alive_at in list(self._alive_at_by_run.items()):
             if now - alive_at > SOUND_SECONDS:
@@ -342,11 +357,17 @@
                 break
             self._forget(key)
         if len(self._records_by_key) >= MAX_RECORDS:
-            oldest = next(iter(self._records_by_key))
-            lightest = (
-                key for key in self._records_by_key if not self._has_enough_ends(key)
-            )
-            self._forget(next(lightest, oldest))
+            self._forget(self._lightest())
+
+    def _lightest(self) -> int:
+        """Return the oldest key with one end, or else the one with the fewest."""
+        lightest = next(iter(self._records_by_key))
+        for key in self._records_by_key:
+            if self.count_ends(key) < self.count_ends(lightest):
+                lightest = key
+            if self.count_ends(lightest) == 1:
+                break
+        return lightest
 
 
 def _by_run(pairs: Iterable[tuple[ServerRun, int]]) -> ReportedCrashes:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
@@ -7,7 +7,7 @@
 KEY_BYTES = 8
 
 MAX_PARTS = 64
-"""Parts of a prompt that get a key. Prompts have a handful; a longer list would take
+"""Parts of a prompt before the last that get a key. Prompts have a handful; a longer list would take
 more time than the rest of a call's handling."""
 
 
@@ -35,17 +35,20 @@
 
 
 def part_keys(prompt: Prompt) -> tuple[int, ...]:
-    """Return the keys of the parts that a prompt may share with others.
+    """Return the keys of a prompt's parts, the last one's at the end.
 
-    The last part belongs to the request itself or to its session.
+    Most last parts belong to one request or to its session. One that several requests
+    have is recognized like any other part.
 
     >>> first = Prompt("m", 300, 10, parts=(("aa", 100), ("bb", 200)))
     >>> other = Prompt("m", 200, 10, parts=(("aa", 100), ("cc", 100)))
-    >>> part_keys(first) == part_keys(other)
+    >>> part_keys(first)[0] == part_keys(other)[0]
     True
+    >>> part_keys(first)[1] == part_keys(other)[1]
+    False
     """
-    shared = prompt.parts[:-1][:MAX_PARTS]
-    return tuple(_key(b"part", part.encode()) for part, _ in shared)
+    parts = (*prompt.parts[:-1][:MAX_PARTS], *prompt.parts[-1:])
+    return tuple(_key(b"part", part.encode()) for part, _ in parts)
 
 
 def _key(*fields: bytes) -> int:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -132,7 +132,7 @@
         if lost:
             self.reach.record_failure(server, connected=True, look=True)
         if lost and not isinstance(error, BackendSilentError):
-            self.ends.record_loss(state.crash_keys, server)
+            self.ends.record_loss(state.crash_keys, server, state.last_part_key)
             self.on_load_changed()
 
     def record_answer(self, state: CallState, status: int) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -92,10 +92,13 @@
         self._on_news = on_news
         news.add_topic(TOPIC, self._apply)
 
-    def record_loss(self, keys: Sequence[int], server: BackendServer) -> None:
+    def record_loss(
+        self, keys: Sequence[int], server: BackendServer, last_part: int | None = None
+    ) -> None:
         """Record that a call was lost with its connection; its request's key is first.
 
-        The loss counts as the server's end, unless it shows a cut.
+        The loss counts as the server's end, unless it shows a cut. ``last_part`` is
+        the key of the last part of its prompt.
         """
         now = self._clock.seconds()
         if self._cut_off() and self._reach.out_of_reach(server.service):
@@ -103,7 +106,7 @@
         recent = [each for each in self._losses if now - each.at <= CUT_SECONDS]
         self._losses = recent[-MAX_LOSSES + 1 :]
         self._losses.append(_Loss(now, server.service, server.run, keys[0]))
-        self._quarantine.record_crash(keys, server.run)
+        self._quarantine.record_crash(keys, server.run, last_part)
         burst = [each for each in self._losses if now - each.at <= BURST_SECONDS]
         if is_burst(burst):
             self._withdraw(burst, "burst")
--- a/tests/test_crash_quarantine.py
+++ b/tests/test_crash_quarantine.py
@@ -154,6 +154,39 @@
     assert sum(len(keys) for _, _, keys in everything) == MAX_REPORTED_KEYS
 
 
+# Guards against last parts that nothing shares displacing parts that calls share.
+def test_last_parts_are_reported_after_other_keys_and_dropped_first(quarantine, clock):
+    for number in range(MAX_REPORTED_KEYS):
+        quarantine.record_crash([OTHER, 1000 + number], ("a", 0), 1000 + number)
+    quarantine.record_crash([CULPRIT], ("a", 0))
+    for number in range(MAX_REPORTED_KEYS):
+        quarantine.record_crash([2000 + number], ("a", 0), 2000 + number)
+    ((_, _, keys),), _ = quarantine.take_due(ReportScope.OWN)
+    assert {CULPRIT, OTHER} <= set(keys)
+    assert len(keys) == MAX_REPORTED_KEYS
+    quarantine.record_crash([CULPRIT], ("b", 0))
+    for number in range(2 * MAX_RECORDS):
+        quarantine.record_crash([10_000 + number], ("c", number), 10_000 + number)
+    assert quarantine.count_ends(CULPRIT) == 2
+    assert len(quarantine._records_by_key) == MAX_RECORDS
+
+
+# Guards against bytes for last parts that nothing shares while no server ends.
+@pytest.mark.parametrize("size", [6, 195])
+def test_answered_last_parts_cost_no_bytes(size):
+    bytes_by_parts = []
+    for parts in (0, 1):
+        fleet = Fleet(size)
+        before = sum(each.bytes for each in fleet.instances)
+        for step in range(10):
+            for number, each in enumerate(fleet.instances):
+                key = step * 1000 + number * 2
+                each.answer([key, *range(key + 1, key + 1 + parts)])
+            fleet.run(0.1)
+        bytes_by_parts.append(sum(each.bytes for each in fleet.instances) - before)
+    assert bytes_by_parts[0] == bytes_by_parts[1]
+
+
 # Guards against repeats of a request at other instances: BUDGET (inc1, issue 25).
 @pytest.mark.parametrize("size", SIZES)
 def test_every_instance_refuses_what_ended_servers_elsewhere(size):
