--- a/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_keys.py
@@ -7,8 +7,8 @@
 KEY_BYTES = 8
 
 MAX_PARTS = 64
-"""Parts of a prompt before the last that get a key. Prompts have a handful; a longer list would take
-more time than the rest of a call's handling."""
+"""Parts of a prompt before the last that get a key. Prompts have a handful; a longer
+list would take more time than the rest of a call's handling."""
 
 
 def request_key(call: ForwardedCall, account: str | None) -> int:
