Keep quarantined keys in the platform's store, with trials of new versions

When all instances ended at once, the fleet forgot which requests end servers, and up to three more ended for each. A quarantine lasted ten minutes whatever was released meanwhile.

QuarantineStore writes each quarantined key under pomeloglade/quarantine/, by the instance that saw the last end; others do so one after the other if it is missing for 5 s in contact with the store. Entries are read with the watch that there is, before the first call. A copy that lacks an entry gets it again, one that still has a deleted entry loses it again. Calls are made from a timer: one write for a key, one deletion at its end, none on a call's path.

QuarantineTrials lets one call of the whole fleet try a software version that was not registered when the quarantine began: the refused call claims it by compare-and-swap, the next one at that instance is sent to one server, without a prefill elsewhere. An answer deletes the entry, an end renews it.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .calls import ForwardedCall, Refused
+from .crash_quarantine import ServerRun
 from .deployment import Account, Route
 from .event_stream import EventStream
 from .request_keys import part_keys, request_key
@@ -44,6 +45,8 @@
     ----------
     stream : EventStream or None
         What the caller has received of a model call's stream.
+    trial : ServerRun or None
+        The run of the server that a quarantined call was sent to as a trial.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.prefill_count = 0
         self.longest_pause = 0.0
         self.expired = False
+        self.trial: ServerRun | None = None
         self.steps: list[str] = []
 
     @property
--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -37,6 +37,9 @@
 MAX_REPORTED_KEYS = 200
 """Limit on the keys that reports have within ``REPEAT_SECONDS``: some 4 KB/s."""
 
+MAX_LIFTED = 1_000
+"""Limit on the keys whose quarantine was ended with the runs that don't count then."""
+
 ServerRun = tuple[str, int]
 """The id of a backend server and the start of its run."""
 
@@ -50,6 +53,19 @@
 
     runs: set[ServerRun] = field(default_factory=set)
     last_crash_at: float = 0.0
+    seen_here: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Quarantine:
+    """A quarantined key: the servers that ended, and how long it is refused, in s.
+
+    ``seen_here`` tells whether this instance has lost a call to the last of them.
+    """
+
+    runs: frozenset[ServerRun]
+    seconds_left: float
+    seen_here: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -85,6 +101,8 @@
 
     Attributes
     ----------
+    on_disproved : callable
+        Called with each key with enough ends that an answer here showed to be sound.
     on_not_ended : callable
         Called with each run that answered after its supposed end.
 
@@ -113,6 +131,8 @@
         self._news: list[_News] = []
         self._last_serial = 0
         self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+        self._lifted_runs_by_key: dict[int, frozenset[ServerRun]] = {}
+        self.on_disproved: Callable[[int], None] = lambda key: None
         self.on_not_ended: Callable[[ServerRun], None] = lambda run: None
 
     def count_suspected(self) -> int:
@@ -175,21 +195,64 @@
 
     def seconds_left(self, keys: Sequence[int]) -> float:
         """Return for how long a call with these keys is refused; 0 if it is not."""
-        now = self._clock.seconds()
-        ends = [
-            self._records_by_key[key].last_crash_at + QUARANTINE_SECONDS
+        return max(map(self._refused_for, self.refused_keys(keys)), default=0.0)
+
+    def refused_keys(self, keys: Sequence[int]) -> list[int]:
+        """Return those of a call's keys for which it is refused."""
+        return [
+            key
             for key in keys
             if self._has_enough_ends(key)
+            and self._refused_for(key) > 0
             and self._unexplained(key, keys) >= CRASHES_TO_QUARANTINE
         ]
-        return max(0.0, max(ends, default=now) - now)
+
+    def quarantined(self) -> dict[int, Quarantine]:
+        """Return the keys for which calls are refused, alone or with another key.
+
+        Keys that always came together, with equally many ends, are all among them.
+        """
+        return {
+            key: Quarantine(
+                frozenset(record.runs), self._refused_for(key), record.seen_here
+            )
+            for key, record in self._records_by_key.items()
+            if len(record.runs) >= CRASHES_TO_QUARANTINE
+            and self._refused_for(key) > 0
+            and self._blamed(key)
+        }
+
+    def restore(self, key: int, runs: Iterable[ServerRun], seconds_left: float) -> None:
+        """Learn a quarantined key that was stored, unless it is known to be sound."""
+        if self.is_sound(key) or self._was_answered(key):
+            return
+        crashed_at = self._clock.seconds() + seconds_left - QUARANTINE_SECONDS
+        for run in runs:
+            self._add_crash(key, run, ReportScope.FLEET, at=crashed_at)
+
+    def lift(self, key: int) -> None:
+        """End a key's quarantine; only further ends of servers count under it."""
+        record = self._records_by_key.get(key)
+        if record is None:
+            return
+        self._log.event("quarantine_lifted", key=f"{key:016x}")
+        while len(self._lifted_runs_by_key) >= MAX_LIFTED:
+            del self._lifted_runs_by_key[next(iter(self._lifted_runs_by_key))]
+        earlier = self._lifted_runs_by_key.pop(key, frozenset())
+        self._lifted_runs_by_key[key] = earlier | record.runs
+        self._forget(key)
+
+    def is_sound(self, key: int) -> bool:
+        """Return whether an answer has shown a key to be sound a short time ago."""
+        sound_at = self._sound_at_by_key.get(key, float("-inf"))
+        return self._clock.seconds() - sound_at <= SOUND_SECONDS
 
     def apply_reported(
         self, crashes: ReportedCrashes, sound: Iterable[int], scope: ReportScope
     ) -> None:
         """Learn crashes, and keys without fault, that another instance reported."""
         for key in sound:
-            if not self._is_sound(key):
+            if not self.is_sound(key):
                 self._mark_sound(key, scope)
         now = self._clock.seconds()
         for server, started_ms, keys in crashes:
@@ -247,6 +310,19 @@
     def _has_enough_ends(self, key: int) -> bool:
         return self.count_ends(key) >= CRASHES_TO_QUARANTINE
 
+    def _refused_for(self, key: int) -> float:
+        ends_at = self._records_by_key[key].last_crash_at + QUARANTINE_SECONDS
+        return max(0.0, ends_at - self._clock.seconds())
+
+    def _blamed(self, key: int) -> bool:
+        """Return whether enough ends came under no other key with more ends."""
+        ends = self.count_ends(key)
+        unexplained = sum(
+            all(self.count_ends(other) <= ends for other in self._keys_by_run[run])
+            for run in self._records_by_key[key].runs
+        )
+        return unexplained >= CRASHES_TO_QUARANTINE
+
     def _unexplained(self, key: int, keys: Sequence[int]) -> int:
         """Return how many ends under ``key`` no key outside ``keys`` explains.
 
@@ -276,14 +352,18 @@
         answered_at = self._answered_at_by_key.get(key, float("-inf"))
         return self._clock.seconds() - answered_at <= SOUND_SECONDS
 
-    def _is_sound(self, key: int) -> bool:
-        sound_at = self._sound_at_by_key.get(key, float("-inf"))
-        return self._clock.seconds() - sound_at <= SOUND_SECONDS
-
     def _add_crash(
-        self, key: int, run: ServerRun, scope: ReportScope, last_part: bool = False
+        self,
+        key: int,
+        run: ServerRun,
+        scope: ReportScope,
+        last_part: bool = False,
+        at: float | None = None,
     ) -> None:
-        if self._is_sound(key) or self._was_answered(key):
+        """Add an end under a key, now or at an earlier time of this clock."""
+        if self.is_sound(key) or self._was_answered(key):
+            return
+        if run in self._lifted_runs_by_key.get(key, ()):
             return
         self._drop_old()
         record = self._records_by_key.get(key) or _Record()
@@ -292,11 +372,14 @@
         # The dictionary is in the order of the last crashes.
         self._records_by_key.pop(key, None)
         self._records_by_key[key] = record
-        record.last_crash_at = self._clock.seconds()
+        crashed_at = self._clock.seconds() if at is None else at
+        record.last_crash_at = max(record.last_crash_at, crashed_at)
+        record.seen_here = scope is ReportScope.OWN
         record.runs.add(run)
         self._keys_by_run.setdefault(run, set()).add(key)
-        self._ended_at_by_run.setdefault(run, record.last_crash_at)
-        self._add_news(scope, key, run, last_part)
+        self._ended_at_by_run.setdefault(run, crashed_at)
+        if at is None:
+            self._add_news(scope, key, run, last_part)
         if len(record.runs) == CRASHES_TO_QUARANTINE:
             servers = sorted(server for server, _ in record.runs)
             self._log.event("crashes_suspected", key=f"{key:016x}", servers=servers)
@@ -305,8 +388,10 @@
         """Forget the crashes under a key, and tell the others."""
         if self._has_enough_ends(key):
             self._log.event("crashes_disproved", key=f"{key:016x}")
+            if scope is ReportScope.OWN:
+                self.on_disproved(key)
         self._forget(key)
-        if not self._is_sound(key):
+        if not self.is_sound(key):
             self._add_news(scope, key)
         self._put_time(self._sound_at_by_key, key)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -32,6 +32,7 @@
 from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
 from .prefills import Prefills
+from .quarantine_store import QuarantineStore
 from .registration import Registration
 from .remote_queues import QueueSummary, RemoteQueues
 from .report_relay import ReportRelay
@@ -161,6 +162,18 @@
         self.store_view.age = self._follower.age
         self.store_view.on_instances_changed = self._peers_changed
         self.store_view.on_change = self._place_waiting
+        self._quarantine_store = QuarantineStore(
+            clock=reactor,
+            store=store,
+            instance=settings.instance,
+            quarantine=self._quarantine,
+            backends=self._backends,
+            log=log,
+            instances=lambda: self.store_view.instances,
+            store_age=self._follower.age,
+        )
+        if layout.quarantine_prefix is not None:
+            self.store_view.quarantine = self._quarantine_store
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
@@ -200,11 +213,13 @@
             reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
+            trials=self._quarantine_store.trials,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
         self._ends = context.ends
         self._ends.share(self._news, self._relay.schedule_report)
+        self._ends.on_loss = self._quarantine_store.record_loss
         self._peer_calls = PeerCalls(context, self._availability, random)
         self._prefills = Prefills(context, log)
         self.forwarder = Forwarder(
@@ -242,6 +257,8 @@
         metrics.gauge("reports_sent", lambda: self._exchange.sent)
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
+        metrics.gauge("stored_quarantines", self._quarantine_store.count)
+        metrics.gauge("quarantine_store_calls", lambda: self._quarantine_store.calls)
         metrics.gauge("limited_servers", self._limits.count)
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
@@ -273,6 +290,8 @@
             task.addErrback(self._task_failed)
             self._tasks.append(task)
         self._stage_orders.start()
+        if self.store_view.quarantine is not None:
+            self._quarantine_store.start()
         self._reactor.addSystemEventTrigger("before", "shutdown", self._drain)
         self._log.event("started", run=self._run, front_port=settings.front_port)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -250,7 +250,8 @@
                 # Before the prefill, which would be wasted.
                 raise state.give_up_refusal("resend_budget")
             self._drop_expired(caches)
-            if not caches and prompt is not None:
+            if not caches and prompt is not None and state.trial is None:
+                # A trial is made at one server only, which reads the prompt itself.
                 pool = self._queue_for(state.service()).pool
                 cache = await self._prefills.run(state, server, pool.handle_seconds)
                 if cache is not None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -25,6 +25,7 @@
 from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
 from .loads import Loads
+from .quarantine_trials import QuarantineTrials
 from .resend_budget import ResendBudget
 from .server_ends import ServerEnds
 from .server_health import ServerHealth
@@ -64,6 +65,7 @@
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    trials: QuarantineTrials | None = None
     ends: ServerEnds = field(init=False)
 
     def __post_init__(self) -> None:
@@ -104,6 +106,8 @@
         state.resolve()
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
+        if self.quarantined_for(state) > 0:
+            self._begin_trial(state, server)
 
     def ensure_in_reach(self, service: str) -> None:
         """Raise ``Refused`` if this instance has no way to a service's servers."""
@@ -115,10 +119,32 @@
         return self.quarantine.seconds_left(state.crash_keys)
 
     def ensure_not_quarantined(self, state: CallState) -> None:
-        """Raise ``Refused`` if servers ended under requests like this call's."""
+        """Raise ``Refused`` if servers ended under requests like this call's.
+
+        It is not raised for a call that may be the trial of a new software version.
+        """
         seconds = self.quarantined_for(state)
-        if seconds > 0:
-            raise Refused(503, "ends_servers", retry_after=seconds)
+        if seconds <= 0:
+            return
+        if self.trials is not None and state.trial is None:
+            keys, service = state.crash_keys, state.service()
+            if self.trials.version(keys, service) is not None:
+                return
+            self.trials.claim(keys, service)
+        raise Refused(503, "ends_servers", retry_after=seconds)
+
+    def _begin_trial(self, state: CallState, server: BackendServer) -> None:
+        """Use up the trial for which a call was not refused, at this server only."""
+        if not self.trials.begin(state.crash_keys, server):
+            text = f"backend server {server.id!r} has no software version to try"
+            raise BackendNotServingError(text, step="connect", peer=server.id)
+        state.trial = server.run
+        self.log.event(
+            "quarantine_trial",
+            call=state.call.id,
+            server=server.id,
+            software_version=server.software_version,
+        )
 
     def record_loss(
         self, state: CallState, server: BackendServer, error: BackendError
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -51,6 +51,11 @@
     requests that were lost, and what other instances were told about them is withdrawn.
     An instance with a way to the servers keeps what it has seen itself.
 
+    Attributes
+    ----------
+    on_loss : callable
+        Called with the server of each loss that counts as its end.
+
     Examples
     --------
     >>> from twisted.internet.task import Clock
@@ -84,6 +89,7 @@
         self._losses: list[_Loss] = []
         self._news: FleetNews | None = None
         self._on_news: Callable[[], None] = lambda: None
+        self.on_loss: Callable[[BackendServer], None] = lambda server: None
         quarantine.on_not_ended = lambda run: self._tell(run, answered=True)
 
     def share(self, news: FleetNews, on_news: Callable[[], None]) -> None:
@@ -106,6 +112,7 @@
         recent = [each for each in self._losses if now - each.at <= CUT_SECONDS]
         self._losses = recent[-MAX_LOSSES + 1 :]
         self._losses.append(_Loss(now, server.service, server.run, keys[0]))
+        self.on_loss(server)
         self._quarantine.record_crash(keys, server.run, last_part)
         burst = [each for each in self._losses if now - each.at <= BURST_SECONDS]
         if is_burst(burst):
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -9,6 +9,7 @@
 from .backends import Backends, BackendServer
 from .deployment import Deployment
 from .event_log import EventLog
+from .quarantine_store import QuarantineStore
 
 WATCH_STALL_SECONDS = 1.0
 """Longest time for which a watch may miss changes before the store closes it."""
@@ -21,6 +22,8 @@
 class StoreLayout:
     """Keys and prefixes of the entries in the store, and decoders of their values.
 
+    Without ``quarantine_prefix``, quarantined keys are not kept in the store.
+
     ``decode_deployment`` raises ``BadConfigurationError`` and ``decode_server``
     raises ``BadRegistrationError``.
     """
@@ -31,6 +34,7 @@
     order_lease_key: str
     decode_deployment: Callable[[bytes], Deployment]
     decode_server: Callable[[str, bytes], BackendServer]
+    quarantine_prefix: str | None = None
 
 
 class StoreView:
@@ -71,6 +75,7 @@
         self.age: Callable[[], float] = lambda: float("inf")
         self.on_instances_changed: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
+        self.quarantine: QuarantineStore | None = None
 
     def fresh_enough_for_keys(self) -> bool:
         """Return whether a call with a valid API key may be accepted on this view.
@@ -126,6 +131,9 @@
         layout = self._layout
         servers = []
         instances = {}
+        if self.quarantine is not None:
+            stored = [each for each in entries if self._is_quarantine(each)]
+            self.quarantine.replace_all(stored, restored=restored)
         for entry in entries:
             if entry.key == layout.configuration_key:
                 self._apply_deployment(entry)
@@ -158,8 +166,14 @@
             else:
                 self.instances.pop(name, None)
             self.on_instances_changed()
+        elif self.quarantine is not None and self._is_quarantine(entry):
+            self.quarantine.apply_change(entry)
         self.on_change()
 
+    def _is_quarantine(self, entry: Entry) -> bool:
+        prefix = self._layout.quarantine_prefix
+        return prefix is not None and entry.key.startswith(prefix)
+
     def _apply_deployment(self, entry: Entry) -> None:
         try:
             deployment = self._layout.decode_deployment(entry.value)
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/protocol/quarantine.py
@@ -0,0 +1,49 @@
+"""Encoding of quarantined keys as values of the key-value service."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+QUARANTINE_PREFIX = "pomeloglade/quarantine/"
+"""Prefix of the quarantined keys in the platform's key-value service."""
+
+
+@dataclass(frozen=True, slots=True)
+class QuarantineEntry:
+    """A request or prompt part that ended servers, and for how long it is refused.
+
+    ``servers`` has the ids of the servers and the starts of their runs, ``until`` is in
+    seconds of Unix time. ``software_versions`` are those of the service that get no
+    trial: the versions that ended, and those that were registered when they did or had
+    their trial. ``written_by`` is the instance that wrote the entry last.
+    """
+
+    service: str
+    servers: tuple[tuple[str, int], ...]
+    software_versions: tuple[str, ...]
+    until: float
+    written_by: str = ""
+
+
+def key_of(store_key: str) -> int:
+    """Return the crash key of an entry's key, or raise ``ValueError``.
+
+    >>> key_of(store_key(17))
+    17
+    """
+    return int(store_key.removeprefix(QUARANTINE_PREFIX), 16)
+
+
+def store_key(key: int) -> str:
+    """Return the key of the entry of a crash key."""
+    return f"{QUARANTINE_PREFIX}{key:016x}"
+
+
+def encode(entry: QuarantineEntry) -> bytes:
+    """Return ``entry`` as JSON."""
+    return msgspec.json.encode(entry)
+
+
+def decode(value: bytes) -> QuarantineEntry:
+    """Decode an entry; ``msgspec.MsgspecError`` if it is invalid."""
+    return msgspec.json.decode(value, type=QuarantineEntry)
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -29,6 +29,7 @@
 from pomeloglade.forwarding.peer_calls import PeerCalls
 from pomeloglade.forwarding.plain_calls import PlainCalls
 from pomeloglade.forwarding.prefills import Prefills
+from pomeloglade.forwarding.quarantine_store import QuarantineStore
 from pomeloglade.forwarding.remote_queues import RemoteQueues
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
 from pomeloglade.forwarding.send_context import SendContext
@@ -42,6 +43,7 @@
 from pomeloglade.forwarding.usage import SharedUsage
 from pomeloglade.state.key_digest import digest_key
 from pomeloglade.transport.http_exchange import RequestHead, ResponseHead
+from pomeloglade_coordination.key_value import MemoryKeyValueStore
 from pomeloglade_platform.calls import PlatformCallCodec
 
 KEY = "club-key"
@@ -337,6 +339,18 @@
         self.queue.pool = self.store_view.deployment.services_by_name["llm"].engines
         self.quarantine = CrashQuarantine(self.clock, self.log)
         self.reach = ServerReach(self.clock, self.backends, self.log)
+        self.store = MemoryKeyValueStore(self.clock)
+        self.quarantine_store = QuarantineStore(
+            clock=self.clock,
+            store=self.store,
+            instance="entry-0",
+            quarantine=self.quarantine,
+            backends=self.backends,
+            log=self.log,
+            instances=lambda: (),
+            store_age=lambda: self.age,
+            wall_time=self.clock.seconds,
+        )
         context = SendContext(
             clock=self.clock,
             codec=PlatformCallCodec(),
@@ -350,7 +364,9 @@
             reach=self.reach,
             log=self.log,
             on_load_changed=lambda: None,
+            trials=self.quarantine_store.trials,
         )
+        context.ends.on_loss = self.quarantine_store.record_loss
         self.body_memory = context.body_memory
         self.probes = ServerProbes(context, self.store_view)
         self.availability = InstanceAvailability(self.clock, Random(1), "entry-0")
