List and lift quarantined keys from the operators' command line

Operators could not see which requests are refused, or end a refusal that a release has made needless. quarantine list shows the entries of the store, and quarantine lift KEY deletes one; instances that read the deletion forget the ends under the key, and only further ends count.

--- a/packages/pomeloglade/src/pomeloglade/cli.py
+++ b/packages/pomeloglade/src/pomeloglade/cli.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred
 
 from pomeloglade_coordination.errors import CoordinationError
+from pomeloglade_coordination.key_value import KeyValueStore
 
 from . import porcelain, reports
 from .porcelain import Operations
@@ -69,6 +70,7 @@
 FolderArgument = Annotated[Path, typer.Argument(metavar="FOLDER")]
 AccountArgument = Annotated[str, typer.Argument(metavar="ACCOUNT")]
 KeyNameArgument = Annotated[str, typer.Argument(metavar="NAME")]
+QuarantineKeyArgument = Annotated[str, typer.Argument(metavar="KEY")]
 BackendArgument = Annotated[str, typer.Argument(metavar="BACKEND")]
 
 DEFAULT_TIMEOUT = "2s"
@@ -82,14 +84,22 @@
         """Return the result of ``command``, or raise its exception."""
 
 
-def run_in_reactor(command: Command, url: str, timeout: timedelta) -> Any:
-    """Run a command against the platform at ``url`` over the network."""
+def run_in_reactor(
+    command: Command,
+    url: str,
+    timeout: timedelta,
+    open_store: Callable[..., KeyValueStore] = open_key_value_store,
+) -> Any:
+    """Run a command against the platform at ``url`` over the network.
+
+    ``open_store`` returns the client of its key-value service.
+    """
     from twisted.internet import task
 
     outcomes: list[Any] = []
 
     def start(reactor: Any) -> Deferred:
-        store = open_key_value_store(reactor, url, timeout=timeout, name=CLIENT_NAME)
+        store = open_store(reactor, url, timeout=timeout, name=CLIENT_NAME)
         client = new_http_client(reactor, timeout)
         statuses = HttpStatusClient(reactor, client, timeout)
         operations = Operations(store, statuses, reactor)
@@ -186,6 +196,7 @@
     _add_view_commands(app, console)
     _add_backend_commands(app, console)
     app.add_typer(_keys_app(console), name="keys")
+    app.add_typer(_quarantine_app(console), name="quarantine")
     return app
 
 
@@ -332,6 +343,41 @@
     return app
 
 
+def _quarantine_app(console: Console) -> typer.Typer:
+    app = typer.Typer(
+        no_args_is_help=True,
+        rich_markup_mode=None,
+        help="List and lift refusals of requests that end backend servers.",
+    )
+
+    @app.command(name="list")
+    def list_entries(
+        platform_url: PlatformUrl,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """List the requests and prompt parts that are refused."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.list_quarantine(),
+        )
+
+    @app.command()
+    def lift(
+        key: QuarantineKeyArgument,
+        platform_url: PlatformUrl,
+        platform_timeout: PlatformTimeout = DEFAULT_TIMEOUT,
+        json: Json = False,
+    ) -> None:
+        """Let calls with a quarantined key be sent again."""
+        console.run(
+            Target(platform_url, platform_timeout, json),
+            lambda operations: operations.lift_quarantine(key),
+        )
+
+    return app
+
+
 def main() -> None:
     """Run the operators' command line."""
     build_app()()
--- a/packages/pomeloglade/src/pomeloglade/porcelain.py
+++ b/packages/pomeloglade/src/pomeloglade/porcelain.py
@@ -5,6 +5,7 @@
 from datetime import timedelta
 from pathlib import Path
 
+import msgspec
 from twisted.internet.defer import Deferred
 
 from pomeloglade_coordination.clock import Clock
@@ -12,7 +13,9 @@
 from pomeloglade_coordination.key_value import KeyValueStore
 
 from .keys import create_key
+from .protocol import quarantine
 from .protocol.deployment import DeploymentTooLargeError, PublishedDeployment, encode
+from .protocol.quarantine import QUARANTINE_PREFIX, QuarantineEntry
 from .publishing import (
     Current,
     Draft,
@@ -73,6 +76,24 @@
     receipt: Receipt
 
 
+@dataclass(frozen=True, slots=True)
+class QuarantineList:
+    """The quarantined keys, as 16 hexadecimal digits, with their entries.
+
+    ``unreadable`` has the keys of entries that can't be decoded.
+    """
+
+    entries_by_key: dict[str, QuarantineEntry]
+    unreadable: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class LiftResult:
+    """A quarantined key that was lifted."""
+
+    key: str
+
+
 def check(folder: Path) -> Folder:
     """Return the parsed contents of ``folder`` without publishing them.
 
@@ -108,6 +129,7 @@
         clock: Clock,
         publisher: Publisher | None = None,
     ) -> None:
+        self._store = store
         self._publisher = publisher or Publisher(store, clock)
         self._rollouts = RolloutReader(store, statuses, clock)
 
@@ -153,6 +175,18 @@
         """Withdraw a key permanently."""
         return Deferred.fromCoroutine(self._withdraw_key(account, key_name))
 
+    def list_quarantine(self) -> "Deferred[QuarantineList]":
+        """Return the requests and prompt parts that instances refuse."""
+        return Deferred.fromCoroutine(self._list_quarantine())
+
+    def lift_quarantine(self, key: str) -> "Deferred[LiftResult]":
+        """Let instances send calls with a quarantined key again.
+
+        Further ends of servers count anew. Fails with ``OperationRefusedError`` if the
+        key is not quarantined.
+        """
+        return Deferred.fromCoroutine(self._lift_quarantine(key))
+
     def set_backend_state(
         self, backend: str, state: BackendState
     ) -> "Deferred[EditResult]":
@@ -245,6 +279,29 @@
         receipt = await self._publisher.edit(_edit_account(account, change))
         return EditResult(f"withdrew key {key_name!r} of account {account!r}", receipt)
 
+    async def _list_quarantine(self) -> QuarantineList:
+        entries_by_key, unreadable = {}, []
+        for entry in await self._store.list(QUARANTINE_PREFIX):
+            key = entry.key.removeprefix(QUARANTINE_PREFIX)
+            try:
+                entries_by_key[key] = quarantine.decode(entry.value)
+            except msgspec.MsgspecError:
+                unreadable.append(key)
+        return QuarantineList(entries_by_key, tuple(unreadable))
+
+    async def _lift_quarantine(self, key: str) -> LiftResult:
+        step = "quarantine lift"
+        name = QUARANTINE_PREFIX + key
+        if await self._store.get(name) is None:
+            entries = await self._store.list(QUARANTINE_PREFIX)
+            known = ", ".join(e.key.removeprefix(QUARANTINE_PREFIX) for e in entries)
+            raise OperationRefusedError(
+                f"key {key!r} is not quarantined; quarantined: {known or 'none'}",
+                step=step,
+            )
+        await self._store.delete(name)
+        return LiftResult(key)
+
     async def _set_backend_state(self, backend: str, state: BackendState) -> EditResult:
         def change(published: PublishedDeployment) -> Draft | None:
             deployment = published.deployment
--- a/packages/pomeloglade/src/pomeloglade/reports.py
+++ b/packages/pomeloglade/src/pomeloglade/reports.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterator
 from dataclasses import dataclass
+from datetime import UTC, datetime
 from functools import singledispatch
 from itertools import groupby
 from typing import Any
@@ -10,7 +11,14 @@
 
 from pomeloglade_coordination.errors import CoordinationError
 
-from .porcelain import CreatedKey, Difference, EditResult, PublishResult
+from .porcelain import (
+    CreatedKey,
+    Difference,
+    EditResult,
+    LiftResult,
+    PublishResult,
+    QuarantineList,
+)
 from .publishing import Current, Receipt
 from .rollout import InstanceRollout, Rollout
 from .state.deployment import ClientAccount, Deployment, Route
@@ -139,6 +147,25 @@
     yield from lines(result.receipt)
 
 
+@lines.register
+def _(result: QuarantineList) -> Iterator[str]:
+    if not result.entries_by_key and not result.unreadable:
+        yield "nothing is quarantined"
+    for key, entry in sorted(result.entries_by_key.items()):
+        until = datetime.fromtimestamp(entry.until, UTC).isoformat(timespec="seconds")
+        servers = ", ".join(server for server, _ in entry.servers)
+        versions = ", ".join(entry.software_versions) or "none"
+        yield f"{key} until {until}: service {entry.service or 'unknown'}"
+        yield f"  ended servers: {servers}"
+        yield f"  no trial by software versions: {versions}"
+    yield from (f"{key}: entry can't be decoded" for key in result.unreadable)
+
+
+@lines.register
+def _(result: LiftResult) -> Iterator[str]:
+    yield f"key {result.key} is lifted"
+
+
 @lines.register
 def _(result: Rollout) -> Iterator[str]:
     for zone, instances in groupby(result.instances, lambda i: i.availability_zone):
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -10,6 +10,7 @@
 
 from pomeloglade.cli import build_app
 from pomeloglade.porcelain import Operations
+from pomeloglade.protocol.quarantine import QuarantineEntry, encode, store_key
 from pomeloglade.settings import settings_app
 from pomeloglade.state.keys import digest_key
 from pomeloglade.transport.status import StatusUnavailableError
@@ -122,6 +123,31 @@
         assert f"availability zone {zone} has it in force" in result.output
 
 
+def test_quarantined_keys_are_listed_and_lifted(run, store):
+    assert run("quarantine", "list").output == "nothing is quarantined\n"
+    entry = QuarantineEntry("llm", (("i-1", 1), ("i-2", 1)), ("v1",), 1.8e9)
+    store.put(store_key(17), encode(entry))
+    store.put(store_key(18), b"[")
+    assert run("quarantine", "list").output.splitlines() == [
+        "0000000000000011 until 2027-01-15T08:00:00+00:00: service llm",
+        "  ended servers: i-1, i-2",
+        "  no trial by software versions: v1",
+        "0000000000000012: entry can't be decoded",
+    ]
+    listed = json.loads(run("quarantine", "list", "--json").output)
+    assert listed["entries_by_key"]["0000000000000011"]["until"] == 1.8e9
+    lifted = run("quarantine", "lift", "0000000000000011")
+    assert (lifted.exit_code, lifted.output) == (
+        0,
+        "key 0000000000000011 is lifted\n",
+    )
+    again = run("quarantine", "lift", "0000000000000011")
+    assert again.exit_code == 1
+    assert "not quarantined; quarantined: 0000000000000012" in again.stderr
+    assert run("quarantine", "lift", "0000000000000012").exit_code == 0
+    assert run("quarantine", "list").output == "nothing is quarantined\n"
+
+
 def test_bad_arguments_exit_with_2(run):
     assert run("show", POMELOGLADE_PLATFORM_URL="ftp://x").exit_code == 2
     assert run("publish").exit_code == 2
