Soak: run failed seeds as they failed, and crash engines by a last part

Failed seeds were run again with other seconds and instances than those with which some had failed. Each has its own now; 509 and 542 are among them.

A fault that can be asked for by name sends requests whose prompts end with one crashing part. It is not among the random ones, so that seeds keep their faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -3,6 +3,7 @@
 import sys
 import tempfile
 from collections import Counter
+from dataclasses import dataclass
 from pathlib import Path
 from random import Random
 from typing import Annotated
@@ -33,10 +34,37 @@
 FAULT_FREE_SECONDS = 3.0
 """Time with requests but without faults, for the check of the recovery."""
 
-FAILED_SEEDS = {
-    20: "a second SIGTERM while draining made the reactor raise ReactorNotRunning",
-}
-"""Seeds that failed in 20 s runs of unmodified programs, with the cause."""
+
+@dataclass(frozen=True, slots=True)
+class FailedSeed:
+    """A seed that failed in a run of unmodified programs, with the cause."""
+
+    seed: int
+    seconds: float
+    instances: int
+    cause: str
+
+
+FAILED_SEEDS = (
+    FailedSeed(
+        20,
+        20.0,
+        4,
+        "a second SIGTERM while draining made the reactor raise ReactorNotRunning",
+    ),
+    FailedSeed(
+        509,
+        10.0,
+        6,
+        "connections lost by a cut of all instances counted as ends of servers",
+    ),
+    FailedSeed(
+        542,
+        10.0,
+        6,
+        "calls that were passed on to a frozen instance waited for it",
+    ),
+)
 
 app = typer.Typer(add_completion=False, rich_markup_mode=None)
 
@@ -105,12 +133,14 @@
     again: Annotated[bool, typer.Option(help="Only seeds that once failed.")] = False,
 ) -> None:
     """Run seeds one after another; exit with 1 if a guarantee was violated."""
-    seed_numbers = list(FAILED_SEEDS) if again else list(range(seed, seed + seeds))
+    runs = [(number, seconds, instances) for number in range(seed, seed + seeds)]
+    if again:
+        runs = [(each.seed, each.seconds, each.instances) for each in FAILED_SEEDS]
     log_folder = folder or Path(tempfile.mkdtemp(prefix="pomeloglade-soak-"))
 
     async def run(reactor: object) -> None:
         failed = 0
-        for number in seed_numbers:
+        for number, seconds, instances in runs:
             seed_folder = log_folder / str(number)
             seed_folder.mkdir(parents=True, exist_ok=True)
             violations = await run_seed(
@@ -119,9 +149,9 @@
             failed += bool(violations)
             for line in violations[:20]:
                 sys.stdout.write(f"  {line}\n")
-        passed = len(seed_numbers) - failed
+        passed = len(runs) - failed
         sys.stdout.write(
-            f"{passed} of {len(seed_numbers)} seeds kept all; logs in {log_folder}\n"
+            f"{passed} of {len(runs)} seeds kept all; logs in {log_folder}\n"
         )
         if failed:
             raise SystemExit(1)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -31,6 +31,7 @@
 
 CRASHING_TARGET = "/lookups/crash"
 CRASHING_PART = "c0"
+CRASHING_LAST_PART = "c1"
 CRASHING_PAUSE_SECONDS = 0.35
 SHARED_PART = "aa"
 SESSIONS = 20
@@ -127,6 +128,8 @@
         parts = [SHARED_PART, f"5e{random.randrange(SESSIONS):02x}", f"f{attempt}"]
         if culprit == CRASHING_PART:
             parts.insert(2, culprit)
+        elif culprit == CRASHING_LAST_PART:
+            parts[-1] = culprit
         return SentRequest(
             attempt=attempt,
             route=route,
@@ -152,7 +155,7 @@
         if self._stopped:
             return
         route = "lookups"
-        if culprit == CRASHING_PART:
+        if culprit in (CRASHING_PART, CRASHING_LAST_PART):
             route = self._random.choice(("digests", "reports"))
         key = self._fleet.keys_by_account["club"]
         self._start(self._request(route, "club", key, culprit))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -8,7 +8,12 @@
 from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
 
-from .callers import CRASHING_PART, CRASHING_TARGET, Callers
+from .callers import (
+    CRASHING_LAST_PART,
+    CRASHING_PART,
+    CRASHING_TARGET,
+    Callers,
+)
 from .fleet import Fleet
 from .proxy import LinkMode, Proxy
 
@@ -66,10 +71,13 @@
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
         }
+        # In the order that gives each seed its faults.
+        self._random_names = sorted(self.inject_by_name)
+        self.inject_by_name["crashing last part"] = self._send_crashing_last_parts
 
     def inject(self, name: str | None = None) -> None:
         """Start the fault ``name``, or one randomly chosen."""
-        name = name or self._random.choice(sorted(self.inject_by_name))
+        name = name or self._random.choice(self._random_names)
         detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
@@ -215,6 +223,11 @@
         self._callers.start_crashing(CRASHING_PART)
         return CRASHING_PART
 
+    def _send_crashing_last_parts(self, seconds: float) -> str:
+        """Let requests come whose prompts end with a part that crashes engines."""
+        self._callers.start_crashing(CRASHING_LAST_PART)
+        return CRASHING_LAST_PART
+
     def _pause(self, seconds: float) -> str:
         instance = self._random.choice(self._fleet.instances)
         instance.signal(signal.SIGSTOP)
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -21,7 +21,13 @@
     USAGE_WINDOW_SECONDS,
 )
 
-from .callers import CRASHING_PART, CRASHING_TARGET, EVENT_END, SentRequest
+from .callers import (
+    CRASHING_LAST_PART,
+    CRASHING_PART,
+    CRASHING_TARGET,
+    EVENT_END,
+    SentRequest,
+)
 from .fleet import Fleet
 
 NOT_RUN = frozenset((408, 421, 429, 503))
@@ -40,7 +46,7 @@
 MIN_SERVED_FRACTION = 0.9
 """Fraction of requests with valid keys that must be served after the last fault."""
 
-CRASHES_BY_CULPRIT = {CRASHING_TARGET: 3, CRASHING_PART: 5}
+CRASHES_BY_CULPRIT = {CRASHING_TARGET: 3, CRASHING_PART: 5, CRASHING_LAST_PART: 3}
 """Crashes after which no more requests with their cause may be sent to servers."""
 
 MAX_SENT_AFTER_CRASHES = 3
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -53,6 +53,13 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against requests that share their last part ending engine after engine: BUDGET
+# (second1, issue 25).
+def test_processes_keep_a_last_part_that_crashes_engines_from_them(tmp_path):
+    fault = ("--fault", "crashing last part", "--seconds", "3")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 # Guards against bodies and events without end filling the memory of the instances.
 def test_processes_have_bounded_memory_while_servers_send_without_end(tmp_path):
     fault = ("--fault", "endless answers", "--seconds", "3")
