--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from .calls import ForwardedCall, Refused
+from .crash_quarantine import ServerRun
 from .deployment import Account, Route
 from .event_stream import EventStream
 from .request_keys import part_keys, request_key
@@ -44,6 +45,8 @@
     ----------
     stream : EventStream or None
         What the caller has received of a model call's stream.
+    trial : ServerRun or None
+        The run of the server that a quarantined call was sent to as a trial.
     """
 
     def __init__(
@@ -73,6 +76,7 @@
         self.prefill_count = 0
         self.longest_pause = 0.0
         self.expired = False
+        self.trial: ServerRun | None = None
         self.steps: list[str] = []
 
     @property
@@ -106,10 +110,15 @@
         """The keys under which the ends of the servers that run the call count."""
         if self._crash_keys is None:
             prompt = self.call.prompt
-            shared = part_keys(prompt) if prompt is not None else ()
-            self._crash_keys = (self.request_key, *shared)
+            parts = part_keys(prompt) if prompt is not None else ()
+            self._crash_keys = (self.request_key, *parts)
         return self._crash_keys
 
+    @property
+    def last_part_key(self) -> int | None:
+        """The crash key of the prompt's last part, which few requests share."""
+        return self.crash_keys[-1] if len(self.crash_keys) > 1 else None
+
     def resolve(self) -> Resolution:
         """Resolve the call against the current configuration, before each send."""
         version = self.resolved.version
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -25,7 +25,9 @@
 from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
 from .loads import Loads
+from .quarantine_trials import QuarantineTrials
 from .resend_budget import ResendBudget
+from .server_ends import ServerEnds
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 from .server_pace import ServerPace
@@ -65,6 +67,13 @@
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
     pace: ServerPace | None = None
+    trials: QuarantineTrials | None = None
+    ends: ServerEnds = field(init=False)
+
+    def __post_init__(self) -> None:
+        """Combine the components that tell which servers have ended."""
+        ends = ServerEnds(self.clock, self.quarantine, self.reach, self.log)
+        object.__setattr__(self, "ends", ends)
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
@@ -99,6 +108,8 @@
         state.resolve()
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service())
+        if self.quarantined_for(state) > 0:
+            self._begin_trial(state, server)
 
     def describe_pace(self, server: BackendServer) -> str:
         """Return a server's pace for the log line of a call, or an empty text."""
@@ -114,10 +125,32 @@
         return self.quarantine.seconds_left(state.crash_keys)
 
     def ensure_not_quarantined(self, state: CallState) -> None:
-        """Raise ``Refused`` if servers ended under requests like this call's."""
+        """Raise ``Refused`` if servers ended under requests like this call's.
+
+        It is not raised for a call that may be the trial of a new software version.
+        """
         seconds = self.quarantined_for(state)
-        if seconds > 0:
-            raise Refused(503, "ends_servers", retry_after=seconds)
+        if seconds <= 0:
+            return
+        if self.trials is not None and state.trial is None:
+            keys, service = state.crash_keys, state.service()
+            if self.trials.version(keys, service) is not None:
+                return
+            self.trials.claim(keys, service)
+        raise Refused(503, "ends_servers", retry_after=seconds)
+
+    def _begin_trial(self, state: CallState, server: BackendServer) -> None:
+        """Use up the trial for which a call was not refused, at this server only."""
+        if not self.trials.begin(state.crash_keys, server):
+            text = f"backend server {server.id!r} has no software version to try"
+            raise BackendNotServingError(text, step="connect", peer=server.id)
+        state.trial = server.run
+        self.log.event(
+            "quarantine_trial",
+            call=state.call.id,
+            server=server.id,
+            software_version=server.software_version,
+        )
 
     def record_loss(
         self, state: CallState, server: BackendServer, error: BackendError
@@ -131,7 +164,7 @@
         if lost:
             self.reach.record_failure(server, connected=True, look=True)
         if lost and not isinstance(error, BackendSilentError):
-            self.quarantine.record_crash(state.crash_keys, server.run)
+            self.ends.record_loss(state.crash_keys, server, state.last_part_key)
             self.on_load_changed()
 
     def record_answer(self, state: CallState, status: int) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -9,6 +9,7 @@
 from .backends import Backends, BackendServer
 from .deployment import Deployment
 from .event_log import EventLog
+from .quarantine_store import QuarantineStore
 from .zone_evacuations import ZoneChange
 
 WATCH_STALL_SECONDS = 1.0
@@ -24,6 +25,7 @@
 
     An entry under ``evacuations_prefix`` takes the zone that its key names out of use.
     ``None`` stands for a platform without such entries.
+    Without ``quarantine_prefix``, quarantined keys are not kept in the store.
 
     ``decode_deployment`` raises ``BadConfigurationError`` and ``decode_server``
     raises ``BadRegistrationError``.
@@ -36,6 +38,7 @@
     decode_deployment: Callable[[bytes], Deployment]
     decode_server: Callable[[str, bytes], BackendServer]
     evacuations_prefix: str | None = None
+    quarantine_prefix: str | None = None
 
 
 class StoreView:
@@ -78,6 +81,7 @@
         self.age: Callable[[], float] = lambda: float("inf")
         self.on_instances_changed: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
+        self.quarantine: QuarantineStore | None = None
 
     def fresh_enough_for_keys(self) -> bool:
         """Return whether a call with a valid API key may be accepted on this view.
@@ -159,6 +163,9 @@
         servers = []
         instances = {}
         revision_by_zone = {}
+        if self.quarantine is not None:
+            stored = [each for each in entries if self._is_quarantine(each)]
+            self.quarantine.replace_all(stored, restored=restored)
         for entry in entries:
             if entry.key == layout.configuration_key:
                 self._apply_deployment(entry)
@@ -199,6 +206,8 @@
                 self._evacuations.put(zone, entry.revision)
             else:
                 self._evacuations.remove(zone, entry.revision)
+        elif self.quarantine is not None and self._is_quarantine(entry):
+            self.quarantine.apply_change(entry)
         self.on_change()
 
     def _evacuated_zone(self, entry: Entry) -> str | None:
@@ -226,6 +235,10 @@
             )
         self.on_change()
 
+    def _is_quarantine(self, entry: Entry) -> bool:
+        prefix = self._layout.quarantine_prefix
+        return prefix is not None and entry.key.startswith(prefix)
+
     def _apply_deployment(self, entry: Entry) -> None:
         try:
             deployment = self._layout.decode_deployment(entry.value)
