--- a/tests/test_quarantine_store.py
+++ b/tests/test_quarantine_store.py
@@ -26,7 +26,13 @@
 SETTLED_SECONDS = 4.0
 NAMES = [f"entry-{number}" for number in range(5)]
 LAYOUT = StoreLayout(
-    "op/config", "servers/", "i/", "orders", None, None, QUARANTINE_PREFIX
+    "op/config",
+    "servers/",
+    "i/",
+    "orders",
+    None,
+    None,
+    quarantine_prefix=QUARANTINE_PREFIX,
 )
 
 
