Tell instances that have started what accounts used before

Change: whoever has run for a whole window tells returned instances the use in each slot of it, once, beside the reports. An instance that has started gives no burst until then, for 0.3 s at most. Without others that know, the bound on the burst holds as before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
@@ -112,6 +112,7 @@
     def __init__(self, clock: IReactorTime) -> None:
         self._clock = clock
         self._tables_by_topic: dict[str, _Table] = {}
+        self._rows_for_returned_by_topic: dict[str, Callable[[], dict[str, Any]]] = {}
         self._last_serial = 0
 
     def add_topic(
@@ -126,6 +127,12 @@
         """
         self._tables_by_topic[topic.name] = _Table(topic, on_row)
 
+    def add_rows_for_returned(
+        self, topic: str, rows: Callable[[], dict[str, Any]]
+    ) -> None:
+        """Send what ``rows`` returns, by key, to instances that have just returned."""
+        self._rows_for_returned_by_topic[topic] = rows
+
     def put(
         self,
         topic: str,
@@ -183,6 +190,10 @@
             newest = list(table.entries_by_key.items())[-table.topic.max_reported :]
             if newest:
                 everything[name] = self._reported(newest)
+        for name, rows in self._rows_for_returned_by_topic.items():
+            reported = [(key, value, 0.0) for key, value in rows().items()]
+            if reported:
+                everything[name] = reported
         return everything
 
     def _put(self, table: _Table, key: str, row: NewsRow, scope: ReportScope) -> bool:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -55,6 +55,7 @@
 from .store_view import StoreLayout, StoreView
 from .stream_origins import ORIGIN_SECONDS, StreamOrigins
 from .usage import SharedUsage
+from .usage_history import share_usage_history
 
 READINESS_PROPAGATION_SECONDS = 2.5
 """Time until the load balancer sends no new connections to an instance that is not
@@ -168,6 +169,7 @@
             apply_seconds=settings.config_apply_seconds,
         )
         self._news = FleetNews(reactor)
+        share_usage_history(self._usage, self._news, log)
         changes = ChangeRelay(self._news, log, lambda: self._relay.schedule_report())
         self._follower = StoreFollower(
             reactor, store, "", self.store_view, log, random, changes
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -419,7 +419,7 @@
             report = replace(report, origins=self._origins.everything())
         rows = self._due_rows
         told_at = self._told_at.get(instance, float("-inf"))
-        if returned and self._clock.seconds() - told_at >= RETURN_SECONDS / 3:
+        if returned and self._clock.seconds() - told_at >= RETURN_SECONDS / 6:
             # Not with each report: after a change of the contact all have returned.
             self._told_at[instance] = self._clock.seconds()
             rows = self._news.everything()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -20,6 +20,21 @@
 OWN = ""
 """Key of this instance's own use among the instances' names."""
 
+BEFORE_START = "\0"
+"""Key of all instances' use before the start of this one, as others tell it."""
+
+HISTORY_SECONDS = 2.0
+"""Time after the start in which others tell the use before it. Of several, the highest
+counts, as an instance that was cut off knows less."""
+
+FIRST_REPORT_SECONDS = 0.3
+"""Time in which an instance that has started gets the first report of each other one.
+It is not charged what that report has, so the history must."""
+
+UsageHistory = list[tuple[float, int]]
+"""Units used by all instances in one slot of time each, with the slot's age in
+seconds."""
+
 
 @dataclass(slots=True)
 class _Slot:
@@ -36,6 +51,7 @@
     """An account's time slots, oldest first, and the sums over all of them."""
 
     earned_until: float
+    knows_past: bool = False
     slots: deque[_Slot] = field(default_factory=deque)
     earned: float = 0.0
     used_by_instance: dict[str, int] = field(default_factory=dict)
@@ -55,6 +71,24 @@
         for used in (newest, self.used_by_instance):
             used[instance] = used.get(instance, 0) + units
 
+    def use_at(self, index: int, instance: str, units: int) -> None:
+        """Count units in an earlier slot, which is added if it is missing."""
+        slots_by_index = {slot.index: slot for slot in self.slots}
+        slot = slots_by_index.setdefault(index, _Slot(index))
+        self.slots = deque(slots_by_index[each] for each in sorted(slots_by_index))
+        if instance not in slot.used_by_instance:
+            slots = self.slots_by_instance.get(instance, 0)
+            self.slots_by_instance[instance] = slots + 1
+        for used in (slot.used_by_instance, self.used_by_instance):
+            used[instance] = used.get(instance, 0) + units
+
+    def forget(self, instance: str) -> None:
+        """Drop all units of an instance."""
+        for slot in self.slots:
+            slot.used_by_instance.pop(instance, None)
+        self.used_by_instance.pop(instance, None)
+        self.slots_by_instance.pop(instance, None)
+
     def drop_oldest(self) -> None:
         """Drop the oldest slot and subtract it from the sums."""
         slot = self.slots.popleft()
@@ -88,6 +122,12 @@
     reserved, or its known use if that is more. The sides of a network partition
     thereby keep the limit together. ``instances`` is the number of all instances.
 
+    Attributes
+    ----------
+    awaits_history : bool
+        Whether other instances tell, shortly after their first reports, what was used
+        before the start of this one (``apply_history``).
+
     Parameters
     ----------
     clock : IReactorTime
@@ -123,6 +163,8 @@
         self._max_slots = round(window / SLOT_SECONDS) + 1
         self._startup_burst = startup_burst
         self._started = clock.seconds()
+        self._heard_since = float("-inf")
+        self.awaits_history = False
         self.instances = 1
         self._windows_by_account: dict[str, _Window] = {}
         self._peers_by_instance: dict[str, _Peer] = {}
@@ -217,6 +259,8 @@
         the bound on the burst after the start, or was reported by another instance.
         """
         now = self._clock.seconds()
+        if self._heard_since < self._started:
+            self._heard_since = now
         peer = self._peers_by_instance.get(instance)
         new_run = peer is None or peer.run != run
         is_baseline = (peer is None and age > now - self._started) or (
@@ -241,6 +285,70 @@
                     window.total_of_others += total - known
             window.peer_totals[instance] = total
 
+    def histories(self) -> dict[str, UsageHistory]:
+        """Return what all instances have used in the window, by account.
+
+        This is for an instance that has just started: those that ended with their use
+        in the window can't tell it any more. An instance that has not run for a whole
+        window tells only what it was told itself.
+        """
+        now = self._clock.seconds()
+        histories = {}
+        for name, window in self._windows_by_account.items():
+            if not (self.knows_window or window.knows_past):
+                continue
+            self._newest_slot(window)
+            used = [
+                (
+                    round(max(0.0, now - slot.index * SLOT_SECONDS), 3),
+                    sum(slot.used_by_instance.values()),
+                )
+                for slot in window.slots
+            ]
+            histories[name] = [each for each in used if each[1] > 0]
+        return {name: history for name, history in histories.items() if history}
+
+    @property
+    def knows_window(self) -> bool:
+        """Whether this instance has run for a whole window."""
+        return self._clock.seconds() - self._started >= self._window
+
+    def apply_history(
+        self, name: str, history: UsageHistory, *, first_hand: bool = True
+    ) -> None:
+        """Count the use of an account before the start of this instance.
+
+        With it, this instance knows as much as the others, and the bound on the burst
+        after the start no longer applies to the account. One that is not
+        ``first_hand``, of an instance that was told it, counts only if there is none:
+        two that tell each other would count more and more.
+        """
+        now = self._clock.seconds()
+        window = self._window_of(name)
+        is_late = now - self._started > HISTORY_SECONDS
+        if is_late or (window.knows_past and not first_hand):
+            return
+        self._newest_slot(window)
+        known = window.used_by_instance.get(BEFORE_START, 0)
+        before = [
+            (int((now - age) / SLOT_SECONDS), units)
+            for age, units in history
+            if now - age < self._started + FIRST_REPORT_SECONDS
+            and 0 <= age < self._window
+            and units > 0
+        ]
+        if sum(units for _, units in before) <= known:
+            return
+        window.forget(BEFORE_START)
+        for index, units in before:
+            window.use_at(index, BEFORE_START, units)
+        # The whole window is earned again, at the rate in force.
+        for slot in window.slots:
+            slot.earned = 0.0
+        window.earned = 0.0
+        window.earned_until = now - self._window
+        window.knows_past = True
+
     def remove_instance(self, instance: str) -> None:
         """Drop an instance that has left; its use stays in the window."""
         self._peers_by_instance.pop(instance, None)
@@ -256,8 +364,12 @@
     def _limit(self, window: _Window) -> float:
         """Return the units that all instances may use within the current window."""
         burst = max(slot.burst for slot in window.slots)
-        if self._clock.seconds() - self._started < self._window:
+        now = self._clock.seconds()
+        if now - self._started < self._window and not window.knows_past:
             burst = min(burst, self._startup_burst)
+            heard_for = now - self._heard_since
+            if self.awaits_history and heard_for < FIRST_REPORT_SECONDS:
+                burst = 0.0
         earned = window.earned
         if window.slots[-1].index - window.slots[0].index == self._max_slots - 1:
             # The oldest slot is partly outside the window: its use still counts,
--- a/tests/report_fleet.py
+++ b/tests/report_fleet.py
@@ -36,6 +36,7 @@
     StreamOrigins,
 )
 from pomeloglade.forwarding.usage import SharedUsage
+from pomeloglade.forwarding.usage_history import share_usage_history
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
 
 LIMIT = ResendLimit(ratio=0.2, slack=430.0, window=10.0)
@@ -95,6 +96,7 @@
         self.view = View()
         self.news = FleetNews(fleet.clock)
         self.news.add_topic(NEWS_TOPIC)
+        share_usage_history(self.usage, self.news, self.log)
         self.changes = ChangeRelay(
             self.news, self.log, lambda: self.relay.schedule_report()
         )
