--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_pace.py
@@ -266,9 +266,9 @@
         return DEFAULT_WORK_SECONDS if mean is None else mean.value
 
     def slowest(self) -> float:
-        """Return the highest ratio of a run that is known to be slow, or else 1."""
+        """Return the highest ratio of all known runs, or 1 if none is slow."""
         runs = {*self._reported_by_run, *self._estimates_by_run}
-        return max(map(self.ratio, runs), default=NORMAL)
+        return max([NORMAL, *map(self.ratio, runs)])
 
     def describe(self, server: BackendServer) -> str:
         """Return a server's pace for the log line of a call, or an empty text."""
