Let stand-ins be slow and say so, and soak real processes with them

The wiring of pace in a whole process was not run anywhere. The fault slow servers lets a third of the stand-ins work at 2.5 times the time for 0.6 s each in turn. It is injected on request only, so that seeds inject what they did.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -24,6 +24,11 @@
 SERVER_LIMIT = 2.5
 """For how long servers name a limit, and the limit in requests a second."""
 
+SLOW_SECONDS = 6.0
+SLOW_PHASE_SECONDS = 0.6
+SLOW_PACE = 250
+"""Servers that share their machines are slow for such a time, and so much."""
+
 CUT_SECONDS = 8.0
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
@@ -67,10 +72,14 @@
             "crashing part": self._send_crashing_parts,
         }
 
+        # Not among those that are chosen, as that would change what seeds inject.
+        self.inject_on_request_by_name = {"slow servers": self._slow_servers}
+
     def inject(self, name: str | None = None) -> None:
         """Start the fault ``name``, or one randomly chosen."""
         name = name or self._random.choice(sorted(self.inject_by_name))
-        detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
+        fault_by_name = self.inject_by_name | self.inject_on_request_by_name
+        detail = fault_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
     def heal(self) -> None:
@@ -171,6 +180,21 @@
             self._call_later(seconds, setattr, backend, "faults", BackendFaults())
         return f"{faults} for {seconds:.1f} s"
 
+    def _slow_servers(self, seconds: float) -> str:
+        """Let a third of each service's servers be slow, others in each phase."""
+        backends = self._fleet.backends
+        phases = round(SLOW_SECONDS / SLOW_PHASE_SECONDS)
+        for phase in range(phases):
+            for number, backend in enumerate(backends):
+                faults = BackendFaults(
+                    pace=SLOW_PACE if number % 3 == phase % 3 else 100
+                )
+                begin = phase * SLOW_PHASE_SECONDS
+                self._call_later(begin, setattr, backend, "faults", faults)
+        for backend in backends:
+            self._call_later(SLOW_SECONDS, setattr, backend, "faults", BackendFaults())
+        return f"pace {SLOW_PACE} in {phases} phases"
+
     def _name_limits(self, seconds: float) -> str:
         """Let one server, or all of its service, name a limit."""
         first = self._random.choice(self._fleet.backends)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,6 +1,7 @@
 """The fault soak: one short run with real processes, and tests of its checks."""
 
 import os
+import re
 import subprocess
 import sys
 from types import SimpleNamespace
@@ -66,6 +67,18 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against placing calls at servers that their last answer showed to be slow.
+def test_processes_avoid_servers_while_they_report_to_be_slow(tmp_path):
+    fault = ("--fault", "slow servers", "--seconds", "6")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+    logs = (path.read_text() for path in (tmp_path / "1").glob("entry-*.log"))
+    paces = [
+        float(each) for log in logs for each in re.findall(r"pace (\d+\.\d+)", log)
+    ]
+    assert len(paces) > 50
+    assert sum(pace > 1.25 for pace in paces) < 0.1 * len(paces)
+
+
 # Guards against refusing calls that other instances can serve: RECOVER (second1,
 # issue 28).
 @pytest.mark.parametrize("seed", ["1", "2", "4"], ids=["reset", "refuse", "silence"])
