Send calls to the regions that their route and account allow

Operators name allowedRegions for routes and client accounts, and the settings give the region of each zone, but calls went to any server.

AllowedRegions turns the names into the set of zones that a call may be sent to. It is part of each resolution, so a new configuration holds from the next check before a first byte. The set restricts first and repeated sends, decode and prefill engines, the source of a KV cache, resumed streams, and the instances that a call is passed on to. A call that waits for engines of its zones does not hold up those behind it. A service without a server there refuses with no_server_in_region.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from ..errors import BackendNotServingError
+from .allowed_regions import NO_SERVER_IN_REGION
 from .zone_evacuations import ZoneChange, ZoneEvacuations
 
 
@@ -201,12 +202,15 @@
         until = self._paused_until_by_run.get(server.run, 0.0)
         return max(0.0, until - self._clock.seconds())
 
-    def soonest_resumption(self, service: str) -> float | None:
+    def soonest_resumption(
+        self, service: str, zones: frozenset[str] | None = None
+    ) -> float | None:
         """Return the seconds until a paused server of a service wants calls again.
 
         Returns ``None`` if the service has no paused servers.
         """
-        pauses = [self.paused_for(each) for each in self.registered(service)]
+        servers = self.registered(service, zones=zones)
+        pauses = [self.paused_for(each) for each in servers]
         return min((pause for pause in pauses if pause > 0), default=None)
 
     def usable(self, server: BackendServer) -> bool:
@@ -250,14 +254,23 @@
         """Return the cost of a server's zone, which is above 1 after its return."""
         return self.evacuations.return_cost(server.availability_zone)
 
-    def unavailable_reason(self, service: str, stage: str | None = None) -> str | None:
+    def unavailable_reason(
+        self,
+        service: str,
+        stage: str | None = None,
+        zones: frozenset[str] | None = None,
+    ) -> str | None:
         """Return why none of a service's servers may be used, or ``None``.
 
-        ``None`` means that some may, or that there are none.
+        ``None`` means that some in ``zones`` may, or that the service has none at all.
         """
-        if self.registered(service, stage):
+        if self.registered(service, stage, zones):
             return None
-        return ZONE_OUT_OF_USE if self._listed(service, stage) else None
+        if self._listed(service, stage, zones):
+            return ZONE_OUT_OF_USE
+        if zones is not None and self._listed(service, stage, None):
+            return NO_SERVER_IN_REGION
+        return None
 
     def _zone_changed(self, change: ZoneChange) -> None:
         if not change.out_of_use:
@@ -266,29 +279,65 @@
             if server.availability_zone == change.zone:
                 self._on_unusable(server)
 
-    def ensure_serves(self, server: BackendServer, service: str) -> None:
-        """Raise ``BackendNotServingError`` unless a server still serves ``service``."""
+    def ensure_serves(
+        self,
+        server: BackendServer,
+        service: str,
+        zones: frozenset[str] | None = None,
+    ) -> None:
+        """Raise ``BackendNotServingError`` unless a server still serves ``service``.
+
+        So does a server that is not in ``zones``, unless these are ``None``.
+        """
+        if not self.is_in(server, zones):
+            text = f"backend server {server.id!r} is in no allowed region"
+            raise BackendNotServingError(text, step="connect", peer=server.id)
         if server.service != service or not self.usable(server):
             text = f"backend server {server.id!r} no longer serves {service!r}"
             raise BackendNotServingError(text, step="connect", peer=server.id)
 
-    def serving(self, service: str, stage: str | None = None) -> list[BackendServer]:
-        """Return the servers of a service that may receive calls now."""
-        servers = self.registered(service, stage)
+    def is_in(self, server: BackendServer, zones: frozenset[str] | None) -> bool:
+        """Return whether a server, an entry read earlier, is in one of ``zones``."""
+        if zones is None:
+            return True
+        known = self._servers_by_id.get(server.id, server)
+        return server.availability_zone in zones and known.availability_zone in zones
+
+    def serving(
+        self,
+        service: str,
+        stage: str | None = None,
+        zones: frozenset[str] | None = None,
+    ) -> list[BackendServer]:
+        """Return the servers of a service that may receive calls now.
+
+        With ``zones``, only those in these zones are returned.
+        """
+        servers = self.registered(service, stage, zones)
         if self._paused_until_by_run:
             servers = [each for each in servers if not self.paused_for(each)]
         return servers
 
-    def registered(self, service: str, stage: str | None = None) -> list[BackendServer]:
+    def registered(
+        self,
+        service: str,
+        stage: str | None = None,
+        zones: frozenset[str] | None = None,
+    ) -> list[BackendServer]:
         """Return the servers of a service that don't leave, also the paused ones.
 
         Those in zones out of use are left out. Servers in their grace period are
         returned only if there are no others.
         """
-        return self._listed(service, stage, in_use=True)
+        return self._listed(service, stage, zones, in_use=True)
 
     def _listed(
-        self, service: str, stage: str | None, *, in_use: bool = False
+        self,
+        service: str,
+        stage: str | None,
+        zones: frozenset[str] | None,
+        *,
+        in_use: bool = False,
     ) -> list[BackendServer]:
         now = self._clock.seconds()
         in_use = in_use and len(self.evacuations) > 0
@@ -301,6 +350,7 @@
                 and not each.draining
                 and (stage is None or each.stage == stage)
                 and each.run not in self._leaving_runs
+                and (zones is None or each.availability_zone in zones)
                 and (not in_use or self.in_use(each))
             ]
             if found:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -18,11 +18,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Resolution:
-    """A call's route and account in one version of the configuration."""
+    """A call's route and account in one version of the configuration.
+
+    The call may be sent to servers in ``zones`` only, or anywhere if that is ``None``.
+    """
 
     version: int
     route: Route
     account: Account | None
+    zones: frozenset[str] | None = None
 
 
 class CallState:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -31,7 +31,8 @@
     An answer, or a stream's first event, is on time if it arrives within
     ``objective``; the next events are if no pause between two of them is longer than
     ``longest_pause``. At most ``max_servers`` backend servers may run a call. A
-    ``resumable`` stream may be continued by another backend server.
+    ``resumable`` stream may be continued by another backend server. Calls are sent to
+    servers in ``allowed_regions`` only; an empty set allows all.
     """
 
     name: str
@@ -46,6 +47,7 @@
     public: bool = False
     resumable: bool = False
     longest_pause: timedelta = timedelta(seconds=1)
+    allowed_regions: frozenset[str] = frozenset()
 
     @property
     def idempotent(self) -> bool:
@@ -86,7 +88,8 @@
     ``rate`` is in units per second and ``burst`` in units; a rate of 0 means no
     limit. Units are tokens if ``counts_tokens`` is set, else calls. A call without
     token counts costs ``plain_cost`` tokens. Calls with a lower ``priority`` go
-    first; ``None`` means the route's priority.
+    first; ``None`` means the route's priority. ``allowed_regions`` are like those of a
+    route; where both name regions, both restrictions apply.
     """
 
     name: str
@@ -96,6 +99,7 @@
     counts_tokens: bool = False
     plain_cost: int = 1
     priority: int | None = None
+    allowed_regions: frozenset[str] = frozenset()
 
     def cost(self, tokens: int | None) -> int:
         """Return the cost of a call with ``tokens`` prompt and output tokens."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -6,7 +6,13 @@
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 
-from .backends import ZONE_RETRY_SECONDS, Backends, BackendServer
+from .allowed_regions import NO_SERVER_IN_REGION, REGION_RETRY_SECONDS
+from .backends import (
+    ZONE_OUT_OF_USE,
+    ZONE_RETRY_SECONDS,
+    Backends,
+    BackendServer,
+)
 from .calls import Refused
 from .deployment import EnginePool
 from .loads import Loads
@@ -72,7 +78,8 @@
     prefills ``prompt_tokens`` itself, which pauses its streams; ``longest_pause`` is
     the pause in seconds that they allow. Engines in ``excluded`` are not chosen. A
     ``cached`` call is prefilled and goes first, because its KV cache expires soon. A
-    call that goes on with a stream needs an engine of its ``software_version``.
+    call that goes on with a stream needs an engine of its ``software_version``. With
+    ``zones``, engines and prefill engines must be in these zones.
     """
 
     tokens: int
@@ -81,6 +88,12 @@
     excluded: frozenset[str] = frozenset()
     cached: bool = False
     software_version: str | None = None
+    zones: frozenset[str] | None = None
+
+    @property
+    def restricted(self) -> bool:
+        """Whether some engines can't take the call although they may have room."""
+        return self.software_version is not None or self.zones is not None
 
 
 @dataclass(order=True)
@@ -144,6 +157,7 @@
         self._duration = INITIAL_DECODE_SECONDS
         self.pool = EnginePool(1, 1)
         self.prefill_available: Callable[[], bool] = lambda: True
+        self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
         self.local_prefill_rate: Callable[[], float] = lambda: float("inf")
 
     def __len__(self) -> int:
@@ -168,7 +182,7 @@
         now = self._clock.seconds()
         placed: Deferred[BackendServer] = Deferred(self._remove_cancelled)
         if not self._candidates(requirements):
-            placed.errback(self._no_engine_refusal())
+            placed.errback(self._no_engine_refusal(requirements))
             return placed
         late = now > arrived + objective
         rank = QueueRank(
@@ -227,7 +241,8 @@
         Of the calls in this queue, those that sort before ``waiter`` count as ahead
         of it; calls that wait at other instances all do.
         """
-        rate = sum(map(self._service_rate, self._engines()))
+        zones = waiter.requirements.zones if waiter is not None else None
+        rate = sum(map(self._service_rate, self._engines(zones)))
         waiting = [each for each in self._waiters if waiter is None or each < waiter]
         ahead = len(waiting) + self._remote_queues.count(self._service) + 1
         return ahead / rate if rate else ahead * self._duration
@@ -267,7 +282,8 @@
     def _place_next(self) -> bool:
         """Place the first waiting call; return ``False`` if no engine has room.
 
-        A call that waits for one software version does not hold up those behind it.
+        A call that waits for one software version, or for engines of some zones, does
+        not hold up those behind it.
         """
         for waiter in self._waiters:
             server = self._choose(waiter.requirements)
@@ -276,7 +292,7 @@
                 self._loads.begin(server.id, waiter.requirements.tokens)
                 waiter.placed.callback(server)
                 return True
-            if waiter.requirements.software_version is None:
+            if not waiter.requirements.restricted:
                 return False
         return False
 
@@ -284,33 +300,43 @@
         """Refuse the waiting calls for which there is no engine any more.
 
         Without any engine, calls that could go to several wait for one to register,
-        unless the operator has taken all zones with engines out of use.
+        unless the operator has taken all zones with engines out of use, or none is in
+        the zones that they may be sent to.
         """
-        if not self._waiters:
-            return
-        out_of_use = self._unavailable_reason() is not None
+        unavailable_by_zones = {
+            zones: self._unavailable_reason(zones)
+            for zones in {each.requirements.zones for each in self._waiters}
+        }
         for waiter in list(self._waiters):
             requirements = waiter.requirements
-            may_wait = requirements.software_version is None and not out_of_use
+            unavailable = unavailable_by_zones[requirements.zones]
+            may_wait = requirements.software_version is None and unavailable is None
             if may_wait or self._candidates(requirements):
                 continue
             if waiter in self._waiters:
                 self._waiters.remove(waiter)
-                waiter.placed.errback(self._no_engine_refusal())
+                waiter.placed.errback(self._no_engine_refusal(requirements))
 
-    def _unavailable_reason(self) -> str | None:
-        """Return why no engine may be used at all, or ``None``."""
-        if self._engines():
+    def _unavailable_reason(self, zones: frozenset[str] | None) -> str | None:
+        """Return why no engine in ``zones`` may be used at all, or ``None``."""
+        if self._engines(zones):
             return None
-        return self._backends.unavailable_reason(self._service, "decode") or (
-            self._backends.unavailable_reason(self._service, "")
-        )
-
-    def _no_engine_refusal(self) -> Refused:
-        unavailable = self._unavailable_reason()
+        reasons = [
+            self._backends.unavailable_reason(self._service, stage, zones)
+            for stage in ("decode", "")
+        ]
+        if ZONE_OUT_OF_USE in reasons:
+            return ZONE_OUT_OF_USE
+        return reasons[0] or reasons[1]
+
+    def _no_engine_refusal(self, requirements: EngineRequirements) -> Refused:
+        zones = requirements.zones
+        unavailable = self._unavailable_reason(zones)
+        if unavailable == NO_SERVER_IN_REGION:
+            return Refused(503, unavailable, retry_after=REGION_RETRY_SECONDS)
         if unavailable is not None:
             return Refused(503, unavailable, retry_after=ZONE_RETRY_SECONDS)
-        reason = "no_engine_of_version" if self._engines() else "no_engine"
+        reason = "no_engine_of_version" if self._engines(zones) else "no_engine"
         return Refused(503, reason, retry_after=NO_ENGINE_RETRY_AFTER_SECONDS)
 
     def _schedule_retry(self) -> None:
@@ -339,13 +365,13 @@
             server_calls.tokens + blocks <= memory or not server_calls.calls
         )
 
-    def _engines(self) -> list[BackendServer]:
+    def _engines(self, zones: frozenset[str] | None = None) -> list[BackendServer]:
         """Return the decode engines, or those without a stage if there are none.
 
         Engines that asked for a pause are among them.
         """
-        return self._backends.registered(self._service, "decode") or (
-            self._backends.registered(self._service, "")
+        return self._backends.registered(self._service, "decode", zones) or (
+            self._backends.registered(self._service, "", zones)
         )
 
     def _candidates(self, requirements: EngineRequirements) -> list[BackendServer]:
@@ -356,10 +382,10 @@
         """
         version = requirements.software_version
         if version is None:
-            return self._engines()
+            return self._engines(requirements.zones)
         return [
             each
-            for each in self._engines()
+            for each in self._engines(requirements.zones)
             if each.software_version == version and each.id not in requirements.excluded
         ]
 
@@ -378,12 +404,17 @@
             and self.has_room(server, requirements.tokens)
         ]
         needs_prefill = requirements.prompt_tokens and not requirements.cached
-        if needs_prefill and not self.prefill_available():
+        if needs_prefill and not self._prefill_available(requirements.zones):
             free = [
                 server for server in free if self._can_prefill(server, requirements)
             ]
         return choose_within_limits(free, self._server_choice, self._cost, self._limits)
 
+    def _prefill_available(self, zones: frozenset[str] | None) -> bool:
+        if zones is None:
+            return self.prefill_available()
+        return self.prefill_available_in(zones)
+
     def _can_prefill(
         self, server: BackendServer, requirements: EngineRequirements
     ) -> bool:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -11,6 +11,7 @@
 from ..state.connection_limits import ConnectionLimits
 from ..transport.http_exchange import RequestHead
 from ..transport.http_site import Responder
+from .allowed_regions import AllowedRegions
 from .call_state import CallState, Resolution
 from .calls import CallCodec, ForwardedCall, Refused, answer_headers
 from .deployment import Route
@@ -61,6 +62,7 @@
         peer_calls: PeerCalls,
         log: EventLog,
         metrics: ForwardingMetrics,
+        regions: AllowedRegions | None = None,
     ) -> None:
         self._clock = clock
         self._random = random
@@ -73,6 +75,7 @@
         self._peer_calls = peer_calls
         self._log = log
         self._metrics = metrics
+        self._regions = regions or AllowedRegions()
         self._draining = False
         self._last_long_call_at = float("inf")
         self._stops_at = float("inf")
@@ -237,7 +240,8 @@
                 raise Refused(503, "configuration_old", retry_after=0.5)
             raise Refused(404, "no_route")
         if route.public or not deployment.has_accounts:
-            return Resolution(deployment.version, route, None)
+            zones = self._regions.zones_for(route, None)
+            return Resolution(deployment.version, route, None, zones)
         if not accepted and not self._store_view.fresh_enough_for_keys():
             raise Refused(503, "configuration_old", retry_after=0.2)
         account = deployment.account(call.api_key) if call.api_key else None
@@ -245,7 +249,8 @@
             if not self._store_view.fresh_enough_for_denials():
                 raise Refused(503, "configuration_old", retry_after=0.2)
             raise Refused(401, "unknown_key")
-        return Resolution(deployment.version, route, account)
+        zones = self._regions.zones_for(route, account)
+        return Resolution(deployment.version, route, account, zones)
 
     def _choose_service(self, route: Route) -> str:
         weights = [each.weight for each in route.services]
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -1,7 +1,8 @@
 """A forwarding instance: wiring of its components, start and shutdown."""
 
 import json
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -15,6 +16,7 @@
 from ..transport.http_exchange import ConnectionPool
 from ..transport.http_site import HttpSite
 from ..transport.text_pages import TextPages
+from .allowed_regions import AllowedRegions
 from .backends import Backends, BackendServer
 from .calls import CallCodec
 from .crash_quarantine import CrashQuarantine
@@ -90,6 +92,8 @@
     usage_startup_burst: float
     server_choice: ServerChoicePolicy = ServerChoicePolicy.LEAST_LOADED
     prefill_share: float = PREFILL_SHARE
+    region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    region: str = ""
 
 
 class ForwardingInstance:
@@ -187,6 +191,9 @@
             log=log,
         )
         metrics = ForwardingMetrics()
+        regions = AllowedRegions(
+            settings.region_by_zone, settings.availability_zone, settings.region
+        )
         context = SendContext(
             clock=reactor,
             codec=codec,
@@ -200,6 +207,7 @@
             reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
+            regions=regions,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -221,6 +229,7 @@
             peer_calls=self._peer_calls,
             log=log,
             metrics=metrics,
+            regions=regions,
         )
         self._stage_orders = StageOrders(
             clock=reactor,
@@ -327,6 +336,9 @@
             queue.prefill_available = lambda: self._prefills.available(
                 service, objective
             )
+            queue.prefill_available_in = lambda zones: self._prefills.available(
+                service, objective, zones
+            )
             queue.local_prefill_rate = self._prefills.local_prefill_rate
             self._queues_by_service[service] = queue
         configured = self.store_view.deployment.services_by_name.get(service)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -69,7 +69,7 @@
             await self._run(state, responder, caches)
         finally:
             for cache in caches:
-                self._prefills.discard(cache)
+                self._discard(state, cache)
 
     async def _run(
         self, state: CallState, responder: Responder, caches: list[KvCache]
@@ -166,7 +166,7 @@
         priority = resolved.route.priority
         if resolved.account is not None and resolved.account.priority is not None:
             priority = resolved.account.priority
-        self._drop_expired(caches)
+        self._drop_unusable(state, caches)
         try:
             return await queue.place(
                 requirements=EngineRequirements(
@@ -176,6 +176,7 @@
                     excluded=excluded if version is not None else excluded | rejecting,
                     cached=bool(caches),
                     software_version=version,
+                    zones=resolved.zones,
                 ),
                 priority=priority,
                 arrived=state.waiting_since(),
@@ -215,14 +216,25 @@
         self._origins.record(state.call.id, stream.origin)
         self._context.on_load_changed()
 
-    def _drop_expired(self, caches: list[KvCache]) -> None:
+    def _may_be_fetched(self, state: CallState, cache: KvCache) -> bool:
+        """Return whether the zone of a KV cache is in use and allowed for the call."""
+        backends = self._context.backends
+        return backends.in_use(cache.server) and backends.is_in(
+            cache.server, state.resolved.zones
+        )
+
+    def _discard(self, state: CallState, cache: KvCache) -> None:
+        """Free a KV cache, unless the call may send nothing to its server any more."""
+        if self._may_be_fetched(state, cache):
+            self._prefills.discard(cache)
+
+    def _drop_unusable(self, state: CallState, caches: list[KvCache]) -> None:
         now = self._context.clock.seconds()
         # A server that leaves or is paused still passes on the caches that it holds.
-        backends = self._context.backends
         if caches and not (
             now < caches[0].expires_at
-            and backends.get(caches[0].server.id)
-            and backends.in_use(caches[0].server)
+            and self._context.backends.get(caches[0].server.id)
+            and self._may_be_fetched(state, caches[0])
         ):
             caches.clear()
 
@@ -251,13 +263,16 @@
             if state.send_count and not context.budget.try_spend(state.service()):
                 # Before the prefill, which would be wasted.
                 raise state.give_up_refusal("resend_budget")
-            self._drop_expired(caches)
+            self._drop_unusable(state, caches)
             if not caches and prompt is not None:
                 pool = self._queue_for(state.service()).pool
                 cache = await self._prefills.run(state, server, pool.handle_seconds)
                 if cache is not None:
                     caches.append(cache)
                 context.revalidate(state, server)
+                if caches and not self._may_be_fetched(state, caches[0]):
+                    caches.clear()
+                    raise PrefillFailedError("KV cache must not be fetched any more")
             if caches:
                 local_prefill.end()
             elif prompt is not None:
@@ -288,7 +303,7 @@
             except BackendError:
                 # The engine may have fetched the KV cache before it failed.
                 while caches:
-                    self._prefills.discard(caches.pop())
+                    self._discard(state, caches.pop())
                 raise
             context.record_notice(server, exchange, head, sent_at)
             metadata = context.codec.parse_answer(state.call, head)
@@ -309,7 +324,8 @@
 
     def _prefill_available(self, state: CallState) -> bool:
         objective = state.resolved.route.objective.total_seconds()
-        return self._prefills.available(state.service(), objective)
+        zones = state.resolved.zones
+        return self._prefills.available(state.service(), objective, zones)
 
     async def _forward(
         self,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -11,6 +11,7 @@
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ResponseHead
 from ..transport.http_site import Responder
+from .allowed_regions import NO_SERVER_IN_REGION
 from .backends import ZONE_OUT_OF_USE
 from .call_state import CallState
 from .calls import Refused, answer_headers
@@ -32,7 +33,9 @@
 )
 """Reasons for which a call is not refused but passed on by such an instance."""
 
-FINAL_REASONS = frozenset(("ends_servers", "servers_limited", ZONE_OUT_OF_USE))
+FINAL_REASONS = frozenset(
+    ("ends_servers", "servers_limited", NO_SERVER_IN_REGION, ZONE_OUT_OF_USE)
+)
 """Reasons of other instances' refusals that all of them have."""
 
 NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 408, 413, 421, 429, 431, 503))
@@ -81,6 +84,7 @@
         self._availability = availability
         self._random = random
         self._addresses_by_instance: dict[str, str] = {}
+        self._zones_by_instance: dict[str, str] = {}
         self._avoid_until_by_instance: dict[str, float] = {}
 
     def set_peers(self, peers_by_instance: Mapping[str, Peer]) -> None:
@@ -89,6 +93,9 @@
             name: f"{peer.address[0]}:{peer.address[1]}"
             for name, peer in peers_by_instance.items()
         }
+        self._zones_by_instance = {
+            name: peer.availability_zone for name, peer in peers_by_instance.items()
+        }
 
     def may_pass_on(
         self, state: CallState, responder: Responder, refused: Refused
@@ -113,11 +120,13 @@
         spend = state.send_count > 0
         tried: set[str] = set()
         while len(tried) < MAX_PEERS and state.seconds_left() >= MIN_SECONDS_LEFT:
-            peer = self._choose(tried)
+            peer = self._choose(state, tried)
             if peer is None:
                 break
             tried.add(peer)
             state.resolve()
+            if not self._may_take(state, peer):
+                continue
             if spend and not self._context.budget.try_spend(state.service()):
                 raise state.give_up_refusal("resend_budget")
             try:
@@ -145,20 +154,28 @@
                     raise refused from error
         raise refused
 
-    def _choose(self, tried: set[str]) -> str | None:
+    def _may_take(self, state: CallState, peer: str) -> bool:
+        """Return whether a call may be sent to the region of another instance."""
+        zone = self._zones_by_instance.get(peer, "")
+        return self._context.regions.instance_may_take(zone, state.resolved.zones)
+
+    def _choose(self, state: CallState, tried: set[str]) -> str | None:
         """Return the instance to ask next, or ``None``.
 
         If all are reported as unavailable, one is asked all the same: it may lack
         another service's servers.
         """
         now = self._context.clock.seconds()
+        names = [
+            each for each in self._addresses_by_instance if self._may_take(state, each)
+        ]
         available = [
             name
-            for name in self._addresses_by_instance
+            for name in names
             if name not in tried and self._availability.available(name)
         ]
         if not available and not tried:
-            available = list(self._addresses_by_instance)
+            available = names
         candidates = [
             name
             for name in available
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -81,13 +81,13 @@
             if best is None:
                 self._context.ensure_in_reach(service)
             self._context.ensure_not_quarantined(state)
-            server = self._choose(service, tried | rejected)
+            server = self._choose(service, tried | rejected, resolved.zones)
             if server is None and tried:
-                server = self._choose(service, rejected)
+                server = self._choose(service, rejected, resolved.zones)
             if server is None:
                 if best is not None:
                     return best
-                raise self._no_server_refusal(service)
+                raise self._no_server_refusal(service, resolved.zones)
             if state.send_count and not self._budget.try_spend(service):
                 if best is not None:
                     return best
@@ -132,12 +132,15 @@
                     return best
                 raise state.give_up_refusal("answer_lost")
 
-    def _choose(self, service: str, excluded: set[str]) -> BackendServer | None:
+    def _choose(
+        self, service: str, excluded: set[str], zones: frozenset[str] | None
+    ) -> BackendServer | None:
         """Choose among the servers that have room, preferring those not avoided.
 
         The request counts for the limit of the chosen server from now on.
         """
-        servers = [s for s in self._backends.serving(service) if s.id not in excluded]
+        servers = self._backends.serving(service, zones=zones)
+        servers = [each for each in servers if each.id not in excluded]
         reachable = [s for s in servers if not self._health.avoided(s.id)]
         candidates = [
             server
@@ -172,18 +175,18 @@
             server.id, others
         )
 
-    def _no_server_refusal(self, service: str) -> Refused:
-        servers = self._backends.serving(service)
+    def _no_server_refusal(self, service: str, zones: frozenset[str] | None) -> Refused:
+        servers = self._backends.serving(service, zones=zones)
         if servers:
             runs = [each.run for each in servers]
             if all(map(self._limits.limited, runs)):
                 wait = self._limits.retry_after(runs)
                 return Refused(503, "servers_limited", retry_after=wait)
             return Refused(503, "servers_full", retry_after=0.1)
-        pause = self._backends.soonest_resumption(service)
+        pause = self._backends.soonest_resumption(service, zones)
         if pause is not None:
             return Refused(503, "servers_paused", retry_after=pause)
-        reason = self._backends.unavailable_reason(service)
+        reason = self._backends.unavailable_reason(service, zones=zones)
         if reason is not None:
             return Refused(503, reason, retry_after=ZONE_RETRY_SECONDS)
         return Refused(503, "no_server", retry_after=0.5)
@@ -225,7 +228,7 @@
             )
             if resolved.route.kind is CallKind.SAFE and not is_last_attempt:
                 seconds = FIRST_SEND_TIMEOUT_OBJECTIVES * objective
-                if self._can_retry_elsewhere(state.service(), server):
+                if self._can_retry_elsewhere(state, server):
                     answer.addTimeout(
                         seconds, self._clock, on_silence(server, "answer")
                     )
@@ -249,10 +252,11 @@
             self._loads.end(server.id, 0)
             self._context.on_load_changed()
 
-    def _can_retry_elsewhere(self, service: str, server: BackendServer) -> bool:
+    def _can_retry_elsewhere(self, state: CallState, server: BackendServer) -> bool:
+        service, zones = state.service(), state.resolved.zones
         others = [
             each
-            for each in self._backends.serving(service)
+            for each in self._backends.serving(service, zones=zones)
             if each.id != server.id and not self._limits.limited(each.run)
         ]
         return bool(others) and self._budget.remaining_share(service) > 1
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -71,12 +71,15 @@
         """Return the prefill speed of a decode engine in tokens per second."""
         return LOCAL_PREFILL_SPEED * self._rate
 
-    def available(self, service: str, objective: float) -> bool:
+    def available(
+        self, service: str, objective: float, zones: frozenset[str] | None = None
+    ) -> bool:
         """Return whether a prefill engine can start a prompt soon enough.
 
         The prompt may wait for at most ``MAX_QUEUE_OBJECTIVES`` times ``objective``.
+        With ``zones``, only engines in these zones count.
         """
-        return self._choose(service, objective, "") is not None
+        return self._choose(service, objective, "", zones) is not None
 
     async def run(
         self, state: CallState, decode: BackendServer, handle_seconds: float
@@ -88,7 +91,9 @@
         fails.
         """
         objective = state.resolved.route.objective.total_seconds()
-        server = self._choose(state.service(), objective, decode.availability_zone)
+        server = self._choose(
+            state.service(), objective, decode.availability_zone, state.resolved.zones
+        )
         if server is None:
             return None
         if not self._context.limits.try_take(server.run):
@@ -127,9 +132,6 @@
             context.health.record_success(server.id)
             if not queued:
                 self._record_rate(tokens, context.clock.seconds() - started)
-            if not context.backends.in_use(server):
-                text = f"zone {server.availability_zone!r} is out of use"
-                raise BackendNotServingError(text, step="prefill", peer=server.id)
             expires_at = (
                 context.clock.seconds() + HANDLE_LIFETIME_FRACTION * handle_seconds
             )
@@ -169,12 +171,16 @@
         )
 
     def _choose(
-        self, service: str, objective: float, zone: str
+        self,
+        service: str,
+        objective: float,
+        zone: str,
+        zones: frozenset[str] | None,
     ) -> BackendServer | None:
         context = self._context
         servers = [
             each
-            for each in context.backends.serving(service, "prefill")
+            for each in context.backends.serving(service, "prefill", zones)
             if not context.health.avoided(each.id) and context.limits.has_room(each.run)
         ]
         if not servers:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -19,6 +19,7 @@
     ResponseHead,
     ServerConnection,
 )
+from .allowed_regions import AllowedRegions
 from .backends import Backends, BackendServer
 from .call_state import CallState
 from .calls import CallCodec, Refused
@@ -63,6 +64,7 @@
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    regions: AllowedRegions = field(default_factory=AllowedRegions)
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
@@ -96,7 +98,7 @@
         """
         state.resolve()
         self.ensure_not_quarantined(state)
-        self.backends.ensure_serves(server, state.service())
+        self.backends.ensure_serves(server, state.service(), state.resolved.zones)
 
     def ensure_in_reach(self, service: str) -> None:
         """Raise ``Refused`` if this instance has no way to a service's servers."""
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.errors import BackendLostError, BackendUnreachableError
+from pomeloglade.forwarding.allowed_regions import AllowedRegions
 from pomeloglade.forwarding.backends import Backends, BackendServer
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.deployment import (
@@ -303,7 +304,7 @@
 class Harness:
     """One instance's request path on a virtual clock, with scripted servers."""
 
-    def __init__(self, *servers, configuration=None, slack=100.0):
+    def __init__(self, *servers, configuration=None, slack=100.0, regions=None):
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.log = ListLog()
@@ -352,6 +353,7 @@
             reach=self.reach,
             log=self.log,
             on_load_changed=lambda: None,
+            regions=regions or AllowedRegions(),
         )
         self.body_memory = context.body_memory
         self.probes = ServerProbes(context, self.store_view)
@@ -363,6 +365,9 @@
         )
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
+        self.queue.prefill_available_in = lambda zones: self.prefills.available(
+            "llm", 0.9, zones
+        )
         self.queue.local_prefill_rate = self.prefills.local_prefill_rate
         self.forwarder = Forwarder(
             clock=self.clock,
@@ -383,6 +388,7 @@
             peer_calls=self.peer_calls,
             log=self.log,
             metrics=ForwardingMetrics(),
+            regions=context.regions,
         )
         self.calls = 0
 
