Let the soak take a zone out of use and check what reaches it

Each run of the soak writes op/evacuate/ZONE once for 8 s. Later than 5 s after the write no attempt may reach a server of the zone, and no KV cache may be fetched from it, by an instance that had the store for the last 4 s.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,12 +4,12 @@
 from collections.abc import Callable
 from random import Random
 
-from pomeloglade_platform_standin.backend import BackendFaults
+from pomeloglade_platform_standin.backend import BackendFaults, StoreBreak
 from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
 
 from .callers import CRASHING_PART, CRASHING_TARGET, Callers
-from .fleet import Fleet
+from .fleet import ZONES, Fleet
 from .proxy import LinkMode, Proxy
 
 MAX_FAULT_SECONDS = 4.0
@@ -28,19 +28,33 @@
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
 
+ZONE_OUT_OF_USE = "zone out of use"
+EVACUATION_SECONDS = 8.0
+"""Three seconds longer than the time within which requests to the zone must end, and
+shorter than the recovery after the last fault."""
+
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENCE, LinkMode.ONE_WAY, LinkMode.RESET)
 
 
 class FaultInjector:
     """Injects random faults and ends each after its duration.
 
-    ``injected`` has a line with the time and details of every fault.
+    ``injected`` has a line with the time and details of every fault. Evacuations use a
+    generator of their own: they come on top, so that the other faults of a seed are the
+    same as without them.
     """
 
-    def __init__(self, fleet: Fleet, callers: Callers, random: Random) -> None:
+    def __init__(
+        self,
+        fleet: Fleet,
+        callers: Callers,
+        random: Random,
+        evacuation_random: Random | None = None,
+    ) -> None:
         self._fleet = fleet
         self._callers = callers
         self._random = random
+        self._evacuation_random = evacuation_random or random
         self._store_holders = 0
         self.injected: list[str] = []
         self.inject_by_name = {
@@ -65,12 +79,19 @@
             "cut from servers": self._cut_from_servers,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
+            ZONE_OUT_OF_USE: self._evacuate_zone,
         }
 
     def inject(self, name: str | None = None) -> None:
-        """Start the fault ``name``, or one randomly chosen."""
-        name = name or self._random.choice(sorted(self.inject_by_name))
-        detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
+        """Start the fault ``name``, or one randomly chosen that is no evacuation."""
+        names = sorted(set(self.inject_by_name) - {ZONE_OUT_OF_USE})
+        name = name or self._random.choice(names)
+        random = self._random
+        if name == ZONE_OUT_OF_USE:
+            random = self._evacuation_random
+        else:
+            self._fleet.ledger.faults.append(self._fleet.reactor.seconds())
+        detail = self.inject_by_name[name](random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
     def heal(self) -> None:
@@ -89,6 +110,12 @@
             backend.faults = BackendFaults()
             backend.name_limit(None)
 
+    def _break_store(self, seconds: float, instance: str = "") -> None:
+        """Record that an instance, or all, lack the store for ``seconds`` from now."""
+        now = self._fleet.reactor.seconds()
+        store_break = StoreBreak(now, now + seconds, instance)
+        self._fleet.ledger.store_breaks.append(store_break)
+
     def _call_later(
         self, seconds: float, call: Callable[..., object], *arguments: object
     ) -> None:
@@ -104,6 +131,7 @@
             )
         )
         self._fleet.store.faults = faults
+        self._break_store(seconds)
         self._call_later(seconds, setattr, self._fleet.store, "faults", StoreFaults())
         return f"{faults} for {seconds:.1f} s"
 
@@ -118,6 +146,7 @@
 
         def go_away() -> None:
             fleet.store.faults = StoreFaults(down=True)
+            self._break_store(DRILL_SECONDS)
             self._call_later(DRILL_SECONDS, come_back)
 
         def come_back() -> None:
@@ -135,6 +164,7 @@
 
     def _break_store_link(self, seconds: float) -> str:
         instance = self._random.choice(self._fleet.instances)
+        self._break_store(seconds, instance.name)
         return f"{instance.name} {self._break_link(instance.store_proxy, seconds)}"
 
     def _break_front_link(self, seconds: float) -> str:
@@ -194,6 +224,15 @@
         self._call_later(CUT_SECONDS, fleet.end_cut, cut)
         return f"{[each.name for each in cut_off]} {cut.mode.value}"
 
+    def _evacuate_zone(self, seconds: float) -> str:
+        """Take a zone out of use; no two are out of use at a time."""
+        fleet = self._fleet
+        if any(each.end == float("inf") for each in fleet.ledger.evacuations):
+            return "one is out of use already"
+        evacuation = fleet.evacuate(self._evacuation_random.choice(ZONES))
+        self._call_later(EVACUATION_SECONDS, fleet.end_evacuation, evacuation)
+        return f"{evacuation.zone} for {EVACUATION_SECONDS} s"
+
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
         old = backend.id
@@ -250,6 +289,7 @@
         instance = self._random.choice(self._fleet.instances)
         mode = self._random.choice((LinkMode.SILENCE, LinkMode.RESET))
         instance.store_proxy.set_mode(mode)
+        self._break_store(STORE_CUT_SECONDS, instance.name)
         self._call_later(
             STORE_CUT_SECONDS, instance.store_proxy.set_mode, LinkMode.PASS
         )
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -15,7 +15,7 @@
 from pomeloglade_coordination.key_value import StoreCopy
 from pomeloglade_platform import configuration as wire_configuration
 from pomeloglade_platform import servers
-from pomeloglade_platform_standin.backend import BackendStandIn, Ledger
+from pomeloglade_platform_standin.backend import BackendStandIn, Evacuation, Ledger
 from pomeloglade_platform_standin.deployment import configuration, settings_text
 from pomeloglade_platform_standin.store import StoreStandIn
 
@@ -245,6 +245,7 @@
     def register(self, backend: BackendStandIn, *, draining: bool = False) -> None:
         """Write a backend server's registration."""
         zone = ZONES[self.backends.index(backend) % len(ZONES)]
+        self.ledger.zone_by_server[backend.id] = zone
         registration = backend.registration(zone, draining=draining)
         self._write(servers.PREFIX + backend.id, registration)
 
@@ -257,12 +258,17 @@
     def restore_store(self, copy: StoreCopy) -> None:
         """Return the store from a copy; operator and servers write theirs again.
 
-        Registrations of servers that have left since lapse a short time later.
+        Registrations of servers that have left since lapse a short time later. Zones
+        that have returned to use since are removed again.
         """
         self.store.key_values.restore(copy)
         for key, value in self._written.items():
             self.store.key_values.put(key, value)
         for entry in copy.entries:
+            if entry.key.startswith(servers.EVACUATIONS_PREFIX) and (
+                entry.key not in self._written
+            ):
+                self.store.key_values.delete(entry.key)
             if entry.key.startswith(servers.PREFIX) and entry.key not in self._written:
                 server = entry.key.removeprefix(servers.PREFIX)
                 self.reactor.callLater(
@@ -273,6 +279,20 @@
         self._written[key] = value
         self.store.key_values.put(key, value)
 
+    def evacuate(self, zone: str) -> Evacuation:
+        """Take the servers of a zone out of use until ``end_evacuation``."""
+        self._write(servers.EVACUATIONS_PREFIX + zone, b"{}")
+        evacuation = Evacuation(zone, self.reactor.seconds())
+        self.ledger.evacuations.append(evacuation)
+        return evacuation
+
+    def end_evacuation(self, evacuation: Evacuation) -> None:
+        """Return the servers of a zone to use."""
+        evacuation.end = self.reactor.seconds()
+        key = servers.EVACUATIONS_PREFIX + evacuation.zone
+        self._written.pop(key, None)
+        self.store.key_values.delete(key)
+
     def crash(self, backend: BackendStandIn) -> None:
         """Restart a backend server; its old registration is removed only later."""
         old = backend.id
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -56,6 +56,17 @@
 """How often instances that are cut from all servers must serve, relative to the others,
 and how many of all requests may fail there in any case."""
 
+EVACUATE_SECONDS = 5.0
+"""Time after the operator's key within which requests to the zone must end."""
+
+CONTACT_SECONDS = 4.0
+"""Time without a break in the contact with the store that an instance needs for it."""
+
+QUIET_SECONDS = 12.0
+"""Time without other faults, before and while a zone is out of use, after which plain
+requests must be served as without any fault."""
+
+PLAIN_ROUTES = ("lookups", "bookings")
 SERVICE_BY_ROUTE = {
     "lookups": "api",
     "bookings": "api",
@@ -93,6 +104,7 @@
     violations += _check_crashes(fleet, requests)
     violations += _check_limits(fleet, requests)
     violations += _check_cuts(fleet, requests)
+    violations += _check_evacuations(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
     return violations
@@ -330,6 +342,80 @@
     return violations
 
 
+def _check_evacuations(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
+    """Check that no request reaches a zone out of use, and that others serve."""
+    violations = []
+    ledger = fleet.ledger
+    sent_by_attempt = {each.attempt: each for each in requests}
+    for evacuation in ledger.evacuations:
+        settled_at = evacuation.begin + EVACUATE_SECONDS
+        for server, zone in ledger.zone_by_server.items():
+            if zone != evacuation.zone:
+                continue
+            reached = ledger.arrivals_by_server[server]
+            fetched = ledger.fetches_by_server[server]
+            violations += [
+                f"{_describe(sent_by_attempt[attempt])}: reached {server} at {at:.2f},"
+                f" {at - evacuation.begin:.2f} s after {zone} was taken out of use"
+                for at, attempt in (*reached, *fetched)
+                if settled_at < at < evacuation.end
+                and attempt in sent_by_attempt
+                and not _without_store(fleet, sent_by_attempt[attempt], at)
+            ]
+        violations += _check_served(fleet, requests, settled_at, evacuation.end)
+    return violations
+
+
+def _without_store(fleet: Fleet, request: SentRequest, at: float) -> bool:
+    """Return whether the instance that sent a request to a server lacked the store.
+
+    An instance that is cut from the servers passes requests on to any other.
+    """
+    cut = any(
+        request.instance in each.instances and each.begin <= at <= each.end + 1.0
+        for each in fleet.cuts
+    )
+    instances = fleet.instances if cut else [request.instance]
+    names = {each.name for each in instances}
+    return any(
+        each.begin <= at
+        and each.end > at - CONTACT_SECONDS
+        and (not each.instance or each.instance in names)
+        for each in fleet.ledger.store_breaks
+    ) or any(
+        at - CONTACT_SECONDS < disturbed <= at
+        for instance in instances
+        for disturbed in instance.disturbed_at
+    )
+
+
+def _check_served(
+    fleet: Fleet, requests: list[SentRequest], begin: float, end: float
+) -> list[str]:
+    """Check that plain requests are served in a time without other faults."""
+    earliest = begin - EVACUATE_SECONDS - QUIET_SECONDS
+    if any(earliest < at < end for at in fleet.ledger.faults):
+        return []
+    valid = {fleet.keys_by_account[name] for name in ("club", "league")}
+    plain = [
+        each
+        for each in requests
+        if begin <= each.sent_at <= end
+        and each.route in PLAIN_ROUTES
+        and each.key in valid
+        and not each.disconnected
+        and not each.culprit
+    ]
+    served = sum(each.complete and each.status == 200 for each in plain)
+    if served < MIN_SERVED_FRACTION * len(plain):
+        counts = Counter(each.status for each in plain)
+        return [
+            f"{served} of {len(plain)} plain requests served from {begin:.2f} on, while"
+            f" a zone was out of use: {counts}"
+        ]
+    return []
+
+
 def _disturbed(request: SentRequest, at: float) -> bool:
     """Return whether a request's instance was disturbed shortly before ``at``."""
     return any(
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,9 +12,11 @@
 from soak.proxy import LinkMode
 
 from pomeloglade_platform_standin.backend import (
+    Evacuation,
     Ledger,
     NamedLimit,
     Run,
+    StoreBreak,
     event_count,
     plain_answer,
     stream_event,
@@ -74,6 +76,12 @@
     run_soak(tmp_path, "--seed", seed, "--instances", "6", *fault)
 
 
+# Guards against requests to a zone that the operator has emptied.
+def test_processes_send_nothing_to_a_zone_out_of_use(tmp_path):
+    fault = ("--fault", "zone out of use", "--seconds", "9")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 @pytest.fixture
 def fleet(tmp_path):
     log = tmp_path / "entry-0.log"
@@ -293,6 +301,31 @@
     assert any("cut instances served" in line for line in lines) is found
 
 
+def test_request_to_a_zone_out_of_use_is_found(fleet):
+    sent = sent_request(fleet, "a", at=16.0, status=200, complete=True)
+    fleet.ledger.zone_by_server["i-1"] = "zone-a"
+    fleet.ledger.evacuations.append(Evacuation("zone-a", 10.0, 20.0))
+    for at in (9.0, 14.9, 20.1):
+        fleet.ledger.arrivals_by_server["i-1"].append((at, "a"))
+    fleet.ledger.arrivals_by_server["i-1"].append((16.0, "probe"))
+    assert not any("out of use" in line for line in violations(fleet, sent))
+    fleet.ledger.arrivals_by_server["i-1"].append((16.0, "a"))
+    assert any("reached i-1" in line for line in violations(fleet, sent))
+    fleet.ledger.store_breaks.append(StoreBreak(12.0, 13.0, "entry-0"))
+    assert not any("reached i-1" in line for line in violations(fleet, sent))
+    fleet.ledger.fetches_by_server["i-1"].append((17.5, "a"))
+    assert any("reached i-1" in line for line in violations(fleet, sent))
+
+
+@pytest.mark.parametrize(("faults", "found"), [([], True), ([8.0], False)])
+def test_refusals_while_a_zone_is_out_of_use_are_found(fleet, faults, found):
+    fleet.ledger.faults += faults
+    fleet.ledger.evacuations.append(Evacuation("zone-a", 10.0, 20.0))
+    sent = sent_request(fleet, "a", at=16.0, status=503, complete=True)
+    lines = violations(fleet, sent)
+    assert any("0 of 1 plain requests" in line for line in lines) is found
+
+
 def test_missing_recovery_after_the_faults_is_found(fleet):
     sent = sent_request(fleet, "a", at=101.0, status=503, complete=True)
     assert any("served after the faults" in line for line in violations(fleet, sent))
