Describe zones out of use and allowed regions for operators and developers

Operators need to see which zones instances hold to be out of use, and why calls are refused for them or for regions.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -41,8 +41,8 @@
 """Reason of a refusal if all servers of a service are in zones out of use."""
 
 ZONE_RETRY_SECONDS = 1.0
-"""Retry delay with this reason. A zone may return at any time; a caller is not asked
-to wait longer than the third of its time limit that it is willing to wait."""
+"""Retry delay with this reason. The end of an evacuation is not known; callers wait up
+to a third of their time limit, and sooner retries would mostly be refused again."""
 
 MAX_VERSIONS_SEEN = 1_000
 """Limit on the remembered software versions whose servers were removed."""
