--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -18,7 +18,7 @@
 from twisted.internet.task import deferLater, react  # noqa: E402
 
 from .callers import Callers  # noqa: E402
-from .faults import ZONE_OUT_OF_USE, FaultInjector  # noqa: E402
+from .faults import FaultInjector  # noqa: E402
 from .fleet import Fleet  # noqa: E402
 from .guarantees import find_violations  # noqa: E402
 
@@ -57,8 +57,7 @@
     random = Random(seed)
     fleet = Fleet(reactor, folder, random, instances=instances)
     callers = Callers(fleet, Random(seed + 1), per_second=40.0)
-    evacuation_random = Random(seed + 2)
-    injector = FaultInjector(fleet, callers, random, evacuation_random)
+    injector = FaultInjector(fleet, callers, random)
     try:
         await fleet.start()
         await deferLater(reactor, STARTUP_SECONDS)
@@ -69,8 +68,9 @@
             injector.inject(fault)
             await deferLater(reactor, seconds)
         else:
-            begin = evacuation_random.uniform(0.0, seconds)
-            reactor.callLater(begin, injector.inject, ZONE_OUT_OF_USE)
+            # A generator of its own leaves the other faults of the seed as they are.
+            begin = Random(seed + 2).uniform(0.0, seconds)
+            reactor.callLater(begin, injector.evacuate_beside_others)
         while fault is None and reactor.seconds() < end:
             await deferLater(reactor, random.uniform(*FAULT_INTERVAL_SECONDS))
             injector.inject()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -29,6 +29,11 @@
 ZONE_CUT_FRACTION = 0.5
 
 ZONE_OUT_OF_USE = "zone out of use"
+SMALLER_ZONE = "zone-b"
+"""The zone with one of the three plain servers. Beside other faults, only this one is
+taken out of use: one that replaces the server left by the other would leave none, and
+the checks compare how well instances serve."""
+
 EVACUATION_SECONDS = 8.0
 """Three seconds longer than the time within which requests to the zone must end, and
 shorter than the recovery after the last fault."""
@@ -39,22 +44,15 @@
 class FaultInjector:
     """Injects random faults and ends each after its duration.
 
-    ``injected`` has a line with the time and details of every fault. Evacuations use a
-    generator of their own: they come on top, so that the other faults of a seed are the
-    same as without them.
+    ``injected`` has a line with the time and details of every fault. Evacuations are
+    never chosen: they come on top, so that the other faults of a seed are the same as
+    without them.
     """
 
-    def __init__(
-        self,
-        fleet: Fleet,
-        callers: Callers,
-        random: Random,
-        evacuation_random: Random | None = None,
-    ) -> None:
+    def __init__(self, fleet: Fleet, callers: Callers, random: Random) -> None:
         self._fleet = fleet
         self._callers = callers
         self._random = random
-        self._evacuation_random = evacuation_random or random
         self._store_holders = 0
         self.injected: list[str] = []
         self.inject_by_name = {
@@ -86,14 +84,17 @@
         """Start the fault ``name``, or one randomly chosen that is no evacuation."""
         names = sorted(set(self.inject_by_name) - {ZONE_OUT_OF_USE})
         name = name or self._random.choice(names)
-        random = self._random
-        if name == ZONE_OUT_OF_USE:
-            random = self._evacuation_random
-        else:
+        if name != ZONE_OUT_OF_USE:
             self._fleet.ledger.faults.append(self._fleet.reactor.seconds())
-        detail = self.inject_by_name[name](random.uniform(0.3, MAX_FAULT_SECONDS))
+        detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
+    def evacuate_beside_others(self) -> None:
+        """Take ``SMALLER_ZONE`` out of use without a draw from the seed's generator."""
+        detail = self._evacuate(SMALLER_ZONE)
+        now = self._fleet.reactor.seconds()
+        self.injected.append(f"{now:.2f} {ZONE_OUT_OF_USE}: {detail}")
+
     def heal(self) -> None:
         """End all lasting faults of links and stand-ins; resume paused instances."""
         fleet = self._fleet
@@ -225,13 +226,13 @@
         return f"{[each.name for each in cut_off]} {cut.mode.value}"
 
     def _evacuate_zone(self, seconds: float) -> str:
-        """Take a zone out of use; no two are out of use at a time."""
-        fleet = self._fleet
-        if any(each.end == float("inf") for each in fleet.ledger.evacuations):
-            return "one is out of use already"
-        evacuation = fleet.evacuate(self._evacuation_random.choice(ZONES))
-        self._call_later(EVACUATION_SECONDS, fleet.end_evacuation, evacuation)
-        return f"{evacuation.zone} for {EVACUATION_SECONDS} s"
+        """Take either zone out of use."""
+        return self._evacuate(self._random.choice(ZONES))
+
+    def _evacuate(self, zone: str) -> str:
+        evacuation = self._fleet.evacuate(zone)
+        self._call_later(EVACUATION_SECONDS, self._fleet.end_evacuation, evacuation)
+        return f"{zone} for {EVACUATION_SECONDS} s"
 
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
