--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -1,7 +1,8 @@
 """A forwarding instance: wiring of its components, start and shutdown."""
 
 import json
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -20,6 +21,7 @@
 from ..transport.http_exchange import ConnectionPool
 from ..transport.http_site import HttpSite
 from ..transport.text_pages import TextPages
+from .allowed_regions import AllowedRegions
 from .backends import Backends, BackendServer
 from .calls import CallCodec
 from .change_relay import ChangeRelay
@@ -100,6 +102,8 @@
     server_choice: ServerChoicePolicy = ServerChoicePolicy.LEAST_LOADED
     prefill_share: float = PREFILL_SHARE
     machine_bytes: int = DEFAULT_MACHINE_BYTES
+    region_by_zone: Mapping[str, str] = field(default_factory=dict)
+    region: str = ""
 
 
 class ForwardingInstance:
@@ -220,6 +224,9 @@
             log=log,
         )
         metrics = ForwardingMetrics()
+        regions = AllowedRegions(
+            settings.region_by_zone, settings.availability_zone, settings.region
+        )
         context = SendContext(
             clock=reactor,
             codec=codec,
@@ -235,6 +242,7 @@
             on_load_changed=self._relay.schedule_report,
             pace=self._pace,
             trials=self._quarantine_store.trials,
+            regions=regions,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -259,6 +267,7 @@
             peer_calls=self._peer_calls,
             log=log,
             metrics=metrics,
+            regions=regions,
         )
         self._stage_orders = StageOrders(
             clock=reactor,
@@ -382,6 +391,9 @@
             queue.prefill_available = lambda: self._prefills.available(
                 service, objective
             )
+            queue.prefill_available_in = lambda zones: self._prefills.available(
+                service, objective, zones
+            )
             queue.local_prefill_rate = self._prefills.local_prefill_rate
             self._queues_by_service[service] = queue
         configured = self.store_view.deployment.services_by_name.get(service)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -76,12 +76,15 @@
         """Return the prefill speed of a decode engine in tokens per second."""
         return LOCAL_PREFILL_SPEED * self._rate
 
-    def available(self, service: str, objective: float) -> bool:
+    def available(
+        self, service: str, objective: float, zones: frozenset[str] | None = None
+    ) -> bool:
         """Return whether a prefill engine can start a prompt soon enough.
 
         The prompt may wait for at most ``MAX_QUEUE_OBJECTIVES`` times ``objective``.
+        With ``zones``, only engines in these zones count.
         """
-        return self._choose(service, objective, "") is not None
+        return self._choose(service, objective, "", zones=zones) is not None
 
     async def run(
         self, state: CallState, decode: BackendServer, handle_seconds: float
@@ -94,8 +97,8 @@
         """
         objective = state.resolved.route.objective.total_seconds()
         tokens = state.call.prompt.prompt_tokens
-        zone = decode.availability_zone
-        server = self._choose(state.service(), objective, zone, tokens)
+        zone, zones = decode.availability_zone, state.resolved.zones
+        server = self._choose(state.service(), objective, zone, tokens, zones)
         if server is None:
             return None
         if not self._context.limits.try_take(server.run):
@@ -134,9 +137,6 @@
             context.health.record_success(server.id)
             if not queued:
                 self._record_rate(tokens * pace, context.clock.seconds() - started)
-            if not context.backends.in_use(server):
-                text = f"zone {server.availability_zone!r} is out of use"
-                raise BackendNotServingError(text, step="prefill", peer=server.id)
             expires_at = (
                 context.clock.seconds() + HANDLE_LIFETIME_FRACTION * handle_seconds
             )
@@ -181,12 +181,17 @@
         return NORMAL if pace is None else pace.ratio(server.run)
 
     def _choose(
-        self, service: str, objective: float, zone: str, tokens: int = 0
+        self,
+        service: str,
+        objective: float,
+        zone: str,
+        tokens: int = 0,
+        zones: frozenset[str] | None = None,
     ) -> BackendServer | None:
         context = self._context
         servers = [
             each
-            for each in context.backends.serving(service, "prefill")
+            for each in context.backends.serving(service, "prefill", zones)
             if not context.health.avoided(each.id) and context.limits.has_room(each.run)
         ]
         if not servers:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -19,6 +19,7 @@
     ResponseHead,
     ServerConnection,
 )
+from .allowed_regions import AllowedRegions
 from .backends import Backends, BackendServer
 from .call_state import CallState
 from .calls import CallCodec, Refused
@@ -68,6 +69,7 @@
     body_memory: BodyMemory = field(default_factory=BodyMemory)
     pace: ServerPace | None = None
     trials: QuarantineTrials | None = None
+    regions: AllowedRegions = field(default_factory=AllowedRegions)
     ends: ServerEnds = field(init=False)
 
     def __post_init__(self) -> None:
@@ -107,7 +109,7 @@
         """
         state.resolve()
         self.ensure_not_quarantined(state)
-        self.backends.ensure_serves(server, state.service())
+        self.backends.ensure_serves(server, state.service(), state.resolved.zones)
         if self.quarantined_for(state) > 0:
             self._begin_trial(state, server)
 
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -95,6 +95,10 @@
             await deferLater(reactor, FAULT_FREE_SECONDS)
             injector.inject(fault)
             await deferLater(reactor, seconds)
+        else:
+            # A generator of its own leaves the other faults of the seed as they are.
+            begin = Random(seed + 2).uniform(0.0, seconds)
+            reactor.callLater(begin, injector.evacuate_beside_others)
         while fault is None and reactor.seconds() < end:
             await deferLater(reactor, random.uniform(*FAULT_INTERVAL_SECONDS))
             injector.inject()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from random import Random
 
-from pomeloglade_platform_standin.backend import BackendFaults
+from pomeloglade_platform_standin.backend import BackendFaults, StoreBreak
 from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
 
@@ -14,7 +14,7 @@
     CRASHING_TARGET,
     Callers,
 )
-from .fleet import Fleet
+from .fleet import ZONES, Fleet
 from .proxy import LinkMode, Proxy
 
 MAX_FAULT_SECONDS = 4.0
@@ -38,13 +38,25 @@
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
 
+ZONE_OUT_OF_USE = "zone out of use"
+SMALLER_ZONE = "zone-b"
+"""The zone with one of the three plain servers. Beside other faults, only this one is
+taken out of use: one that replaces the server left by the other would leave none, and
+the checks compare how well instances serve."""
+
+EVACUATION_SECONDS = 8.0
+"""Three seconds longer than the time within which requests to the zone must end, and
+shorter than the recovery after the last fault."""
+
 LINK_FAULTS = (LinkMode.DELAY, LinkMode.SILENCE, LinkMode.ONE_WAY, LinkMode.RESET)
 
 
 class FaultInjector:
     """Injects random faults and ends each after its duration.
 
-    ``injected`` has a line with the time and details of every fault.
+    ``injected`` has a line with the time and details of every fault. Evacuations are
+    never chosen: they come on top, so that the other faults of a seed are the same as
+    without them.
     """
 
     def __init__(self, fleet: Fleet, callers: Callers, random: Random) -> None:
@@ -81,13 +93,22 @@
         # Further faults are injected on request only, or seeds would inject others.
         self.inject_by_name["crashing last part"] = self._send_crashing_last_parts
         self.inject_by_name["slow servers"] = self._slow_servers
+        self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
         """Start the fault ``name``, or one randomly chosen."""
         name = name or self._random.choice(self._random_names)
+        if name != ZONE_OUT_OF_USE:
+            self._fleet.ledger.faults.append(self._fleet.reactor.seconds())
         detail = self.inject_by_name[name](self._random.uniform(0.3, MAX_FAULT_SECONDS))
         self.injected.append(f"{self._fleet.reactor.seconds():.2f} {name}: {detail}")
 
+    def evacuate_beside_others(self) -> None:
+        """Take ``SMALLER_ZONE`` out of use without a draw from the seed's generator."""
+        detail = self._evacuate(SMALLER_ZONE)
+        now = self._fleet.reactor.seconds()
+        self.injected.append(f"{now:.2f} {ZONE_OUT_OF_USE}: {detail}")
+
     def heal(self) -> None:
         """End all lasting faults of links and stand-ins; resume paused instances."""
         fleet = self._fleet
@@ -104,6 +125,12 @@
             backend.faults = BackendFaults()
             backend.name_limit(None)
 
+    def _break_store(self, seconds: float, instance: str = "") -> None:
+        """Record that an instance, or all, lack the store for ``seconds`` from now."""
+        now = self._fleet.reactor.seconds()
+        store_break = StoreBreak(now, now + seconds, instance)
+        self._fleet.ledger.store_breaks.append(store_break)
+
     def _call_later(
         self, seconds: float, call: Callable[..., object], *arguments: object
     ) -> None:
@@ -119,6 +146,7 @@
             )
         )
         self._fleet.store.faults = faults
+        self._break_store(seconds)
         self._call_later(seconds, setattr, self._fleet.store, "faults", StoreFaults())
         return f"{faults} for {seconds:.1f} s"
 
@@ -133,6 +161,7 @@
 
         def go_away() -> None:
             fleet.store.faults = StoreFaults(down=True)
+            self._break_store(DRILL_SECONDS)
             self._call_later(DRILL_SECONDS, come_back)
 
         def come_back() -> None:
@@ -150,6 +179,7 @@
 
     def _break_store_link(self, seconds: float) -> str:
         instance = self._random.choice(self._fleet.instances)
+        self._break_store(seconds, instance.name)
         return f"{instance.name} {self._break_link(instance.store_proxy, seconds)}"
 
     def _break_front_link(self, seconds: float) -> str:
@@ -224,6 +254,15 @@
         self._call_later(CUT_SECONDS, fleet.end_cut, cut)
         return f"{[each.name for each in cut_off]} {cut.mode.value}"
 
+    def _evacuate_zone(self, seconds: float) -> str:
+        """Take either zone out of use."""
+        return self._evacuate(self._random.choice(ZONES))
+
+    def _evacuate(self, zone: str) -> str:
+        evacuation = self._fleet.evacuate(zone)
+        self._call_later(EVACUATION_SECONDS, self._fleet.end_evacuation, evacuation)
+        return f"{zone} for {EVACUATION_SECONDS} s"
+
     def _crash_backend(self, seconds: float) -> str:
         backend = self._random.choice(self._fleet.backends)
         old = backend.id
@@ -285,6 +324,7 @@
         instance = self._random.choice(self._fleet.instances)
         mode = self._random.choice((LinkMode.SILENCE, LinkMode.RESET))
         instance.store_proxy.set_mode(mode)
+        self._break_store(STORE_CUT_SECONDS, instance.name)
         self._call_later(
             STORE_CUT_SECONDS, instance.store_proxy.set_mode, LinkMode.PASS
         )
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -9,6 +9,7 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.errors import BackendLostError, BackendUnreachableError
+from pomeloglade.forwarding.allowed_regions import AllowedRegions
 from pomeloglade.forwarding.backends import Backends, BackendServer
 from pomeloglade.forwarding.crash_quarantine import CrashQuarantine
 from pomeloglade.forwarding.deployment import (
@@ -308,7 +309,7 @@
 class Harness:
     """One instance's request path on a virtual clock, with scripted servers."""
 
-    def __init__(self, *servers, configuration=None, slack=100.0):
+    def __init__(self, *servers, configuration=None, slack=100.0, regions=None):
         self.clock = Clock()
         self.clock.advance(1000.0)
         self.log = ListLog()
@@ -373,6 +374,7 @@
             on_load_changed=lambda: None,
             pace=self.pace,
             trials=self.quarantine_store.trials,
+            regions=regions or AllowedRegions(),
         )
         context.ends.on_loss = self.quarantine_store.record_loss
         self.body_memory = context.body_memory
@@ -385,6 +387,9 @@
         )
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
+        self.queue.prefill_available_in = lambda zones: self.prefills.available(
+            "llm", 0.9, zones
+        )
         self.queue.local_prefill_rate = self.prefills.local_prefill_rate
         self.forwarder = Forwarder(
             clock=self.clock,
@@ -405,6 +410,7 @@
             peer_calls=self.peer_calls,
             log=self.log,
             metrics=ForwardingMetrics(),
+            regions=context.regions,
         )
         self.calls = 0
 
