Split the limits of servers, and let cold servers share the bucket

A cold server tolerates few requests a second from all instances together, which is what ServerLimits keeps for limits that servers name. A second bucket would count the same requests again, so a run's rate is now the lower of its named limit and its rate while cold, each with its own end.

New is what rates of about 39 a second over 90 instances need: until the demand at others is known, an instance takes it to be like its own; and the requests that an instance without reports saves for a cold server lapse, since 90 saved ones could be sent at once.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_reports.py
@@ -20,8 +20,8 @@
     encode_news,
 )
 from .loads import ServerCalls
+from .named_limits import ReportedLimits
 from .remote_queues import QueueRank, QueueSummary
-from .server_limits import ReportedLimits
 from .store_follower import StoreProof
 from .stream_origins import ReportedOrigins
 from .tally import Tally
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -423,17 +423,17 @@
     Mutation(
         "LIMIT",
         "all instances are let through at once",
-        FORWARDING + "server_limits.py",
-        "        return 1.0 if demand <= wanted else wanted / demand\n",
-        "        return 1.0\n",
+        FORWARDING + "request_bucket.py",
+        "    return 1.0 if demand <= wanted else wanted / demand\n",
+        "    return 1.0\n",
         ("tests/test_server_limits.py",),
     ),
     Mutation(
         "LIMIT",
         "an instance without reports keeps the whole limit",
         FORWARDING + "server_limits.py",
-        "        return limit.rate * min(1.0, covered / max(1, instances))\n",
-        "        return limit.rate\n",
+        "        return min(1.0, covered / max(1, instances))\n",
+        "        return 1.0\n",
         ("tests/test_server_limits.py",),
     ),
     Mutation(
