Read what the platform says about cold servers

Registrations name coldRemainingMs, answers X-Pomeloglade-Cold-Ms, services coldStartS and coldPerS, and the settings coldOverrun and coldSlack. Nothing read them, so a server that says that it is cold got the same requests as a warm one.

The adapter now translates them. The registration's field follows with the backend server that it belongs to.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -168,12 +168,14 @@
     ``leaving`` is set by a server that is about to leave. ``pause`` is the time in
     seconds for which a server that turned a request away wants no more from this
     instance, or 0. ``limit`` is the number of requests a second that a server in need
-    takes from all instances together, or ``None``.
+    takes from all instances together, or ``None``. ``cold`` is the time in seconds for
+    which the server stays cold, maybe 0, or ``None`` if it says nothing about that.
     """
 
     leaving: bool = False
     pause: float = 0.0
     limit: float | None = None
+    cold: float | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -70,13 +70,17 @@
 class Service:
     """A kind of backend server; ``engines`` is set for model services.
 
-    Servers answer at ``health_path`` whether they are healthy.
+    Servers answer at ``health_path`` whether they are healthy. One that starts during
+    traffic is cold for ``cold_start_seconds``, and a cold one tolerates about
+    ``cold_per_second`` requests a second; with 0, it is never cold.
     """
 
     name: str
     max_connections: int
     engines: EnginePool | None = None
     health_path: str = "/"
+    cold_start_seconds: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -2,6 +2,7 @@
 
 import base64
 import json
+import tomllib
 from datetime import timedelta
 
 import pytest
@@ -168,6 +169,25 @@
     assert snapshot == (route, deployment.services_by_name, deployment.limits)
 
 
+# Guards against cold servers that are taken for warm ones.
+def test_cold_servers_are_decoded(codec):
+    service = CONFIGURATION["services"][0] | {"coldStartS": 4, "coldPerS": 39.5}
+    changed = CONFIGURATION | {"services": [service]}
+    decoded = configuration.decode(json.dumps(changed).encode())
+    decoded = decoded.services_by_name[service["name"]]
+    assert (decoded.cold_start_seconds, decoded.cold_per_second) == (4.0, 39.5)
+    entry = SERVER | {"coldRemainingMs": 2_500}
+    assert servers.decode("servers/x", json.dumps(entry).encode()).cold_seconds == 2.5
+    for value, seconds in ((b"1500", 1.5), (b"0", 0.0), (b"soon", None)):
+        headers = ((b"x-pomeloglade-cold-ms", value),)
+        notice = codec.parse_notice(ResponseHead(200, headers, dict(headers)))
+        assert notice.cold == seconds
+    bounds = "coldOverrun = 1.2\ncoldSlack = 3\n[platform]"
+    table = tomllib.loads(SETTINGS.replace("[platform]", bounds))
+    read = platform_settings.read(table).bounds
+    assert (read.cold_overrun, read.cold_slack) == (1.2, 3.0)
+
+
 @pytest.mark.parametrize(
     "change",
     [
