Limit cold servers, and place calls at warm ones first

After a release or the return of a zone, servers start without warm caches and crash at a rate well above coldPerS. Instances sent them full load: a new, empty server even had the lowest placement cost.

ColdServers decides which runs are cold, by registration, answers and starts seen during traffic, and sets their rate in ServerLimits. The store's changes reach instances up to 3 s apart, so the first that reads of a cold server tells the others by FleetNews (topic cold). Cold servers cost more in placement, more so beside warm ones. If all are cold, what exceeds their rates is refused at once as servers_cold, with return times spread over what the excess takes.

An instance that hears no report for 0.3 s keeps to its own part of a cold server's rate.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -14,6 +14,7 @@
     """One run of a backend server, as it registered itself in the store.
 
     ``stage`` is ``"prefill"`` or ``"decode"`` for engines and empty otherwise.
+    ``cold_seconds`` is how long it stayed cold when it registered.
     """
 
     id: str
@@ -25,6 +26,7 @@
     stage: str = ""
     started_ms: int = 0
     software_version: str = ""
+    cold_seconds: float = 0.0
 
     @property
     def run(self) -> tuple[str, int]:
@@ -32,6 +34,10 @@
         return self.id, self.started_ms
 
 
+OnRegistered = Callable[..., None]
+"""Called with servers as they were read from the store, after they were put, and with
+``at_start`` for those of the first read and ``restored`` for those of an older copy."""
+
 MAX_COPY_AGE_SECONDS = 30.0
 """Age that a copy has at most from which the store returns after an outage."""
 
@@ -77,6 +83,8 @@
         self._paused_until_by_run: dict[tuple[str, int], float] = {}
         self._count_by_version: Counter[tuple[str, str]] = Counter()
         self._last_seen_by_version: dict[tuple[str, str], float] = {}
+        self._was_read = False
+        self.on_registered: OnRegistered = lambda servers, **how: None
 
     def replace_all(
         self,
@@ -99,10 +107,18 @@
             if each.id not in listed:
                 self.remove(each.id, lenient=lenient)
         for each in listed.values():
-            self.put(each)
+            self._put(each)
+        self.on_registered(
+            listed.values(), at_start=not self._was_read, restored=restored
+        )
+        self._was_read = True
 
     def put(self, server: BackendServer) -> None:
         """Add a server or update its entry."""
+        self._put(server)
+        self.on_registered([server], at_start=False, restored=False)
+
+    def _put(self, server: BackendServer) -> None:
         known = self._servers_by_id.get(server.id)
         if known == server:
             return
@@ -116,7 +132,9 @@
         if known is not None:
             self._uncount_version(known)
         if known is not None and (
-            server.draining or replace(known, stage=server.stage) != server
+            server.draining
+            or replace(known, stage=server.stage, cold_seconds=server.cold_seconds)
+            != server
         ):
             self._on_unusable(known)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -8,6 +8,7 @@
 
 from .backends import Backends, BackendServer
 from .calls import Refused
+from .cold_servers import cold_cost
 from .deployment import EnginePool
 from .loads import Loads
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
@@ -201,8 +202,7 @@
             max_wait = MAX_CACHED_WAIT_SECONDS
         elif wait > max_wait:
             inputs = {"expected_wait": round(wait, 3), "patience": round(max_wait, 3)}
-            refused = Refused(503, "engines_full", retry_after=wait, inputs=inputs)
-            placed.errback(refused)
+            placed.errback(self._too_long_refusal("engines_full", wait, inputs))
             return placed
         self._waiters.append(waiter)
         self._clock.callLater(max(0.0, max_wait), self._time_out, waiter)
@@ -294,6 +294,22 @@
         reason = "no_engine_of_version" if self._engines() else "no_engine"
         return Refused(503, reason, retry_after=NO_ENGINE_RETRY_AFTER_SECONDS)
 
+    def _too_long_refusal(
+        self, reason: str, wait: float, inputs: dict[str, object]
+    ) -> Refused:
+        """Return the refusal of a call whose wait is too long.
+
+        The wait at cold engines that have free slots is for their rate.
+        """
+        engines = self._engines()
+        runs = [each.run for each in engines]
+        if all(map(self._limits.cold, runs)) and any(
+            self.has_room(each, 0) for each in engines
+        ):
+            wait = max(wait, self._limits.retry_after(runs))
+            reason = "servers_cold"
+        return Refused(503, reason, retry_after=wait, inputs=inputs)
+
     def _schedule_retry(self) -> None:
         """Retry periodically while calls wait.
 
@@ -382,6 +398,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
         server_calls = self._loads.total(server.id)
         calls = (server_calls.calls + 1) * self._health.penalty(server.id)
+        calls *= cold_cost(server, self._backends, self._limits)
         far = server.availability_zone != self._availability_zone
         return calls + (0.5 if far else 0.0), server_calls.tokens, server.id
 
@@ -390,7 +407,7 @@
             self._waiters.remove(waiter)
             wait = self.expected_wait()
             inputs = {"expected_wait": round(wait, 3), "waiting": len(self._waiters)}
-            refused = Refused(503, "waited_in_vain", retry_after=wait, inputs=inputs)
+            refused = self._too_long_refusal("waited_in_vain", wait, inputs)
             waiter.placed.errback(refused)
 
     def _remove_cancelled(self, placed: object) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -17,6 +17,8 @@
 from ..transport.text_pages import TextPages
 from .backends import Backends, BackendServer
 from .calls import CallCodec
+from .cold_rate import ColdBound
+from .cold_servers import ColdServers
 from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
 from .event_log import EventLog
@@ -90,6 +92,7 @@
     usage_startup_burst: float
     server_choice: ServerChoicePolicy = ServerChoicePolicy.LEAST_LOADED
     prefill_share: float = PREFILL_SHARE
+    cold_bound: ColdBound = ColdBound()
 
 
 class ForwardingInstance:
@@ -161,10 +164,20 @@
         self.store_view.age = self._follower.age
         self.store_view.on_instances_changed = self._peers_changed
         self.store_view.on_change = self._place_waiting
+        self.store_view.cold = self._limits.cold
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
         self._news = FleetNews(reactor)
+        self._cold_servers = ColdServers(
+            reactor,
+            self._backends,
+            self._limits,
+            self._news,
+            log,
+            lambda: self.store_view.deployment,
+            settings.cold_bound,
+        )
         self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
@@ -186,6 +199,7 @@
             news=self._news,
             log=log,
         )
+        self._cold_servers.on_news = self._relay.schedule_report
         metrics = ForwardingMetrics()
         context = SendContext(
             clock=reactor,
@@ -200,6 +214,7 @@
             reach=self._reach,
             log=log,
             on_load_changed=self._relay.schedule_report,
+            on_cold=self._cold_servers.record_answer,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -241,6 +256,7 @@
         metrics.gauge("reports_received", lambda: self._exchange.received)
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("limited_servers", self._limits.count)
+        metrics.gauge("cold_servers", self._limits.count_cold)
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
@@ -345,6 +361,7 @@
         )
 
     def _place_waiting(self) -> None:
+        self._cold_servers.refresh()
         for queue in self._queues_by_service.values():
             queue.place_waiting()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -16,6 +16,7 @@
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
+from .cold_servers import cold_cost, limited_reason
 from .deployment import CallKind, Route
 from .event_stream import EventStream
 from .send_context import SendContext, on_silence
@@ -152,6 +153,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
         cost = (calls + 1) / server.slots * self._health.penalty(server.id)
+        cost *= cold_cost(server, self._backends, self._limits)
         near = server.availability_zone == self._availability_zone
         # This zone is preferred by half a call, as the others are 0.5 ms away.
         return cost - (0.5 / server.slots if near else 0.0), self._random.random()
@@ -177,7 +179,9 @@
             runs = [each.run for each in servers]
             if all(map(self._limits.limited, runs)):
                 wait = self._limits.retry_after(runs)
-                return Refused(503, "servers_limited", retry_after=wait)
+                return Refused(
+                    503, limited_reason(runs, self._limits), retry_after=wait
+                )
             return Refused(503, "servers_full", retry_after=0.1)
         pause = self._backends.soonest_resumption(service)
         if pause is not None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -10,6 +10,7 @@
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import SendParameters
+from .cold_servers import cold_cost
 from .event_log import EventLog
 from .send_context import CONNECT_TIMEOUT_SECONDS, SendContext, on_silence
 
@@ -182,7 +183,8 @@
             far = server.availability_zone != zone
             # Without the constant, an idle engine that fails would cost nothing.
             queued += IDLE_COST_TOKENS + (CROSS_ZONE_PENALTY_TOKENS if far else 0)
-            return queued * context.health.penalty(server.id)
+            queued *= context.health.penalty(server.id)
+            return queued * cold_cost(server, context.backends, context.limits)
 
         best = min(servers, key=cost)
         queue_seconds = context.loads.total(best.id).tokens / self._rate
--- a/packages/pomeloglade/src/pomeloglade/forwarding/request_bucket.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_bucket.py
@@ -18,7 +18,7 @@
 SETTLE_SECONDS = 1.0
 """Time after a limit became known in which the demand at others is not known yet."""
 
-SILENCE_SECONDS = 0.4
+SILENCE_SECONDS = 0.3
 """Time without reports after which the demand at others is unknown. While calls run,
 each instance gets reports more often."""
 
@@ -105,10 +105,9 @@
             self.level = min(self.level, max(1.0, burst))
         return self.level
 
-    def empty(self, now: float, level: float) -> None:
+    def empty(self, level: float) -> None:
         """Take out what exceeds ``level``."""
         self.level = min(self.level, level)
-        self._filled_at = now
 
     def take(self, sends: int, rate: float) -> None:
         """Take requests that were sent; more than are left is made up for later."""
@@ -127,6 +126,10 @@
         """Record that a report was received, whether it counts requests or not."""
         self._heard_at = now
 
+    def silent(self, now: float) -> bool:
+        """Return whether no report was received for so long that some were lost."""
+        return now - self._heard_at > SILENCE_SECONDS
+
     def demand(self, now: float) -> float:
         """Return how often the instances are known to ask, a second."""
         return self._demand.per_second(now)
@@ -141,7 +144,7 @@
         """
         demand = self._demand.per_second(now)
         settling = now - self._known_since < SETTLE_SECONDS
-        if settling or now - self._heard_at > SILENCE_SECONDS:
+        if settling or self.silent(now):
             demand = max(demand, instances * self._own_demand.per_second(now))
         return opening_chance(rate, demand)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -47,7 +47,8 @@
     """The components of an instance that are needed to send calls.
 
     ``on_load_changed`` must be called when this instance's load on a backend server
-    has changed.
+    has changed, and ``on_cold`` with the seconds for which a server says that it stays
+    cold.
     """
 
     clock: IReactorTime
@@ -63,6 +64,7 @@
     log: EventLog
     on_load_changed: Callable[[], None]
     body_memory: BodyMemory = field(default_factory=BodyMemory)
+    on_cold: Callable[[BackendServer, float], None] = lambda server, seconds: None
 
     async def connect(
         self, state: CallState, server: BackendServer, *, max_idle_seconds: float = 0.0
@@ -161,6 +163,8 @@
             self.log.event("server_paused", server=server.id, seconds=notice.pause)
         if self.limits.record_answer(server.run, notice.limit, sent_at):
             self.on_load_changed()
+        if notice.cold is not None:
+            self.on_cold(server, notice.cold)
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_limits.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_limits.py
@@ -76,7 +76,7 @@
     """
 
     def __init__(self, clock: IReactorTime, log: EventLog, random: Random) -> None:
-        self._clock = clock
+        self._now = clock.seconds
         self._random = random
         self._named = NamedLimits(clock, log)
         self._cold_by_run: dict[ServerRun, ColdLimit] = {}
@@ -106,7 +106,7 @@
     def rate(self, run: ServerRun) -> float:
         """Return the requests a second that this instance and others may send."""
         rate = self._whole_rate(run)
-        return float("inf") if rate is None else rate * self._part()
+        return float("inf") if rate is None else rate * self._part(run)
 
     def has_room(self, run: ServerRun) -> bool:
         """Return whether a request may be sent, as far as this instance knows."""
@@ -120,7 +120,7 @@
         bucket = self._in_force(run)
         if bucket is None:
             return True
-        now = self._clock.seconds()
+        now = self._now()
         has_room = self._level(run) >= 1.0
         chance = self._chance(run, bucket)
         if now - bucket.asked_at >= ASK_SECONDS or chance >= 1.0:
@@ -148,7 +148,7 @@
         runs = [run for run in runs if self._in_force(run) is not None]
         if not runs:
             return 0.0
-        now = self._clock.seconds()
+        now = self._now()
         rate = sum(map(self.rate, runs))
         soonest = min((1.0 - self._level(run)) / self.rate(run) for run in runs)
         demand = max(self._buckets_by_run[run].demand(now) for run in runs)
@@ -170,7 +170,7 @@
 
     def set_cold(self, run: ServerRun, limit: ColdLimit | None) -> None:
         """Limit a server run until its time as a cold server ends; ``None`` ends it."""
-        now = self._clock.seconds()
+        now = self._now()
         for each, known in list(self._cold_by_run.items()):
             if known.until <= now:
                 del self._cold_by_run[each]
@@ -191,7 +191,7 @@
 
     def apply_sends(self, sends_by_server: Mapping[str, Tally]) -> None:
         """Count the requests that other instances sent to limited servers."""
-        now = self._clock.seconds()
+        now = self._now()
         for server, run in self._run_by_server.items():
             bucket = self._in_force(run)
             if bucket is None:
@@ -205,7 +205,7 @@
 
     def take_unreported(self) -> dict[str, Tally]:
         """Return this instance's requests, and tries, since the last such call."""
-        now = self._clock.seconds()
+        now = self._now()
         unreported, self._unreported_by_server = self._unreported_by_server, {}
         if now - self._asks_reported_at >= ASKS_INTERVAL_SECONDS:
             self._asks_reported_at = now
@@ -226,7 +226,7 @@
 
     def _cold_limit(self, run: ServerRun) -> ColdLimit | None:
         limit = self._cold_by_run.get(run)
-        if limit is None or limit.until <= self._clock.seconds():
+        if limit is None or limit.until <= self._now():
             return None
         return limit
 
@@ -242,7 +242,7 @@
         limited = self._whole_rate(run) is not None
         bucket = self._buckets_by_run.get(run)
         if limited and bucket is None:
-            bucket = RequestBucket(self._clock.seconds(), self._first_level())
+            bucket = RequestBucket(self._now(), self._first_level())
             self._buckets_by_run[run] = bucket
             self._run_by_server[run[0]] = run
             self._drop_ended()
@@ -260,9 +260,16 @@
             if run not in self._buckets_by_run:
                 del self._run_by_server[server]
 
-    def _part(self) -> float:
-        """Return the part of a limit that the covered instances share."""
+    def _part(self, run: ServerRun) -> float:
+        """Return the part of a limit that the covered instances share.
+
+        For a cold server, which crashes within a second of too many requests, it is
+        this instance's own part before the others count as not covered.
+        """
         covered, instances = self.coverage()
+        bucket = self._buckets_by_run.get(run)
+        if bucket is not None and self.cold(run) and bucket.silent(self._now()):
+            covered = 1
         return min(1.0, covered / max(1, instances))
 
     def _level(self, run: ServerRun) -> float:
@@ -273,9 +280,9 @@
         burst = BURST_SECONDS * rate
         cold = self._cold_limit(run)
         if cold is not None:
-            burst = min(burst, cold.burst * self._part())
+            burst = min(burst, cold.burst * self._part(run))
         level = self._buckets_by_run[run].fill(
-            self._clock.seconds(),
+            self._now(),
             rate=rate,
             burst=burst,
             lapsing=cold is not None and covered == 1 < instances,
@@ -292,8 +299,11 @@
         alone = covered == 1
         if alone is not self._was_alone:
             self._was_alone = alone
-            for each in self._buckets_by_run.values():
-                each.empty(self._clock.seconds(), self._first_level())
+            for run, each in self._buckets_by_run.items():
+                # A bucket that was not asked for a while is filled only now.
+                rate = self._whole_rate(run) or 0.0
+                each.fill(self._now(), rate=rate, burst=1.0)
+                each.empty(self._first_level())
 
     def _first_level(self) -> float:
         """Return the level to begin with.
@@ -312,7 +322,7 @@
         covered, instances = self.coverage()
         if covered == 1 < instances:
             return 1.0
-        return bucket.chance(self._whole_rate(run), covered, self._clock.seconds())
+        return bucket.chance(self._whole_rate(run), covered, self._now())
 
     def _cold_wait(self, runs: list[ServerRun], soonest: float, excess: float) -> float:
         """Return the seconds until cold servers take a call that is refused now.
@@ -322,7 +332,7 @@
         is no longer cold takes more at once.
         """
         wait = soonest + self._random.random() * max(0.0, excess - 1.0)
-        now = self._clock.seconds()
+        now = self._now()
         warm_in = min(self._cold_by_run[run].until - now for run in runs)
         return max(min(wait, warm_in), MIN_RETRY_AFTER_SECONDS)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -1,7 +1,7 @@
 """The instance's view of the store: configuration, servers, peers, and its age."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from pomeloglade_coordination.key_value import Entry
 
@@ -71,6 +71,7 @@
         self.age: Callable[[], float] = lambda: float("inf")
         self.on_instances_changed: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
+        self.cold: Callable[[tuple[str, int]], bool] = lambda run: False
 
     def fresh_enough_for_keys(self) -> bool:
         """Return whether a call with a valid API key may be accepted on this view.
@@ -113,6 +114,9 @@
         except BadRegistrationError:
             # Logged when the entry is applied.
             return False
+        if known is not None and (not server.cold_seconds or self.cold(known.run)):
+            # Only a server that becomes cold must not get more calls.
+            known = replace(known, cold_seconds=server.cold_seconds)
         return server.draining or (known is not None and known != server)
 
     def replace_all(
