--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -288,6 +288,43 @@
     assert not other.is_cold()
 
 
+def follow(fleet, instance, *servers):
+    """Let an instance of a fleet read these servers and watch for cold ones."""
+    backends = Backends(fleet.clock, lambda _: None)
+    service = Service("api", 96, cold_start_seconds=4.0, cold_per_second=RATE)
+    configured = Deployment(1, (), (service,), ())
+    cold = ColdServers(
+        fleet.clock,
+        backends,
+        instance.limits,
+        instance.news,
+        instance.log,
+        lambda: configured,
+    )
+    cold.on_news = instance.relay.schedule_report
+    backends.replace_all(servers, lenient=False)
+    return backends
+
+
+# Guards against instances that send without a limit until the store's change reaches
+# them, and against restarted ones that take a server for warm.
+@pytest.mark.parametrize("size", [6, 40])
+def test_first_instance_that_reads_of_a_cold_server_tells_the_fleet(size):
+    fleet = Fleet(size)
+    first, *_ = [follow(fleet, each, server("a")) for each in fleet.instances]
+    first.put(cold_server(20.0))
+    fleet.run(0.5)
+    assert all(each.limits.cold(("a", 0)) for each in fleet.instances)
+    fleet.kill(fleet.instances[3])
+    fleet.run(3.0)
+    restarted = fleet.restart(fleet.instances[3])
+    follow(fleet, restarted, server("a"))
+    fleet.run(0.6)
+    assert restarted.limits.cold(("a", 0))
+    fleet.run(16.0)
+    assert not any(each.limits.cold(("a", 0)) for each in fleet.instances)
+
+
 def test_rows_of_other_shapes_are_ignored(instance):
     rows = [("odd", 1, 0.0), ("answer x a", 1, 0.0), ("answer 1 a", ["x"], 0.0)]
     instance.news.apply({"cold": rows}, ReportScope.FLEET)
