Let the stand-ins and the soak have cold servers

The new check counts the requests of any second: from the start of a server on, as no instance sends to it before it knows of it, and 3 s after any other begin.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -20,6 +20,7 @@
 DRILL_SECONDS = 0.5
 """How long the store is away in a drill."""
 
+COLD_SECONDS = 6.0
 LIMIT_SECONDS = 8.0
 SERVER_LIMIT = 2.5
 """For how long servers name a limit, and the limit in requests a second."""
@@ -62,6 +63,7 @@
             "revoke during store cut": self._revoke_during_store_cut,
             "endless answers": self._flood_answers,
             "server limits": self._name_limits,
+            "cold servers": self._cool_down,
             "cut from servers": self._cut_from_servers,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
@@ -88,6 +90,7 @@
             proxy.set_mode(LinkMode.PASS)
             backend.faults = BackendFaults()
             backend.name_limit(None)
+            fleet.cool_down(backend, 0.0)
 
     def _call_later(
         self, seconds: float, call: Callable[..., object], *arguments: object
@@ -182,6 +185,16 @@
             self._call_later(LIMIT_SECONDS, backend.name_limit, None)
         return f"{[each.id for each in limited]} for {LIMIT_SECONDS} s"
 
+    def _cool_down(self, seconds: float) -> str:
+        """Let one server, or all of its service, become cold, as after a release."""
+        first = self._random.choice(self._fleet.backends)
+        cold = [first]
+        if self._random.random() < ALL_LIMITED_FRACTION:
+            cold = [e for e in self._fleet.backends if e.service == first.service]
+        for backend in cold:
+            self._fleet.cool_down(backend, COLD_SECONDS)
+        return f"{[each.id for each in cold]} for {COLD_SECONDS} s"
+
     def _cut_from_servers(self, seconds: float) -> str:
         """Cut half of the instances, or a zone, from all servers."""
         fleet = self._fleet
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -1,5 +1,6 @@
 """The processes under test and the stand-ins around them."""
 
+import json
 import os
 import signal
 import sys
@@ -287,6 +288,16 @@
         self.crash(backend)
         self.reactor.callLater(DOWNTIME_SECONDS, proxy.resume)
 
+    def cool_down(self, backend: BackendStandIn, seconds: float) -> None:
+        """Let a registered backend server become cold, or warm after 0 seconds."""
+        if not seconds and not backend.cold_seconds():
+            return
+        backend.become_cold(seconds)
+        key = servers.PREFIX + backend.id
+        registration = json.loads(self._written.get(key, b"{}"))
+        if registration.get("state") == "ready":
+            self.register(backend)
+
     def replace(self, backend: BackendStandIn) -> None:
         """Drain a backend server, then replace it under a new id."""
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -11,6 +11,9 @@
     stream_event,
 )
 from pomeloglade_platform_standin.deployment import (
+    COLD_OVERRUN,
+    COLD_PER_SECOND,
+    COLD_SLACK,
     HOT_BURST,
     HOT_RATE,
     RETRY_BUDGET_RATIO,
@@ -92,6 +95,7 @@
     violations += _check_retry_budget(fleet, requests)
     violations += _check_crashes(fleet, requests)
     violations += _check_limits(fleet, requests)
+    violations += _check_cold_servers(fleet, requests)
     violations += _check_cuts(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
@@ -298,6 +302,34 @@
     return violations
 
 
+def _check_cold_servers(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
+    """Check that cold servers get no more in any second than they may."""
+    violations = []
+    sent_by_attempt = {each.attempt: each for each in requests}
+    allowed = COLD_OVERRUN * COLD_PER_SECOND + COLD_SLACK
+    for cold in fleet.ledger.cold_times:
+        # No instance sends to a server that starts before it knows of it.
+        begins = cold.begin + (0.0 if cold.at_start else SETTLE_SECONDS)
+        times = [
+            at
+            for at, attempt in fleet.ledger.arrivals_by_server[cold.server]
+            if begins <= at <= cold.end
+            and not (
+                attempt in sent_by_attempt and _disturbed(sent_by_attempt[attempt], at)
+            )
+        ]
+        most = max(
+            (sum(begin <= at < begin + 1.0 for at in times) for begin in times),
+            default=0,
+        )
+        if most > allowed:
+            violations.append(
+                f"{cold.server} was cold from {cold.begin:.2f} to {cold.end:.2f} and"
+                f" got {most} requests in a second; {allowed:g} allowed"
+            )
+    return violations
+
+
 def _check_cuts(fleet: Fleet, requests: list[SentRequest]) -> list[str]:
     """Check that instances that are cut from all servers serve like the others."""
     violations = []
