Estimate the demand for a new limit sooner, and save more at low rates

In the first second after a server became cold, each instance took the demand of all to be like its own, and the fleet refused more than half of a small demand. The reported demand is now corrected for the time since the limit is known, and used after 0.5 s.

At 5 requests a second, a bucket of fewer than 2 overflowed while instances waited to be let through: 8 requests in 3 s in one test.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/cold_rate.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/cold_rate.py
@@ -10,6 +10,11 @@
 """Requests saved up, relative to what may be sent in a second beyond the rate. A burst
 also begins with requests that are not yet known to all, which need most of it."""
 
+MIN_BURST = 3.0
+MAX_BURST_FRACTION = 0.4
+"""Requests saved up at low rates, and their limit, relative as above. Instances are let
+through some time after there is room, in which a bucket of one request overflows."""
+
 
 @dataclass(frozen=True, slots=True)
 class ColdBound:
@@ -41,7 +46,8 @@
         6.25
         """
         beyond = self.allowed(per_second) - self.rate(per_second)
-        return BURST_FRACTION * max(0.0, beyond)
+        beyond = max(0.0, beyond)
+        return min(max(MIN_BURST, BURST_FRACTION * beyond), MAX_BURST_FRACTION * beyond)
 
 
 @dataclass(frozen=True, slots=True)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/request_bucket.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/request_bucket.py
@@ -15,9 +15,12 @@
 DEMAND_HALF_LIFE_SECONDS = 0.7
 """Half-life of the demand for a limited server, which averages it over a second."""
 
-SETTLE_SECONDS = 1.0
+SETTLE_SECONDS = 0.5
 """Time after a limit became known in which the demand at others is not known yet."""
 
+LAG_SECONDS = 0.2
+"""Average age of the reported demand, which is reported less often than requests."""
+
 SILENCE_SECONDS = 0.3
 """Time without reports after which the demand at others is unknown. While calls run,
 each instance gets reports more often."""
@@ -143,7 +146,11 @@
         each would take itself to be the only one that asks.
         """
         demand = self._demand.per_second(now)
-        settling = now - self._known_since < SETTLE_SECONDS
+        age = now - self._known_since
+        settling = age < SETTLE_SECONDS
+        if not settling:
+            # The average is over a time of which a part is before the limit.
+            demand /= 1.0 - 0.5 ** ((age - LAG_SECONDS) / DEMAND_HALF_LIFE_SECONDS)
         if settling or self.silent(now):
             demand = max(demand, instances * self._own_demand.per_second(now))
         return opening_chance(rate, demand)
