--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -25,6 +25,8 @@
 from .backends import Backends, BackendServer
 from .calls import CallCodec
 from .change_relay import ChangeRelay
+from .cold_rate import ColdBound
+from .cold_servers import ColdServers
 from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
 from .event_log import EventLog
@@ -104,6 +106,7 @@
     machine_bytes: int = DEFAULT_MACHINE_BYTES
     region_by_zone: Mapping[str, str] = field(default_factory=dict)
     region: str = ""
+    cold_bound: ColdBound = ColdBound()
 
 
 class ForwardingInstance:
@@ -202,6 +205,16 @@
             server_by_id=self._backends.get,
             on_news=lambda: self._relay.schedule_report(),
         )
+        self.store_view.cold = self._limits.cold
+        self._cold_servers = ColdServers(
+            reactor,
+            self._backends,
+            self._limits,
+            self._news,
+            log,
+            lambda: self.store_view.deployment,
+            settings.cold_bound,
+        )
         self._exchange = ReportExchange(self._receive_report, log, self._receive_news)
         self._relay = ReportRelay(
             clock=reactor,
@@ -223,6 +236,7 @@
             news=self._news,
             log=log,
         )
+        self._cold_servers.on_news = self._relay.schedule_report
         metrics = ForwardingMetrics()
         regions = AllowedRegions(
             settings.region_by_zone, settings.availability_zone, settings.region
@@ -243,6 +257,7 @@
             pace=self._pace,
             trials=self._quarantine_store.trials,
             regions=regions,
+            on_cold=self._cold_servers.record_answer,
         )
         self._reach.probe = ServerProbes(context, self.store_view).probe
         self._reach.on_change = self._availability_changed
@@ -292,6 +307,7 @@
         metrics.gauge("limited_servers", self._limits.count)
         metrics.gauge("zones_out_of_use", lambda: len(self._backends.evacuations))
         metrics.gauge("slowest_pace", self._pace.slowest)
+        metrics.gauge("cold_servers", self._limits.count_cold)
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
@@ -413,6 +429,7 @@
         )
 
     def _place_waiting(self) -> None:
+        self._cold_servers.refresh()
         for queue in self._queues_by_service.values():
             queue.place_waiting()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -16,6 +16,7 @@
 from .backends import ZONE_RETRY_SECONDS, BackendServer
 from .call_state import CallState
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
+from .cold_servers import cold_cost, limited_reason
 from .deployment import CallKind, Route
 from .event_stream import EventStream
 from .expected_completion import (
@@ -163,6 +164,7 @@
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
         penalty = self._health.penalty(server.id) * self._backends.return_cost(server)
+        penalty *= cold_cost(server, self._backends, self._limits)
         near = server.availability_zone == self._availability_zone
         if self._pace.affects(server.service):
             work = self._pace.work_seconds(server.service)
@@ -207,7 +209,9 @@
             runs = [each.run for each in servers]
             if all(map(self._limits.limited, runs)):
                 wait = self._limits.retry_after(runs)
-                return Refused(503, "servers_limited", retry_after=wait)
+                return Refused(
+                    503, limited_reason(runs, self._limits), retry_after=wait
+                )
             return Refused(503, "servers_full", retry_after=0.1)
         pause = self._backends.soonest_resumption(service, zones)
         if pause is not None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -14,6 +14,7 @@
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import SendParameters
+from .cold_servers import cold_cost
 from .event_log import EventLog
 from .send_context import CONNECT_TIMEOUT_SECONDS, SendContext, on_silence
 from .server_pace import NORMAL
@@ -206,7 +207,8 @@
                 # The prompt itself takes longer at a slow server, too.
                 queued = (queued + tokens) * self._pace(server)
             queued *= context.backends.return_cost(server)
-            return queued * context.health.penalty(server.id)
+            queued *= context.health.penalty(server.id)
+            return queued * cold_cost(server, context.backends, context.limits)
 
         best = min(servers, key=cost)
         queued = context.loads.total(best.id).tokens
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -51,7 +51,8 @@
     """The components of an instance that are needed to send calls.
 
     ``on_load_changed`` must be called when this instance's load on a backend server
-    has changed.
+    has changed, and ``on_cold`` with the seconds for which a server says that it stays
+    cold.
     """
 
     clock: IReactorTime
@@ -70,6 +71,7 @@
     pace: ServerPace | None = None
     trials: QuarantineTrials | None = None
     regions: AllowedRegions = field(default_factory=AllowedRegions)
+    on_cold: Callable[[BackendServer, float], None] = lambda server, seconds: None
     ends: ServerEnds = field(init=False)
 
     def __post_init__(self) -> None:
@@ -206,6 +208,8 @@
             self.loads.record_reported_load(server.id, notice.load)
             if notice.load.pace is not None and self.pace is not None:
                 self.pace.record_reported(server, notice.load.pace)
+        if notice.cold is not None:
+            self.on_cold(server, notice.cold)
 
 
 def on_silence(server: BackendServer, step: str) -> Callable[[object, float], None]:
