Queue calls to plain services whose servers report their load

Up to four calls a slot were sent to a plain server, where they waited unordered until they were late, and were rejected when instances with old reports sent too many. Now a server gets as many calls as keep its slots busy while reports travel; the others wait at the instances, ordered by whether they can be on time, urgency, use of their account's share and age, and calls that can't be answered in time are refused on arrival. Instances with waiting calls each send, at random, their part of what the servers finish. Services whose servers report no load are served as before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -31,6 +31,7 @@
 from .passed_on_calls import PassedOnCalls
 from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
+from .plain_queues import PlainQueues
 from .prefills import Prefills
 from .registration import Registration
 from .remote_queues import QueueSummary, RemoteQueues
@@ -186,6 +187,18 @@
             news=self._news,
             log=log,
         )
+        self._plain_queues = PlainQueues(
+            clock=reactor,
+            random=random,
+            backends=self._backends,
+            loads=self._loads,
+            health=self._health,
+            limits=self._limits,
+            remote_queues=self._remote_queues,
+            news=self._news,
+            instance=settings.instance,
+            on_change=self._relay.schedule_report,
+        )
         metrics = ForwardingMetrics()
         context = SendContext(
             clock=reactor,
@@ -213,7 +226,11 @@
             usage=self._usage,
             budget=self._budget,
             plain_calls=PlainCalls(
-                context, random, settings.availability_zone, self._server_choice
+                context,
+                random,
+                settings.availability_zone,
+                self._server_choice,
+                self._plain_queues,
             ),
             model_calls=ModelCalls(
                 context, self._prefills, self._queue_for, self._origins
@@ -244,6 +261,7 @@
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
+        self._plain_queues.add_gauges(metrics)
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         self._site = HttpSite(self.forwarder, reactor, self._rejected)
@@ -347,6 +365,7 @@
     def _place_waiting(self) -> None:
         for queue in self._queues_by_service.values():
             queue.place_waiting()
+        self._plain_queues.place_waiting()
 
     def _report(self) -> Report:
         """Return this instance's own state."""
@@ -373,7 +392,8 @@
             service: queue.summary()
             for service, queue in self._queues_by_service.items()
         }
-        return {name: each for name, each in summaries.items() if each is not None}
+        waiting = {name: each for name, each in summaries.items() if each is not None}
+        return waiting | self._plain_queues.summaries()
 
     def _stage_ordered(self, server: str) -> None:
         self._health.avoid(server, STAGE_CHANGE_AVOID_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -120,6 +120,10 @@
         """Record the load that a backend server reported with an answer."""
         self._reported_by_server[server] = (self._clock.seconds(), load)
 
+    def reports_load(self, server: str) -> bool:
+        """Return whether a backend server has reported its load with an answer."""
+        return server in self._reported_by_server
+
     def total(self, server: str) -> ServerCalls:
         """Return the calls of all instances at a backend server, with their tokens."""
         self._expire()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -1,5 +1,6 @@
 """Plain calls, whose answers are received whole before they are forwarded."""
 
+from collections.abc import Sequence
 from dataclasses import dataclass
 from random import Random
 
@@ -18,6 +19,7 @@
 from .calls import AnswerMetadata, ForwardedCall, Refused, SendParameters
 from .deployment import CallKind, Route
 from .event_stream import EventStream
+from .plain_queues import PlainQueues
 from .send_context import SendContext, on_silence
 from .server_choice import ServerChoice, choose_within_limits
 
@@ -31,6 +33,10 @@
 """Calls per slot above which a server receives no more: four times the duration of a
 call is longer than objectives usually allow."""
 
+QUEUED_RESPONSE_FACTOR = 2.0
+"""Multiple of the expected response time after which a safe call is retried, if that is
+later: a call that waits its turn at a busy server is not better served elsewhere."""
+
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
@@ -54,6 +60,7 @@
         random: Random,
         availability_zone: str,
         server_choice: ServerChoice,
+        queues: PlainQueues | None = None,
     ) -> None:
         self._context = context
         self._clock = context.clock
@@ -66,6 +73,9 @@
         self._budget = context.budget
         self._availability_zone = availability_zone
         self._server_choice = server_choice
+        self._queues = queues
+        if queues is not None:
+            queues.choose = self._choose_among
 
     async def run(self, state: CallState) -> CompleteAnswer:
         """Return the answer for the caller, or raise ``Refused``."""
@@ -81,9 +91,14 @@
             if best is None:
                 self._context.ensure_in_reach(service)
             self._context.ensure_not_quarantined(state)
-            server = self._choose(service, tried | rejected)
-            if server is None and tried:
-                server = self._choose(service, rejected)
+            try:
+                server = await self._acquire(state, service, tried | rejected)
+                if server is None and tried:
+                    server = await self._acquire(state, service, rejected)
+            except Refused:
+                if best is not None:
+                    return best
+                raise
             if server is None:
                 if best is not None:
                     return best
@@ -132,6 +147,16 @@
                     return best
                 raise state.give_up_refusal("answer_lost")
 
+    async def _acquire(
+        self, state: CallState, service: str, excluded: set[str]
+    ) -> BackendServer | None:
+        """Return a server with room; a service that reports its load has a queue."""
+        if self._queues is not None:
+            queue = self._queues.for_service(service)
+            if queue.applies():
+                return await queue.place(self._queues.queued_call(state, excluded))
+        return self._choose(service, excluded)
+
     def _choose(self, service: str, excluded: set[str]) -> BackendServer | None:
         """Choose among the servers that have room, preferring those not avoided.
 
@@ -145,8 +170,11 @@
             if self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
             < MAX_CALLS_PER_SLOT * server.slots
         ]
+        return self._choose_among(candidates)
+
+    def _choose_among(self, servers: Sequence[BackendServer]) -> BackendServer | None:
         return choose_within_limits(
-            candidates, self._server_choice, self._cost, self._limits
+            servers, self._server_choice, self._cost, self._limits
         )
 
     def _cost(self, server: BackendServer) -> tuple[float, float]:
@@ -191,6 +219,7 @@
         # An idle connection may have died unnoticed. A call that can't be sent again
         # needs a new one.
         idle = MAX_IDLE_SECONDS if resolved.route.idempotent else 0.0
+        calls_before = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
         self._loads.begin(server.id, 0)
         self._context.on_load_changed()
         exchange: Exchange | None = None
@@ -220,7 +249,7 @@
                 state.run_count >= resolved.route.max_servers
             )
             if resolved.route.kind is CallKind.SAFE and not is_last_attempt:
-                seconds = FIRST_SEND_TIMEOUT_OBJECTIVES * objective
+                seconds = self._silence_seconds(server, objective)
                 if self._can_retry_elsewhere(state.service(), server):
                     answer.addTimeout(
                         seconds, self._clock, on_silence(server, "answer")
@@ -232,6 +261,13 @@
                 state.record_not_run(server.id)
                 return whole
             self._context.quarantine.record_alive(server.run, sent_at)
+            if self._queues is not None and whole.metadata.success:
+                load = whole.metadata.load
+                if load is not None:
+                    calls_before = max(calls_before, load.running + load.waiting)
+                self._queues.for_service(server.service).record_duration(
+                    server, self._clock.seconds() - sent_at, calls_before
+                )
             if whole.metadata.success and resolved.route.kind is CallKind.STREAMING:
                 stream = EventStream(resumable=False)
                 stream.feed(whole.body)
@@ -244,6 +280,18 @@
                 exchange.cancel()
             self._loads.end(server.id, 0)
             self._context.on_load_changed()
+            if self._queues is not None:
+                self._queues.for_service(server.service).place_waiting()
+
+    def _silence_seconds(self, server: BackendServer, objective: float) -> float:
+        """Return the time after which a safe call is retried at another server."""
+        seconds = FIRST_SEND_TIMEOUT_OBJECTIVES * objective
+        if self._queues is None:
+            return seconds
+        queue = self._queues.for_service(server.service)
+        if not queue.applies():
+            return seconds
+        return max(seconds, QUEUED_RESPONSE_FACTOR * queue.response_seconds(server))
 
     def _can_retry_elsewhere(self, service: str, server: BackendServer) -> bool:
         others = [
--- a/packages/pomeloglade/src/pomeloglade/forwarding/remote_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/remote_queues.py
@@ -78,6 +78,11 @@
         """Return how many calls to a service wait at the other instances."""
         return sum(summary.count for summary in self._fresh_summaries(service))
 
+    def first(self, service: str) -> QueueRank | None:
+        """Return the rank of the first call that waits at the other instances."""
+        ranks = (summary.first for summary in self._fresh_summaries(service))
+        return min(ranks, default=None)
+
     def instances_ahead(self, service: str, rank: QueueRank) -> int:
         """Return how many instances have a waiting call that sorts before ``rank``."""
         return sum(
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -21,6 +21,7 @@
     ServiceWeight,
 )
 from pomeloglade.forwarding.engine_queue import EngineQueue
+from pomeloglade.forwarding.fleet_news import FleetNews
 from pomeloglade.forwarding.forwarder import Forwarder
 from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
 from pomeloglade.forwarding.instance_availability import InstanceAvailability
@@ -28,6 +29,7 @@
 from pomeloglade.forwarding.model_calls import ModelCalls
 from pomeloglade.forwarding.peer_calls import PeerCalls
 from pomeloglade.forwarding.plain_calls import PlainCalls
+from pomeloglade.forwarding.plain_queues import PlainQueues
 from pomeloglade.forwarding.prefills import Prefills
 from pomeloglade.forwarding.remote_queues import RemoteQueues
 from pomeloglade.forwarding.resend_budget import ResendBudget, ResendLimit
@@ -362,6 +364,18 @@
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
         self.queue.local_prefill_rate = self.prefills.local_prefill_rate
+        self.plain_queues = PlainQueues(
+            clock=self.clock,
+            random=Random(1),
+            backends=self.backends,
+            loads=self.loads,
+            health=self.health,
+            limits=self.limits,
+            remote_queues=RemoteQueues(self.clock),
+            news=FleetNews(self.clock),
+            instance="entry-0",
+            on_change=lambda: None,
+        )
         self.forwarder = Forwarder(
             clock=self.clock,
             random=Random(1),
@@ -374,6 +388,7 @@
                 Random(1),
                 "zone-a",
                 server_choice(ServerChoicePolicy.LEAST_LOADED, Random(1)),
+                self.plain_queues,
             ),
             model_calls=ModelCalls(
                 context, self.prefills, lambda _: self.queue, self.origins
