--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -41,6 +41,7 @@
 from .passed_on_calls import PassedOnCalls
 from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
+from .plain_queues import PlainQueues
 from .prefills import Prefills
 from .quarantine_store import QuarantineStore
 from .registration import Registration
@@ -237,6 +238,19 @@
             log=log,
         )
         self._cold_servers.on_news = self._relay.schedule_report
+        self._plain_queues = PlainQueues(
+            clock=reactor,
+            random=random,
+            backends=self._backends,
+            loads=self._loads,
+            health=self._health,
+            limits=self._limits,
+            remote_queues=self._remote_queues,
+            news=self._news,
+            instance=settings.instance,
+            on_change=self._relay.schedule_report,
+        )
+        self._plain_queues.pace = self._pace.ratio
         metrics = ForwardingMetrics()
         regions = AllowedRegions(
             settings.region_by_zone, settings.availability_zone, settings.region
@@ -274,7 +288,11 @@
             usage=self._usage,
             budget=self._budget,
             plain_calls=PlainCalls(
-                context, random, settings.availability_zone, self._server_choice
+                context,
+                random,
+                settings.availability_zone,
+                self._server_choice,
+                self._plain_queues,
             ),
             model_calls=ModelCalls(
                 context, self._prefills, self._queue_for, self._origins
@@ -311,6 +329,7 @@
         metrics.gauge(
             "services_out_of_reach", lambda: len(self._reach.services_out_of_reach())
         )
+        self._plain_queues.add_gauges(metrics)
         metrics.gauge("connections_opened", lambda: self._pool.opened_count)
         metrics.gauge("log_lines_dropped", lambda: log.dropped)
         memory = HeldMemory(max_held_bytes(settings.machine_bytes))
@@ -432,6 +451,7 @@
         self._cold_servers.refresh()
         for queue in self._queues_by_service.values():
             queue.place_waiting()
+        self._plain_queues.place_waiting()
 
     def _report(self) -> Report:
         """Return this instance's own state."""
@@ -458,7 +478,8 @@
             service: queue.summary()
             for service, queue in self._queues_by_service.items()
         }
-        return {name: each for name, each in summaries.items() if each is not None}
+        waiting = {name: each for name, each in summaries.items() if each is not None}
+        return waiting | self._plain_queues.summaries()
 
     def _stage_ordered(self, server: str) -> None:
         self._health.avoid(server, STAGE_CHANGE_AVOID_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -167,6 +167,10 @@
             max(known.calls, least.calls), max(known.tokens, least.tokens)
         )
 
+    def reports_load(self, server: str) -> bool:
+        """Return whether a backend server has reported its load with an answer."""
+        return server in self._reported_by_server
+
     def total(self, server: str) -> ServerCalls:
         """Return the calls of all instances at a backend server, with their tokens."""
         self._expire()
