--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -1,11 +1,19 @@
 """Requests and prompts that end the servers that run them, known to all instances."""
 
-from collections import defaultdict
 from collections.abc import Callable, Iterable, Sequence
 from dataclasses import dataclass, field
 
 from twisted.internet.interfaces import IReactorTime
 
+from .crash_news import (
+    MAX_REPORTED_KEYS,
+    REPEAT_SECONDS,
+    REPORTED_SECONDS,
+    CrashNews,
+    ReportedCrashes,
+    ServerRun,
+    by_run,
+)
 from .event_log import EventLog
 from .report_scope import ReportScope
 
@@ -26,26 +34,12 @@
 SOUND_SECONDS = 30.0
 """Time after an answer in which servers that end under its keys don't count."""
 
-REPORTED_SECONDS = 2.0
-REPEAT_SECONDS = 0.5
-"""For how long and how often reports repeat a crash. Datagrams may be lost, and a
-contact that dies is replaced within 1.5 s."""
-
 MAX_RECORDS = 5_000
 """Limit on the keys with crashes, and on those with answers, that are kept."""
 
-MAX_REPORTED_KEYS = 200
-"""Limit on the keys that reports have within ``REPEAT_SECONDS``: some 4 KB/s."""
-
 MAX_LIFTED = 1_000
 """Limit on the keys whose quarantine was ended with the runs that don't count then."""
 
-ServerRun = tuple[str, int]
-"""The id of a backend server and the start of its run."""
-
-ReportedCrashes = list[tuple[str, int, list[int]]]
-"""Servers' ids and starts, each with the keys of the calls under which it ended."""
-
 
 @dataclass(slots=True)
 class _Record:
@@ -68,27 +62,6 @@
     seen_here: bool
 
 
-@dataclass(frozen=True, slots=True)
-class _News:
-    """A crash under a key, or without ``run`` an answer that shows the key sound."""
-
-    serial: int
-    learned_at: float
-    scope: ReportScope
-    key: int
-    run: ServerRun | None = None
-    last_part: bool = False
-
-
-@dataclass(slots=True)
-class _Progress:
-    """What reports of one scope have had since the last time that all was due."""
-
-    all_due_at: float = float("-inf")
-    keys_left: int = 0
-    reported_serial: int = 0
-
-
 class CrashQuarantine:
     """Finds out which calls end the servers that run them, by what they have in common.
 
@@ -128,9 +101,7 @@
         self._alive_at_by_run: dict[ServerRun, float] = {}
         self._answered_at_by_key: dict[int, float] = {}
         self._sound_at_by_key: dict[int, float] = {}
-        self._news: list[_News] = []
-        self._last_serial = 0
-        self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+        self._news = CrashNews(clock, self.count_ends)
         self._lifted_runs_by_key: dict[int, frozenset[ServerRun]] = {}
         self.on_disproved: Callable[[int], None] = lambda key: None
         self.on_not_ended: Callable[[ServerRun], None] = lambda run: None
@@ -159,12 +130,12 @@
 
         Returns whether that is news for the other instances.
         """
-        last_serial = self._last_serial
+        last_serial = self._news.last_serial
         for key in keys:
             self._put_time(self._answered_at_by_key, key)
             if key in self._records_by_key:
                 self._mark_sound(key, ReportScope.OWN)
-        return self._last_serial > last_serial
+        return self._news.last_serial > last_serial
 
     def record_alive(self, run: ServerRun, sent_at: float) -> None:
         """Record that a server run has answered a request sent at ``sent_at``.
@@ -185,7 +156,7 @@
         if self._ended_at_by_run.get(run, at) > at:
             return
         self._alive_at_by_run[run] = at
-        self._news = [each for each in self._news if each.run != run]
+        self._news.withdraw(run)
         self._ended_at_by_run.pop(run, None)
         for key in self._keys_by_run.pop(run, ()):
             record = self._records_by_key[key]
@@ -267,33 +238,8 @@
                     self._add_crash(key, run, scope)
 
     def take_due(self, widest: ReportScope) -> tuple[ReportedCrashes, list[int]]:
-        """Return the crashes and the sound keys for the next report of a scope.
-
-        These are the ones that were not reported yet, and now and then all recent ones.
-        If they are too many, the keys with the most crashes go first, and of those with
-        equally many, last parts that this instance has lost go last.
-        """
-        now = self._clock.seconds()
-        oldest = now - REPORTED_SECONDS
-        self._news = [each for each in self._news if each.learned_at >= oldest]
-        progress = self._progress_by_scope[widest]
-        after = progress.reported_serial
-        if now - progress.all_due_at >= REPEAT_SECONDS:
-            progress.all_due_at = now
-            progress.keys_left = MAX_REPORTED_KEYS
-            after = 0
-        progress.reported_serial = self._last_serial
-        due = [
-            each
-            for each in reversed(self._news)
-            if each.serial > after and each.scope <= widest
-        ]
-        if len(due) > progress.keys_left:
-            due.sort(key=lambda each: (-self.count_ends(each.key), each.last_part))
-            del due[progress.keys_left :]
-        progress.keys_left -= len(due)
-        sound = [each.key for each in due if each.run is None]
-        return _by_run((each.run, each.key) for each in due if each.run), sound
+        """Return the crashes and the sound keys for the next report of a scope."""
+        return self._news.take_due(widest)
 
     def everything(self) -> ReportedCrashes:
         """Return the crashes for an instance that may have missed some.
@@ -305,7 +251,7 @@
             self._records_by_key.items(), key=lambda each: -len(each[1].runs)
         )
         pairs = [(run, key) for key, record in records for run in record.runs]
-        return _by_run(pairs[:MAX_REPORTED_KEYS])
+        return by_run(pairs[:MAX_REPORTED_KEYS])
 
     def _has_enough_ends(self, key: int) -> bool:
         return self.count_ends(key) >= CRASHES_TO_QUARANTINE
@@ -379,7 +325,7 @@
         self._keys_by_run.setdefault(run, set()).add(key)
         self._ended_at_by_run.setdefault(run, crashed_at)
         if at is None:
-            self._add_news(scope, key, run, last_part)
+            self._news.add(scope, key, run, last_part)
         if len(record.runs) == CRASHES_TO_QUARANTINE:
             servers = sorted(server for server, _ in record.runs)
             self._log.event("crashes_suspected", key=f"{key:016x}", servers=servers)
@@ -392,7 +338,7 @@
                 self.on_disproved(key)
         self._forget(key)
         if not self.is_sound(key):
-            self._add_news(scope, key)
+            self._news.add(scope, key)
         self._put_time(self._sound_at_by_key, key)
 
     def _put_time(self, times_by_key: dict[int, float], key: int) -> None:
@@ -406,17 +352,6 @@
             del times_by_key[oldest]
         times_by_key[key] = now
 
-    def _add_news(
-        self,
-        scope: ReportScope,
-        key: int,
-        run: ServerRun | None = None,
-        last_part: bool = False,
-    ) -> None:
-        self._last_serial += 1
-        now = self._clock.seconds()
-        self._news.append(_News(self._last_serial, now, scope, key, run, last_part))
-
     def _forget(self, key: int) -> None:
         record = self._records_by_key.pop(key, None)
         if record is None:
@@ -453,10 +388,3 @@
             if self.count_ends(lightest) == 1:
                 break
         return lightest
-
-
-def _by_run(pairs: Iterable[tuple[ServerRun, int]]) -> ReportedCrashes:
-    keys_by_run: dict[ServerRun, list[int]] = {}
-    for run, key in pairs:
-        keys_by_run.setdefault(run, []).append(key)
-    return [(server, started, keys) for (server, started), keys in keys_by_run.items()]
