Confirm ends of servers that a cut instance withdraws

An instance that finds itself cut off withdrew the ends of servers that a request had really ended, and instances without a loss of their own believed it.

An instance with a way to the servers that has lost a call to the run itself answers a withdrawal by confirming the end, and reports its keys again. Each finding has its own row, since an answer within the same millisecond would not replace the row that it answers.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -164,6 +164,15 @@
             if not record.runs:
                 del self._records_by_key[key]
 
+    def believe(self, run: ServerRun) -> None:
+        """Count reports that a run ended, though it was withdrawn before."""
+        self._alive_at_by_run.pop(run, None)
+
+    def report_again(self, run: ServerRun) -> None:
+        """Report again that a run ended, as this instance has seen."""
+        for key in sorted(self._keys_by_run.get(run, ())):
+            self._news.add(ReportScope.OWN, key, run)
+
     def seconds_left(self, keys: Sequence[int]) -> float:
         """Return for how long a call with these keys is refused; 0 if it is not."""
         return max(map(self._refused_for, self.refused_keys(keys)), default=0.0)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -1,5 +1,6 @@
 """Which lost connections are ends of servers, and which show a cut of the network."""
 
+import enum
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
@@ -28,8 +29,21 @@
 MAX_LOSSES = 1_000
 """Limit on the losses that are kept. More within 3 s come from a cut only."""
 
-TOPIC = NewsTopic("not_ended", max_age=3.0, max_rows=500, max_reported=50)
-"""Runs of servers that others may believe to have ended."""
+TOPIC = NewsTopic("server_ends", max_age=3.0, max_rows=500, max_reported=50)
+"""What is known of runs of servers that may not have ended."""
+
+
+class Finding(enum.IntEnum):
+    """What an instance tells the others about a server's supposed end."""
+
+    WITHDRAWN = 0
+    """It had counted lost connections as the end, and has found that it is cut off."""
+
+    ANSWERED = 1
+    """The run has answered after its supposed end."""
+
+    CONFIRMED = 2
+    """An instance with a way to the servers has seen the end itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -49,7 +63,8 @@
     cut from. Many servers at once, or servers of several services without one that can
     be reached, are a cut or an outage: those losses are no evidence against the
     requests that were lost, and what other instances were told about them is withdrawn.
-    An instance with a way to the servers keeps what it has seen itself.
+    An instance with a way to the servers keeps what it has seen itself, and confirms it
+    to the others.
 
     Attributes
     ----------
@@ -90,7 +105,7 @@
         self._news: FleetNews | None = None
         self._on_news: Callable[[], None] = lambda: None
         self.on_loss: Callable[[BackendServer], None] = lambda server: None
-        quarantine.on_not_ended = lambda run: self._tell(run, answered=True)
+        quarantine.on_not_ended = lambda run: self._tell(run, Finding.ANSWERED)
 
     def share(self, news: FleetNews, on_news: Callable[[], None]) -> None:
         """Exchange with other instances which servers have not ended."""
@@ -140,27 +155,43 @@
         self._losses = [each for each in self._losses if each not in losses]
         for run in runs:
             self._quarantine.withdraw(run)
-            self._tell(run, answered=False)
+            self._tell(run, Finding.WITHDRAWN)
         servers = [server for server, _ in runs]
         self._log.event("server_ends_withdrawn", servers=servers, reason=reason)
 
-    def _tell(self, run: ServerRun, *, answered: bool) -> None:
-        server, started_ms = run
-        if self._news is None:
-            return
-        if self._news.put(TOPIC.name, f"{started_ms}/{server}", answered):
+    def _tell(self, run: ServerRun, finding: Finding) -> None:
+        if self._news is not None and self._news.put(
+            TOPIC.name, _row_key(run, finding), int(finding)
+        ):
             self._on_news()
 
     def _apply(self, key: str, value: Any, age: float) -> None:
-        """Learn from another instance that a server has not ended."""
-        started_ms, _, server = key.partition("/")
-        if not started_ms.isdecimal():
+        """Learn from another instance whether a server has ended."""
+        _, _, rest = key.partition("/")
+        started_ms, _, server = rest.partition("/")
+        if not started_ms.isdecimal() or value not in tuple(Finding):
             return
         run = (server, int(started_ms))
-        seen_here = any(each.run == run for each in self._losses)
-        if value is not True and seen_here and not self._cut_off():
-            return
-        self._quarantine.withdraw(run, age)
+        confirmed = _row_key(run, Finding.CONFIRMED) in self._news.rows(TOPIC.name)
+        if value == Finding.CONFIRMED:
+            self._quarantine.believe(run)
+        elif value == Finding.ANSWERED:
+            self._quarantine.withdraw(run, age)
+        elif self._seen(run):
+            self._quarantine.report_again(run)
+            self._tell(run, Finding.CONFIRMED)
+        elif not confirmed:
+            self._quarantine.withdraw(run, age)
+
+    def _seen(self, run: ServerRun) -> bool:
+        """Return whether this instance saw a run end, with a way to the servers."""
+        return not self._cut_off() and any(each.run == run for each in self._losses)
+
+
+def _row_key(run: ServerRun, finding: Finding) -> str:
+    """Return the key of a row; one finding does not replace another."""
+    server, started_ms = run
+    return f"{int(finding)}/{started_ms}/{server}"
 
 
 def is_burst(losses: Sequence[_Loss]) -> bool:
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -12,6 +12,7 @@
 from pomeloglade.forwarding.server_reach import ServerReach
 
 SHARED, OTHER = 7, 8
+TRANSIT_SECONDS = 0.001
 PLAIN = [server("p" * number) for number in range(1, 4)]
 ENGINES = [server("d" * number, "llm", "decode") for number in range(1, 5)]
 
@@ -38,14 +39,20 @@
         rows = self.news.take_due(ReportScope.OWN)
         for each in self.others:
             if each is not self:
-                each.quarantine.apply_reported(crashes, sound, ReportScope.FLEET)
-                each.news.apply(rows, ReportScope.FLEET)
+                self.clock.callLater(
+                    TRANSIT_SECONDS, each.receive, crashes, sound, rows
+                )
+
+    def receive(self, crashes, sound, rows):
+        self.quarantine.apply_reported(crashes, sound, ReportScope.FLEET)
+        self.news.apply(rows, ReportScope.FLEET)
 
     def lose(self, number, *servers, key=SHARED):
         for each in servers:
             self.reach.record_failure(each, connected=True)
             self.ends.record_loss((number, key), each)
             self.report()
+        self.clock.advance(TRANSIT_SECONDS)
 
 
 @pytest.fixture
@@ -96,6 +103,7 @@
     for each in instances:
         for lost in (*PLAIN, *ENGINES):
             each.reach.record_failure(lost, connected=False)
+    clock.advance(2 * TRANSIT_SECONDS)
     assert refused(instances) == [False] * 3
     assert "server_ends_withdrawn" in first.log.names()
     # Other instances repeat for a while what they have learned.
@@ -117,6 +125,25 @@
     assert refused(instances, OTHER) == [True] * 3
 
 
+# Guards against a request that ends further servers as an instance that is cut off
+# withdraws the ends that others have seen too (soak seed 542).
+def test_ends_that_a_cut_instance_withdraws_count_if_others_saw_them(instances, clock):
+    first, second, third = instances
+    for number, each in enumerate(PLAIN):
+        second.lose(number, each, key=OTHER)
+        first.lose(OTHER, each, key=OTHER)
+        clock.advance(0.2)
+    for each in ENGINES:
+        second.reach.record_failure(each, connected=False)
+    assert "server_ends_withdrawn" in second.log.names()
+    for _ in range(3):
+        clock.advance(0.5)
+        for each in instances:
+            each.report()
+        clock.advance(TRANSIT_SECONDS)
+    assert refused(instances, OTHER) == [True] * 3
+
+
 def test_servers_that_end_one_after_the_other_are_no_burst(instances, clock):
     for number, each in enumerate(ENGINES[:3]):
         instances[0].lose(number, each)
@@ -126,12 +153,17 @@
 
 def test_instance_with_a_way_to_servers_keeps_what_it_has_seen(instances, clock):
     """A server ends while another instance is cut from it."""
-    first, second, _ = instances
+    first, second, third = instances
     first.lose(1, ENGINES[0])
     for number, each in enumerate(ENGINES[:3], 2):
         second.lose(number, each)
     assert first.quarantine.count_ends(SHARED) == 1
     assert second.quarantine.count_ends(SHARED) == 0
+    # It confirms what it has seen to those that have withdrawn it.
+    clock.advance(0.5)
+    first.report()
+    clock.advance(TRANSIT_SECONDS)
+    assert third.quarantine.count_ends(SHARED) == 1
 
 
 def test_answer_of_a_server_refutes_its_end_at_all_instances(instances, clock):
@@ -141,6 +173,7 @@
         clock.advance(0.2)
     assert refused(instances) == [True] * 3
     third.quarantine.record_alive(ENGINES[0].run, clock.seconds())
+    clock.advance(TRANSIT_SECONDS)
     assert refused(instances) == [False] * 3
     # A later end of the same run counts again.
     clock.advance(5.0)
@@ -148,10 +181,11 @@
     assert refused(instances) == [True] * 3
 
 
-def test_rows_of_another_shape_are_ignored(instances):
+def test_rows_of_another_shape_are_ignored(instances, clock):
     first, second, _ = instances
     second.lose(1, ENGINES[0])
-    for key in ("", "x/d", "12", "-1/d"):
-        first.news.put("not_ended", key, {"no": "value"})
+    for key in ("", "0/x/d", "0/0/d", "0/-1/d"):
+        first.news.put("server_ends", key, {"no": "value"})
     first.report()
+    clock.advance(TRANSIT_SECONDS)
     assert second.quarantine.count_ends(SHARED) == 1
