Ask an instance reported as unavailable rather than a silent one

A frozen instance does not report that it is unavailable, so after 1.5 s it was the only one left to ask while the others still counted as unavailable. If all available instances are avoided, one that is reported as unavailable is asked now.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -158,8 +158,9 @@
     def _choose(self, tried: set[str]) -> str | None:
         """Return the instance to ask next, or ``None``.
 
-        If all are reported as unavailable, one is asked all the same: it may lack
-        another service's servers.
+        If all are reported as unavailable, or do not answer, one that is reported as
+        unavailable is asked all the same: it may lack another service's servers, or
+        reach them again.
         """
         now = self._context.clock.seconds()
         available = [
@@ -167,14 +168,19 @@
             for name in self._addresses_by_instance
             if name not in tried and self._availability.available(name)
         ]
-        if not available and not tried:
-            available = list(self._addresses_by_instance)
-        candidates = [
+        candidates = self._not_avoided(available, now)
+        if not candidates and not tried:
+            others = list(self._addresses_by_instance)
+            candidates = self._not_avoided(others, now)
+            available = available or others
+        return self._random.choice(candidates or available) if available else None
+
+    def _not_avoided(self, instances: list[str], now: float) -> list[str]:
+        return [
             name
-            for name in available
+            for name in instances
             if self._avoid_until_by_instance.get(name, 0.0) <= now
         ]
-        return self._random.choice(candidates or available) if available else None
 
     def _avoid(self, peer: str) -> None:
         now = self._context.clock.seconds()
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -140,6 +140,19 @@
     assert silent.aborted, "the call did not wait until its time limit"
 
 
+# Guards against asking a frozen instance since it alone does not say that it is
+# unavailable: RECOVER (soak seed 542).
+def test_instance_that_answers_no_call_is_not_asked_for_want_of_others(harness):
+    harness.availability.apply_reported(["entry-2", "entry-3"], 2)
+    harness.call(BOOKING)
+    (silent,) = passed_on(harness)
+    assert silent.address == "10.9.0.1:7500"
+    harness.advance(0.45)
+    harness.availability.apply_reported(["entry-2", "entry-3"], 2)
+    harness.call(BOOKING)
+    assert passed_on(harness)[-1].address != silent.address
+
+
 def test_instance_that_answers_other_calls_is_not_avoided(harness):
     harness.peer_calls.set_peers({"entry-1": PEERS["entry-1"]})
     harness.call(BOOKING)
