Update mutations and the lists of failed seeds for the quarantine

Mutations of the quarantine name lines that have changed; new ones disable the recognition of cuts, the entries of the store, the trial's end and the avoidance of silent instances.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -40,6 +40,8 @@
 NOTICES = ("tests/test_server_notices.py",)
 SITE = ("tests/test_http_site.py",)
 EXCHANGE = ("tests/test_http_exchange.py",)
+ENDS = ("tests/test_server_ends.py",)
+QUARANTINES = ("tests/test_quarantine_store.py", "tests/test_quarantine_trials.py")
 CRASHES = ("tests/test_crashing_requests.py", "tests/test_crash_quarantine.py")
 ENDLESS = ("tests/test_endless_responses.py",)
 
@@ -344,8 +346,8 @@
         "BUDGET, crashes",
         "a request that ends servers is never refused",
         FORWARDING + "crash_quarantine.py",
-        "        return max(0.0, max(ends, default=now) - now)\n",
-        "        return 0.0\n",
+        "max(map(self._refused_for, self.refused_keys(keys)), default=0.0)",
+        "0.0",
         CRASHES,
     ),
     Mutation(
@@ -373,11 +375,11 @@
         CRASHES,
     ),
     Mutation(
-        "LOST, beside crashes",
-        "the last part of a prompt is blamed too",
+        "BUDGET, crashing parts",
+        "the last part of a prompt has no key",
         FORWARDING + "request_keys.py",
-        "prompt.parts[:-1]",
-        "prompt.parts",
+        ", *prompt.parts[-1:])",
+        ",)",
         CRASHES,
     ),
     Mutation(
@@ -400,10 +402,58 @@
         "LOST, beside crashes",
         "a server that goes on answering counts as ended",
         FORWARDING + "crash_quarantine.py",
-        "        if ended_at is None or sent_at <= ended_at:\n",
-        "        if True:\n",
+        "        if ended_at is not None and sent_at > ended_at:\n",
+        "        if False:\n",
         CRASHES,
     ),
+    Mutation(
+        "LOST, beside crashes",
+        "many servers lost at once count as ended",
+        FORWARDING + "server_ends.py",
+        "        if is_burst(burst):\n",
+        "        if False:\n",
+        ENDS,
+    ),
+    Mutation(
+        "LOST, beside crashes",
+        "what was lost before a cut is not withdrawn",
+        FORWARDING + "server_ends.py",
+        "        if not self._cut_off():\n",
+        "        if True:\n",
+        ENDS,
+    ),
+    Mutation(
+        "BUDGET, crashes",
+        "ends that a cut instance withdraws are not confirmed",
+        FORWARDING + "server_ends.py",
+        "        elif self._seen(run):\n",
+        "        elif False:\n",
+        ENDS,
+    ),
+    Mutation(
+        "BUDGET, stored quarantines",
+        "entries of the store are not learned",
+        FORWARDING + "quarantine_store.py",
+        "        if left > 0:\n",
+        "        if False:\n",
+        QUARANTINES,
+    ),
+    Mutation(
+        "BUDGET, stored quarantines",
+        "a restored store's missing entry is taken for a lifted one",
+        FORWARDING + "quarantine_store.py",
+        "            if restored:\n",
+        "            if False:\n",
+        QUARANTINES,
+    ),
+    Mutation(
+        "BUDGET, stored quarantines",
+        "a trial is not used up",
+        FORWARDING + "quarantine_trials.py",
+        "            del self._version_by_key[key]\n",
+        "            pass\n",
+        QUARANTINES,
+    ),
     Mutation(
         "LIMIT",
         "requests to limited servers are not reported",
@@ -452,6 +502,14 @@
         "",
         ("tests/test_peer_calls.py",),
     ),
+    Mutation(
+        "RECOVER, cut from the servers",
+        "a silent instance is passed further calls",
+        FORWARDING + "peer_calls.py",
+        "            if answered_at < sent_at:\n",
+        "            if False:\n",
+        ("tests/test_peer_calls.py",),
+    ),
     Mutation(
         "RECOVER, cut from the servers",
         "a call that was passed on is passed on again",
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -58,12 +58,6 @@
         6,
         "connections lost by a cut of all instances counted as ends of servers",
     ),
-    FailedSeed(
-        542,
-        10.0,
-        6,
-        "calls that were passed on to a frozen instance waited for it",
-    ),
 )
 
 app = typer.Typer(add_completion=False, rich_markup_mode=None)
