Count ends of a supposed cut once the servers are removed or replaced

Losses that are withdrawn because several services are out of reach are kept for 10 s, and count when their servers are removed from the store, or other runs register with their addresses. This is checked when the view has changed, before calls are placed at the new servers.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -93,7 +93,7 @@
         listed = {
             each.id: each
             for each in servers
-            if not (restored and self._removed_recently(each))
+            if not (restored and self.removed_recently(each))
         }
         for each in list(self._servers_by_id.values()):
             if each.id not in listed:
@@ -137,7 +137,8 @@
             self._removed_at_by_run[server.run] = now
             self._on_unusable(server)
 
-    def _removed_recently(self, server: BackendServer) -> bool:
+    def removed_recently(self, server: BackendServer) -> bool:
+        """Return whether a run was removed a short time ago, not in a store outage."""
         removed_at = self._removed_at_by_run.get(server.run, float("-inf"))
         return self._clock.seconds() - removed_at <= MAX_COPY_AGE_SECONDS
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -367,6 +367,7 @@
         )
 
     def _place_waiting(self) -> None:
+        self._ends.confirm_ended()
         for queue in self._queues_by_service.values():
             queue.place_waiting()
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -70,7 +70,9 @@
 
     def __post_init__(self) -> None:
         """Combine the components that tell which servers have ended."""
-        ends = ServerEnds(self.clock, self.quarantine, self.reach, self.log)
+        ends = ServerEnds(
+            self.clock, self.quarantine, self.reach, self.log, self.backends
+        )
         object.__setattr__(self, "ends", ends)
 
     async def connect(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -7,7 +7,7 @@
 
 from twisted.internet.interfaces import IReactorTime
 
-from .backends import BackendServer
+from .backends import Backends, BackendServer
 from .crash_quarantine import CrashQuarantine, ServerRun
 from .event_log import EventLog
 from .fleet_news import FleetNews, NewsTopic
@@ -26,6 +26,10 @@
 """Servers whose connections are lost within this time by a cut or an outage. A call
 that is sent again ends one server after the other, and is in the calls of each."""
 
+PENDING_SECONDS = 10.0
+"""Time for which losses of a supposed cut count again if their servers have ended.
+Registrations of ended servers lapse sooner."""
+
 MAX_LOSSES = 1_000
 """Limit on the losses that are kept. More within 3 s come from a cut only."""
 
@@ -51,9 +55,13 @@
     """A call that was lost with its connection to a server."""
 
     at: float
-    service: str
-    run: ServerRun
-    request: int
+    server: BackendServer
+    keys: tuple[int, ...]
+    last_part: int | None
+
+    @property
+    def run(self) -> ServerRun:
+        return self.server.run
 
 
 class ServerEnds:
@@ -63,6 +71,8 @@
     cut from. Many servers at once, or servers of several services without one that can
     be reached, are a cut or an outage: those losses are no evidence against the
     requests that were lost, and what other instances were told about them is withdrawn.
+    If servers of several services were out of reach because they have ended, which
+    shows when they are removed or replaced, their losses count then.
     An instance with a way to the servers keeps what it has seen itself, and confirms it
     to the others.
 
@@ -74,12 +84,12 @@
     Examples
     --------
     >>> from twisted.internet.task import Clock
-    >>> from .backends import Backends
     >>> clock = Clock()
     >>> log = EventLog(clock, 2)
     >>> quarantine = CrashQuarantine(clock, log)
-    >>> reach = ServerReach(clock, Backends(clock, lambda _: None), log)
-    >>> ends = ServerEnds(clock, quarantine, reach, log)
+    >>> backends = Backends(clock, lambda _: None)
+    >>> reach = ServerReach(clock, backends, log)
+    >>> ends = ServerEnds(clock, quarantine, reach, log, backends)
     >>> for number, name in enumerate(("a", "b")):
     ...     server = BackendServer(name, "llm", "", "zone-a", 1)
     ...     ends.record_loss((number, 17), server)
@@ -96,12 +106,15 @@
         quarantine: CrashQuarantine,
         reach: ServerReach,
         log: EventLog,
+        backends: Backends,
     ) -> None:
         self._clock = clock
+        self._backends = backends
         self._quarantine = quarantine
         self._reach = reach
         self._log = log
         self._losses: list[_Loss] = []
+        self._pending: list[_Loss] = []
         self._news: FleetNews | None = None
         self._on_news: Callable[[], None] = lambda: None
         self.on_loss: Callable[[BackendServer], None] = lambda server: None
@@ -122,11 +135,12 @@
         the key of the last part of its prompt.
         """
         now = self._clock.seconds()
+        loss = _Loss(now, server, tuple(keys), last_part)
         if self._cut_off() and self._reach.out_of_reach(server.service):
+            self._suspend([loss])
             return
         recent = [each for each in self._losses if now - each.at <= CUT_SECONDS]
-        self._losses = recent[-MAX_LOSSES + 1 :]
-        self._losses.append(_Loss(now, server.service, server.run, keys[0]))
+        self._losses = [*recent[-MAX_LOSSES + 1 :], loss]
         self.on_loss(server)
         self._quarantine.record_crash(keys, server.run, last_part)
         burst = [each for each in self._losses if now - each.at <= BURST_SECONDS]
@@ -142,10 +156,39 @@
         lost = [
             each
             for each in self._losses
-            if each.at >= oldest and each.service in out_of_reach
+            if each.at >= oldest and each.server.service in out_of_reach
         ]
         if lost:
             self._withdraw(lost, "out_of_reach")
+            self._suspend(lost)
+
+    def confirm_ended(self) -> None:
+        """Count losses of a supposed cut whose servers have turned out to have ended.
+
+        This must be called when the registered servers have changed, before calls are
+        placed at new ones.
+        """
+        ended = [each for each in self._pending if self._has_ended(each.server)]
+        if not ended:
+            return
+        self._pending = [each for each in self._pending if each not in ended]
+        for each in ended:
+            self._quarantine.believe(each.run)
+            self._quarantine.record_crash(each.keys, each.run, each.last_part)
+            self._tell(each.run, Finding.CONFIRMED)
+        self._on_news()
+
+    def _suspend(self, losses: list[_Loss]) -> None:
+        oldest = self._clock.seconds() - PENDING_SECONDS
+        recent = [each for each in self._pending if each.at >= oldest]
+        self._pending = [*recent, *losses][-MAX_LOSSES:]
+
+    def _has_ended(self, server: BackendServer) -> bool:
+        """Return whether a run was removed, or another has its address now."""
+        return self._backends.removed_recently(server) or any(
+            each.address == server.address and each.run != server.run
+            for each in self._backends.registered(server.service)
+        )
 
     def _cut_off(self) -> bool:
         return len(self._reach.services_out_of_reach()) >= CUT_SERVICES
@@ -204,5 +247,5 @@
         return False
     runs_by_request: dict[int, set[ServerRun]] = {}
     for each in losses:
-        runs_by_request.setdefault(each.request, set()).add(each.run)
+        runs_by_request.setdefault(each.keys[0], set()).add(each.run)
     return all(len(lost_with) < len(runs) for lost_with in runs_by_request.values())
--- a/tests/test_server_ends.py
+++ b/tests/test_server_ends.py
@@ -1,5 +1,7 @@
 """Lost connections that show a cut or an outage, not requests that end servers."""
 
+from dataclasses import replace
+
 import pytest
 from tests.forwarding_fakes import Harness, ListLog, server
 from twisted.internet.task import Clock
@@ -22,12 +24,12 @@
 
     def __init__(self, clock, others):
         self.clock = clock
-        backends = Backends(clock, lambda _: None)
+        self.backends = backends = Backends(clock, lambda _: None)
         backends.replace_all([*PLAIN, *ENGINES], lenient=False)
         self.log = ListLog()
         self.reach = ServerReach(clock, backends, self.log)
         self.quarantine = CrashQuarantine(clock, self.log)
-        self.ends = ServerEnds(clock, self.quarantine, self.reach, self.log)
+        self.ends = ServerEnds(clock, self.quarantine, self.reach, self.log, backends)
         self.reach.on_change = self.ends.review
         self.news = FleetNews(clock)
         self.others = others
@@ -144,6 +146,38 @@
     assert refused(instances, OTHER) == [True] * 3
 
 
+# Guards against taking it for a cut that a request and a part end all servers of two
+# services at the same time.
+@pytest.mark.parametrize("how", ["removed", "replaced"])
+def test_ends_of_servers_of_two_services_count_once_these_are_gone(
+    instances, clock, how
+):
+    first, second, _ = instances
+    for number, (plain, engine) in enumerate(zip(PLAIN, ENGINES, strict=False)):
+        first.lose(number, engine)
+        second.lose(OTHER, plain, key=OTHER)
+        clock.advance(0.2)
+    for each in instances:
+        for ended in (*PLAIN, *ENGINES):
+            each.reach.record_failure(ended, connected=False)
+    clock.advance(1.0)
+    assert refused(instances) == [False] * 3
+    for each in instances:
+        for ended in (*PLAIN, *ENGINES[:3]):
+            if how == "removed":
+                each.backends.remove(ended.id, lenient=False)
+            else:
+                each.backends.put(replace(ended, id="new-" + ended.id))
+        each.ends.confirm_ended()
+    for _ in range(3):
+        clock.advance(0.5)
+        for each in instances:
+            each.report()
+        clock.advance(TRANSIT_SECONDS)
+    assert refused(instances) == [True] * 3
+    assert refused(instances, OTHER) == [True] * 3
+
+
 def test_servers_that_end_one_after_the_other_are_no_burst(instances, clock):
     for number, each in enumerate(ENGINES[:3]):
         instances[0].lose(number, each)
