--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -449,6 +449,7 @@
 
     def _place_waiting(self) -> None:
         self._cold_servers.refresh()
+        self._ends.confirm_ended()
         for queue in self._queues_by_service.values():
             queue.place_waiting()
         self._plain_queues.place_waiting()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_ends.py
@@ -1,12 +1,13 @@
 """Which lost connections are ends of servers, and which show a cut of the network."""
 
+import enum
 from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import Any
 
 from twisted.internet.interfaces import IReactorTime
 
-from .backends import BackendServer
+from .backends import Backends, BackendServer
 from .crash_quarantine import CrashQuarantine, ServerRun
 from .event_log import EventLog
 from .fleet_news import FleetNews, NewsTopic
@@ -25,11 +26,28 @@
 """Servers whose connections are lost within this time by a cut or an outage. A call
 that is sent again ends one server after the other, and is in the calls of each."""
 
+PENDING_SECONDS = 10.0
+"""Time for which losses of a supposed cut count again if their servers have ended.
+Registrations of ended servers lapse sooner."""
+
 MAX_LOSSES = 1_000
 """Limit on the losses that are kept. More within 3 s come from a cut only."""
 
-TOPIC = NewsTopic("not_ended", max_age=3.0, max_rows=500, max_reported=50)
-"""Runs of servers that others may believe to have ended."""
+TOPIC = NewsTopic("server_ends", max_age=3.0, max_rows=500, max_reported=50)
+"""What is known of runs of servers that may not have ended."""
+
+
+class Finding(enum.IntEnum):
+    """What an instance tells the others about a server's supposed end."""
+
+    WITHDRAWN = 0
+    """It had counted lost connections as the end, and has found that it is cut off."""
+
+    ANSWERED = 1
+    """The run has answered after its supposed end."""
+
+    CONFIRMED = 2
+    """An instance with a way to the servers has seen the end itself."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -37,9 +55,13 @@
     """A call that was lost with its connection to a server."""
 
     at: float
-    service: str
-    run: ServerRun
-    request: int
+    server: BackendServer
+    keys: tuple[int, ...]
+    last_part: int | None
+
+    @property
+    def run(self) -> ServerRun:
+        return self.server.run
 
 
 class ServerEnds:
@@ -49,7 +71,10 @@
     cut from. Many servers at once, or servers of several services without one that can
     be reached, are a cut or an outage: those losses are no evidence against the
     requests that were lost, and what other instances were told about them is withdrawn.
-    An instance with a way to the servers keeps what it has seen itself.
+    If servers of several services were out of reach because they have ended, which
+    shows when they are removed or replaced, their losses count then.
+    An instance with a way to the servers keeps what it has seen itself, and confirms it
+    to the others.
 
     Attributes
     ----------
@@ -59,12 +84,12 @@
     Examples
     --------
     >>> from twisted.internet.task import Clock
-    >>> from .backends import Backends
     >>> clock = Clock()
     >>> log = EventLog(clock, 2)
     >>> quarantine = CrashQuarantine(clock, log)
-    >>> reach = ServerReach(clock, Backends(clock, lambda _: None), log)
-    >>> ends = ServerEnds(clock, quarantine, reach, log)
+    >>> backends = Backends(clock, lambda _: None)
+    >>> reach = ServerReach(clock, backends, log)
+    >>> ends = ServerEnds(clock, quarantine, reach, log, backends)
     >>> for number, name in enumerate(("a", "b")):
     ...     server = BackendServer(name, "llm", "", "zone-a", 1)
     ...     ends.record_loss((number, 17), server)
@@ -81,16 +106,19 @@
         quarantine: CrashQuarantine,
         reach: ServerReach,
         log: EventLog,
+        backends: Backends,
     ) -> None:
         self._clock = clock
+        self._backends = backends
         self._quarantine = quarantine
         self._reach = reach
         self._log = log
         self._losses: list[_Loss] = []
+        self._pending: list[_Loss] = []
         self._news: FleetNews | None = None
         self._on_news: Callable[[], None] = lambda: None
         self.on_loss: Callable[[BackendServer], None] = lambda server: None
-        quarantine.on_not_ended = lambda run: self._tell(run, answered=True)
+        quarantine.on_not_ended = lambda run: self._tell(run, Finding.ANSWERED)
 
     def share(self, news: FleetNews, on_news: Callable[[], None]) -> None:
         """Exchange with other instances which servers have not ended."""
@@ -107,11 +135,12 @@
         the key of the last part of its prompt.
         """
         now = self._clock.seconds()
+        loss = _Loss(now, server, tuple(keys), last_part)
         if self._cut_off() and self._reach.out_of_reach(server.service):
+            self._suspend([loss])
             return
         recent = [each for each in self._losses if now - each.at <= CUT_SECONDS]
-        self._losses = recent[-MAX_LOSSES + 1 :]
-        self._losses.append(_Loss(now, server.service, server.run, keys[0]))
+        self._losses = [*recent[-MAX_LOSSES + 1 :], loss]
         self.on_loss(server)
         self._quarantine.record_crash(keys, server.run, last_part)
         burst = [each for each in self._losses if now - each.at <= BURST_SECONDS]
@@ -127,10 +156,39 @@
         lost = [
             each
             for each in self._losses
-            if each.at >= oldest and each.service in out_of_reach
+            if each.at >= oldest and each.server.service in out_of_reach
         ]
         if lost:
             self._withdraw(lost, "out_of_reach")
+            self._suspend(lost)
+
+    def confirm_ended(self) -> None:
+        """Count losses of a supposed cut whose servers have turned out to have ended.
+
+        This must be called when the registered servers have changed, before calls are
+        placed at new ones.
+        """
+        ended = [each for each in self._pending if self._has_ended(each.server)]
+        if not ended:
+            return
+        self._pending = [each for each in self._pending if each not in ended]
+        for each in ended:
+            self._quarantine.believe(each.run)
+            self._quarantine.record_crash(each.keys, each.run, each.last_part)
+            self._tell(each.run, Finding.CONFIRMED)
+        self._on_news()
+
+    def _suspend(self, losses: list[_Loss]) -> None:
+        oldest = self._clock.seconds() - PENDING_SECONDS
+        recent = [each for each in self._pending if each.at >= oldest]
+        self._pending = [*recent, *losses][-MAX_LOSSES:]
+
+    def _has_ended(self, server: BackendServer) -> bool:
+        """Return whether a run was removed, or another has its address now."""
+        return self._backends.removed_recently(server) or any(
+            each.address == server.address and each.run != server.run
+            for each in self._backends.registered(server.service)
+        )
 
     def _cut_off(self) -> bool:
         return len(self._reach.services_out_of_reach()) >= CUT_SERVICES
@@ -140,27 +198,43 @@
         self._losses = [each for each in self._losses if each not in losses]
         for run in runs:
             self._quarantine.withdraw(run)
-            self._tell(run, answered=False)
+            self._tell(run, Finding.WITHDRAWN)
         servers = [server for server, _ in runs]
         self._log.event("server_ends_withdrawn", servers=servers, reason=reason)
 
-    def _tell(self, run: ServerRun, *, answered: bool) -> None:
-        server, started_ms = run
-        if self._news is None:
-            return
-        if self._news.put(TOPIC.name, f"{started_ms}/{server}", answered):
+    def _tell(self, run: ServerRun, finding: Finding) -> None:
+        if self._news is not None and self._news.put(
+            TOPIC.name, _row_key(run, finding), int(finding)
+        ):
             self._on_news()
 
     def _apply(self, key: str, value: Any, age: float) -> None:
-        """Learn from another instance that a server has not ended."""
-        started_ms, _, server = key.partition("/")
-        if not started_ms.isdecimal():
+        """Learn from another instance whether a server has ended."""
+        _, _, rest = key.partition("/")
+        started_ms, _, server = rest.partition("/")
+        if not started_ms.isdecimal() or value not in tuple(Finding):
             return
         run = (server, int(started_ms))
-        seen_here = any(each.run == run for each in self._losses)
-        if value is not True and seen_here and not self._cut_off():
-            return
-        self._quarantine.withdraw(run, age)
+        confirmed = _row_key(run, Finding.CONFIRMED) in self._news.rows(TOPIC.name)
+        if value == Finding.CONFIRMED:
+            self._quarantine.believe(run)
+        elif value == Finding.ANSWERED:
+            self._quarantine.withdraw(run, age)
+        elif self._seen(run):
+            self._quarantine.report_again(run)
+            self._tell(run, Finding.CONFIRMED)
+        elif not confirmed:
+            self._quarantine.withdraw(run, age)
+
+    def _seen(self, run: ServerRun) -> bool:
+        """Return whether this instance saw a run end, with a way to the servers."""
+        return not self._cut_off() and any(each.run == run for each in self._losses)
+
+
+def _row_key(run: ServerRun, finding: Finding) -> str:
+    """Return the key of a row; one finding does not replace another."""
+    server, started_ms = run
+    return f"{int(finding)}/{started_ms}/{server}"
 
 
 def is_burst(losses: Sequence[_Loss]) -> bool:
@@ -173,5 +247,5 @@
         return False
     runs_by_request: dict[int, set[ServerRun]] = {}
     for each in losses:
-        runs_by_request.setdefault(each.request, set()).add(each.run)
+        runs_by_request.setdefault(each.keys[0], set()).add(each.run)
     return all(len(lost_with) < len(runs) for lost_with in runs_by_request.values())
