Prove that the tests of cold servers find their faults

Each of the five mutations was applied by hand to the code and found by test_cold_servers.py. Two tests did not find theirs before: saved requests now meet a burst after a calm time without reports, and reports take 30 ms when a server becomes cold.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -40,6 +40,7 @@
 NOTICES = ("tests/test_server_notices.py",)
 SITE = ("tests/test_http_site.py",)
 EXCHANGE = ("tests/test_http_exchange.py",)
+COLD_SERVERS = ("tests/test_cold_servers.py",)
 CRASHES = ("tests/test_crashing_requests.py", "tests/test_crash_quarantine.py")
 ENDLESS = ("tests/test_endless_responses.py",)
 
@@ -436,6 +437,46 @@
         "        return 1.0\n",
         ("tests/test_server_limits.py",),
     ),
+    Mutation(
+        "COLD",
+        "the rate while cold is ignored",
+        FORWARDING + "server_limits.py",
+        "        return cold.rate if named is None else min(named, cold.rate)\n",
+        "        return named\n",
+        COLD_SERVERS,
+    ),
+    Mutation(
+        "COLD",
+        "an instance that hears nothing keeps the whole rate for a while",
+        FORWARDING + "server_limits.py",
+        "            covered = 1\n",
+        "            pass\n",
+        COLD_SERVERS,
+    ),
+    Mutation(
+        "COLD",
+        "instances without reports save a request each",
+        FORWARDING + "server_limits.py",
+        "            lapsing=cold is not None and covered == 1 < instances,\n",
+        "",
+        COLD_SERVERS,
+    ),
+    Mutation(
+        "COLD",
+        "an instance takes itself for the only one that asks",
+        FORWARDING + "request_bucket.py",
+        "demand = max(demand, instances * self._own_demand.per_second(now))\n",
+        "pass\n",
+        COLD_SERVERS,
+    ),
+    Mutation(
+        "COLD",
+        "instances do not tell each other of cold servers",
+        FORWARDING + "cold_servers.py",
+        "        if told and self._news.put(COLD_TOPIC.name, key, value):\n",
+        "        if False:\n",
+        COLD_SERVERS,
+    ),
     Mutation(
         "TWICE, passed on",
         "a call that may have run is passed on again",
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -89,6 +89,16 @@
         assert each.since(3.0) >= 0.8 * rate * 3.0 - 3
 
 
+def test_many_calls_when_a_server_becomes_cold_are_not_all_sent(monkeypatch):
+    """Reports take some time, in which no instance knows of the others' requests."""
+    monkeypatch.setattr("tests.report_fleet.TRANSIT_SECONDS", 0.03)
+    fleet = Fleet(90)
+    cold = ColdServer(fleet)
+    cold.become_cold()
+    demand(fleet, [cold], 1.5, 1200)
+    assert cold.most_in_a_second() <= BOUND.allowed(RATE)
+
+
 # Guards against saved requests that are sent beside those of a second: buckets of all
 # instances are full when calls begin to come at once.
 def test_full_buckets_of_all_instances_are_not_spent_beside_the_rate():
@@ -131,9 +141,9 @@
     fleet = Fleet(size)
     cold = ColdServer(fleet)
     cold.become_cold()
-    demand(fleet, [cold], 1.0, 200)
+    demand(fleet, [cold], 2.0, 195, seed=52)
     fleet.transmit = lambda *_: None
-    demand(fleet, [cold], 3.0, 200)
+    demand(fleet, [cold], 3.0, 195, seed=2)
     assert cold.most_in_a_second() <= BOUND.allowed(RATE)
 
 
@@ -141,8 +151,8 @@
     fleet = Fleet(90)
     cold = ColdServer(fleet)
     cold.become_cold()
-    demand(fleet, [cold], 1.0, 50)
     fleet.transmit = lambda *_: None
+    demand(fleet, [cold], 1.5, 100)
     fleet.run(6.0)
     demand(fleet, [cold], 2.0, 900)
     assert cold.most_in_a_second() <= BOUND.allowed(RATE)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -66,6 +66,12 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against sending a cold server more requests than it tolerates.
+def test_processes_keep_the_rate_of_cold_servers(tmp_path):
+    fault = ("--fault", "cold servers", "--seconds", "8")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 # Guards against refusing calls that other instances can serve: RECOVER (second1,
 # issue 28).
 @pytest.mark.parametrize("seed", ["1", "2", "4"], ids=["reset", "refuse", "silence"])
