Tell the end of a cold time once, not with each answer

A cold server may name the time left in each answer. Each was a new row for all instances, some 39 a second for each server. An answer now counts only if it moves the end by more than 0.5 s, or ends the time.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/cold_servers.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/cold_servers.py
@@ -24,6 +24,10 @@
 """Time after which a change of the store has reached all instances: they are up to 3 s
 apart. Until then, a registration may be one that another instance has told of."""
 
+SAME_END_SECONDS = 0.5
+"""Difference of two ends up to which an answer tells nothing new. Each answer of a cold
+server may name the time left, and not all of them are worth a report."""
+
 COLD_COST = 1.5
 """Placement cost of a cold server relative to a warm one. It works slower, and is
 chosen somewhat less often than it could take calls when the whole service is cold."""
@@ -135,8 +139,11 @@
 
     def record_answer(self, server: BackendServer, seconds: float) -> None:
         """Learn from an answer for how many seconds the server stays cold, maybe 0."""
-        ends = self._ends_by_run.get(server.run, {})
-        if seconds > 0 or ColdSource.ANSWER in ends:
+        seconds = min(seconds, MAX_COLD_SECONDS)
+        now = self._clock.seconds()
+        known = self._ends_by_run.get(server.run, {}).get(ColdSource.ANSWER, now)
+        ends_now = seconds <= 0 < known - now
+        if ends_now or abs(now + seconds - max(known, now)) > SAME_END_SECONDS:
             self._observe(server.run, ColdSource.ANSWER, seconds)
 
     def refresh(self) -> None:
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -263,6 +263,19 @@
     assert not instance.is_cold()
 
 
+# Guards against a report for each answer of a cold server.
+def test_answers_that_name_the_same_end_are_told_once(instance, clock):
+    told = []
+    instance.cold.on_news = lambda: told.append(clock.seconds())
+    instance.read(server("a"))
+    for number in range(40):
+        instance.cold.record_answer(server("a"), 4.0 - 0.1 * number)
+        clock.advance(0.1)
+    assert len(told) == 1
+    clock.advance(0.1)
+    assert not instance.is_cold()
+
+
 def test_services_without_a_rate_have_no_cold_servers(clock):
     instance = ColdHarness(clock, per_second=0.0)
     instance.read(cold_server(5.0))
