Refuse waiting calls once no server of their service is left

They waited until their time limit, and a draw for them divided by the room of no servers. A call that took no measurable time no longer stops the queue either, and a call that another instance passed on is not taken for one whose caller came back too soon: its time limit lacks the time of the way.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
@@ -46,6 +46,7 @@
 the shortest calls, 20 ms."""
 
 DURATION_WEIGHT = 0.1
+MIN_DURATION_SECONDS = 0.0005
 ESTIMATE_WEIGHT = 0.02
 """Weight of the duration of a call that waited at its server, which is an estimate."""
 
@@ -172,7 +173,7 @@
         its response, if there were more: reports may be older than the call.
         """
         seconds = running_seconds(seconds, server.slots, calls_before)
-        seconds /= self._pace(server.run)
+        seconds = max(MIN_DURATION_SECONDS, seconds / self._pace(server.run))
         if self._duration is None:
             self._duration = seconds
         waited = calls_before >= server.slots
@@ -341,7 +342,7 @@
         Others may have sent calls since they reported, more so in a burst.
         """
         servers = self._servers(waiter.call.excluded)
-        if any(map(self._free_slots, servers)):
+        if not servers or any(map(self._free_slots, servers)):
             return True
         objective = waiter.call.objective
         room = sum(self._room(each, objective) for each in servers)
@@ -436,6 +437,11 @@
         at_servers = sum(map(self._calls, self._servers()))
         wait = expected_wait(capacity, WorkAhead(at_servers))
         for waiter in list(self._waiters):
+            if not self._servers(waiter.call.excluded):
+                self._waiters.remove(waiter)
+                waiter.placed.callback(None)
+                self._on_change()
+                continue
             times = waiter.call.times(now)
             if is_hopeless(times, capacity.duration, wait):
                 self._waiters.remove(waiter)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queues.py
@@ -100,7 +100,8 @@
             priority = account.priority
         service, arrived = state.service(), state.call.arrived
         waited = arrived - state.waiting_since()
-        if state.call.time_limit is not None:
+        # The limit of a call that was passed on lacks the time that this took.
+        if state.call.time_limit is not None and not state.passed_on:
             shown = self._time_limits.waited(route.name, state.call.time_limit)
             waited = max(waited, shown)
         waited = min(waited, self._returns.longest(service))
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -179,14 +179,47 @@
     assert len([each for each in calls if each.done]) == len(calls) - sent
 
 
-def test_waiting_calls_are_sent_when_a_server_that_was_full_has_room(harness):
-    load = {"x_pomeloglade_server_load": b"0,0,2"}
+def fill(harness):
+    """Learn the duration of a call, 0.1 s, and let both servers report calls."""
     harness.call("/bookings/1")
     harness.advance(0.1)
-    harness.network.requests[-1].answer(**load)
+    harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2")
     for name in ("a", "bb"):
         harness.loads.record_reported_load(name, ServerLoad(2, 4, 2))
     harness.network.requests.clear()
+
+
+# Guards against calls that wait for servers which have left.
+def test_waiting_call_is_refused_once_no_server_is_left(harness):
+    fill(harness)
+    responder, _ = harness.call("/bookings/1")
+    harness.backends.replace_all([], lenient=False)
+    harness.advance(0.05)
+    assert (responder.status, responder.reason) == (503, "no_server")
+    assert len(harness.plain_queues) == 0
+
+
+def test_caller_that_leaves_is_removed_from_the_queue(harness):
+    fill(harness)
+    _, task = harness.call("/bookings/1")
+    assert len(harness.plain_queues) == 1
+    task.cancel()
+    assert len(harness.plain_queues) == 0
+    harness.advance(0.5)
+    assert harness.network.requests == []
+
+
+# Guards against a division by the duration of a call that took no time at all.
+def test_answers_without_a_measurable_duration_do_no_harm(harness):
+    for _ in range(3):
+        responder, _ = harness.call("/bookings/1")
+        harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2")
+        assert responder.status == 200
+
+
+# Guards against leaving slots idle after a burst, or waiting for a report.
+def test_waiting_calls_are_sent_when_a_server_that_was_full_has_room(harness):
+    fill(harness)
     responder, _ = harness.call("/bookings/1")
     assert not responder.done
     harness.advance(0.25)
