--- a/soak/faults.py
+++ b/soak/faults.py
@@ -85,7 +85,6 @@
             "revoke during store cut": self._revoke_during_store_cut,
             "endless answers": self._flood_answers,
             "server limits": self._name_limits,
-            "cold servers": self._cool_down,
             "cut from servers": self._cut_from_servers,
             "crashing request": self._send_crashing_requests,
             "crashing part": self._send_crashing_parts,
@@ -95,6 +94,7 @@
         # Further faults are injected on request only, or seeds would inject others.
         self.inject_by_name["crashing last part"] = self._send_crashing_last_parts
         self.inject_by_name["slow servers"] = self._slow_servers
+        self.inject_by_name["cold servers"] = self._cool_down
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
