--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
@@ -438,7 +438,7 @@
         at_servers = sum(map(self._calls, self._servers()))
         wait = expected_wait(capacity, WorkAhead(at_servers))
         for waiter in list(self._waiters):
-            if not self._servers(waiter.call.excluded):
+            if not self._servers(waiter.call):
                 self._waiters.remove(waiter)
                 waiter.placed.callback(None)
                 self._on_change()
