Keep the rate of cold servers above zero

Settings with a coldOverrun and a coldSlack of 0 gave a rate of 0, by which the return time is divided. The lowest rate is now that of limits that servers name.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/cold_rate.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/cold_rate.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from .named_limits import MIN_RATE
+
 RATE_FRACTION = 0.75
 """Highest rate, relative to what a cold server may get in a second. The rest is for
 requests that instances send before they know of each other's."""
@@ -37,7 +39,7 @@
         >>> ColdBound().rate(40.0), ColdBound(overrun=1.0, slack=0.0).rate(40.0)
         (40.0, 30.0)
         """
-        return min(per_second, RATE_FRACTION * self.allowed(per_second))
+        return max(MIN_RATE, min(per_second, RATE_FRACTION * self.allowed(per_second)))
 
     def burst(self, per_second: float) -> float:
         """Return how many unused requests may be saved up for such a server.
--- a/tests/test_cold_servers.py
+++ b/tests/test_cold_servers.py
@@ -276,6 +276,16 @@
     assert not instance.is_cold()
 
 
+# Guards against a division by zero where the platform's bound allows nothing.
+def test_bound_that_allows_nothing_leaves_a_rate_above_zero():
+    harness = Harness(server("a"))
+    none = ColdBound(overrun=0.0, slack=0.0)
+    until = harness.clock.seconds() + 9.0
+    limit = ColdLimit(none.rate(RATE), none.burst(RATE), until)
+    harness.limits.set_cold(("a", 0), limit)
+    assert harness.call("/bookings/1")[0].reason == "servers_cold"
+
+
 def test_services_without_a_rate_have_no_cold_servers(clock):
     instance = ColdHarness(clock, per_second=0.0)
     instance.read(cold_server(5.0))
