--- a/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/deployment.py
@@ -7,6 +7,8 @@
 from ..state.connection_limits import ConnectionLimits
 from ..state.key_digest import digest_key
 
+DEFAULT_OBJECTIVE_SECONDS = 1.0
+
 
 class CallKind(enum.Enum):
     """How calls of a route may be retried."""
@@ -154,6 +156,17 @@
                 return each
         return None
 
+    def shortest_objective(self, service: str) -> float:
+        """Return the shortest objective of the routes to a service, in seconds."""
+        return min(
+            (
+                route.objective.total_seconds()
+                for route in self.routes
+                if any(each.service == service for each in route.services)
+            ),
+            default=DEFAULT_OBJECTIVE_SECONDS,
+        )
+
     def account(self, key: str) -> Account | None:
         """Return the account that holds ``key``."""
         return self._accounts_by_digest.get(digest_key(key))
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -1,8 +1,6 @@
 """A forwarding instance: wiring of its components, start and shutdown."""
 
 import json
-from collections.abc import Mapping
-from dataclasses import dataclass, field
 from random import Random
 from typing import Any
 
@@ -14,7 +12,6 @@
 from pomeloglade_coordination.key_value import KeyValueStore
 
 from ..transport.held_memory import (
-    DEFAULT_MACHINE_BYTES,
     HeldMemory,
     max_held_bytes,
 )
@@ -25,7 +22,6 @@
 from .backends import Backends, BackendServer
 from .calls import CallCodec
 from .change_relay import ChangeRelay
-from .cold_rate import ColdBound
 from .cold_servers import ColdServers
 from .crash_quarantine import CrashQuarantine
 from .engine_queue import EngineQueue
@@ -33,8 +29,9 @@
 from .fleet_news import FleetNews, NewsDatagram
 from .forwarder import Forwarder
 from .forwarding_metrics import ForwardingMetrics
+from .forwarding_settings import ForwardingSettings
 from .instance_availability import InstanceAvailability
-from .instance_groups import Peer
+from .instance_groups import decode_peer
 from .instance_reports import Report, ReportExchange, waiting_from
 from .loads import Loads
 from .model_calls import ModelCalls
@@ -47,15 +44,15 @@
 from .registration import Registration
 from .remote_queues import QueueSummary, RemoteQueues
 from .report_relay import ReportRelay
-from .resend_budget import ResendBudget, ResendLimit
+from .resend_budget import ResendBudget
 from .send_context import SendContext
-from .server_choice import ServerChoicePolicy, server_choice
+from .server_choice import server_choice
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 from .server_pace import ServerPace
 from .server_probes import ServerProbes
 from .server_reach import ServerReach
-from .stage_orders import PREFILL_SHARE, StageOrders
+from .stage_orders import StageOrders
 from .store_follower import StoreFollower
 from .store_view import StoreLayout, StoreView
 from .stream_origins import ORIGIN_SECONDS, StreamOrigins
@@ -81,35 +78,6 @@
 """Time at the end of the shutdown grace period left for closing connections."""
 
 
-@dataclass(frozen=True, slots=True)
-class ForwardingSettings:
-    """Start-up settings of a forwarding instance; durations are in seconds."""
-
-    instance: str
-    availability_zone: str
-    host: str
-    front_port: int
-    ready_port: int
-    ready_path: bytes
-    peer_port: int
-    metrics_port: int
-    shutdown_grace_seconds: float
-    config_apply_seconds: float
-    key_revoke_seconds: float | None
-    transit_seconds: float
-    server_drain_seconds: float
-    order_pause_seconds: float
-    resend_limit: ResendLimit
-    usage_window: float
-    usage_startup_burst: float
-    server_choice: ServerChoicePolicy = ServerChoicePolicy.LEAST_LOADED
-    prefill_share: float = PREFILL_SHARE
-    machine_bytes: int = DEFAULT_MACHINE_BYTES
-    region_by_zone: Mapping[str, str] = field(default_factory=dict)
-    region: str = ""
-    cold_bound: ColdBound = ColdBound()
-
-
 class ForwardingInstance:
     """Builds and connects the components of an instance.
 
@@ -394,7 +362,7 @@
             if name == self._settings.instance:
                 continue
             try:
-                peers[name] = _decode_peer(value)
+                peers[name] = decode_peer(value)
             except (ValueError, KeyError, TypeError) as error:
                 self._log.event("instance_rejected", key=name, reason=str(error))
         self._relay.set_peers(peers)
@@ -422,7 +390,7 @@
                 pace=self._pace,
                 random=self._random,
             )
-            objective = self._objective(service)
+            objective = self.store_view.deployment.shortest_objective(service)
             queue.prefill_available = lambda: self._prefills.available(
                 service, objective
             )
@@ -436,17 +404,6 @@
             queue.pool = configured.engines
         return queue
 
-    def _objective(self, service: str) -> float:
-        """Return the shortest objective among the routes to a service."""
-        return min(
-            (
-                route.objective.total_seconds()
-                for route in self.store_view.deployment.routes
-                if any(each.service == service for each in route.services)
-            ),
-            default=1.0,
-        )
-
     def _place_waiting(self) -> None:
         self._cold_servers.refresh()
         self._ends.confirm_ended()
@@ -538,9 +495,3 @@
         self._relay.stop()
         self._log.event("stopped", open_calls=self.forwarder.open_calls)
         self._log.flush()
-
-
-def _decode_peer(value: bytes) -> Peer:
-    record = json.loads(value)
-    host, _, port = record["address"].rpartition(":")
-    return Peer(record["zone"], (host, int(port)))
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_groups.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_groups.py
@@ -2,6 +2,7 @@
 
 import functools
 import hashlib
+import json
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
@@ -24,6 +25,16 @@
     address: tuple[str, int]
 
 
+def decode_peer(value: bytes) -> Peer:
+    """Return the instance that a registration describes.
+
+    Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is malformed.
+    """
+    record = json.loads(value)
+    host, _, port = record["address"].rpartition(":")
+    return Peer(record["zone"], (host, int(port)))
+
+
 class InstanceGroups:
     """Divides the instances into groups within their availability zones.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -16,7 +16,8 @@
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import Refused, SendParameters, answer_headers
-from .engine_queue import EngineQueue, EngineRequirements
+from .engine_queue import EngineQueue
+from .engine_waiters import EngineRequirements
 from .event_stream import EventStream
 from .loads import Loads
 from .plain_calls import ensure_whole_stream, validate_answer
--- a/tests/test_engine_queue.py
+++ b/tests/test_engine_queue.py
@@ -9,7 +9,7 @@
 from pomeloglade.forwarding.backends import Backends
 from pomeloglade.forwarding.calls import Refused
 from pomeloglade.forwarding.deployment import EnginePool
-from pomeloglade.forwarding.engine_queue import EngineRequirements
+from pomeloglade.forwarding.engine_waiters import EngineRequirements
 from pomeloglade.forwarding.loads import Loads, ServerCalls
 from pomeloglade.forwarding.remote_queues import (
     QueueRank,
--- a/tests/test_expected_completion.py
+++ b/tests/test_expected_completion.py
@@ -6,7 +6,7 @@
 import pytest
 from tests.forwarding_fakes import Harness, server
 
-from pomeloglade.forwarding.engine_queue import EngineRequirements
+from pomeloglade.forwarding.engine_waiters import EngineRequirements
 from pomeloglade.forwarding.expected_completion import (
     expected_completion,
     spread_completion,
