--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -46,8 +46,8 @@
 still send some."""
 
 FIRST_EVENT_OBJECTIVES = 2.0
-"""The same, in objectives, before the first event: until then nobody else waits for this
-engine, and the call is late already."""
+"""The same, in objectives, before the first event. The call is late by then, and engines
+that work at all send it much sooner."""
 
 
 class ModelCalls:
