Send calls that may not be repeated past servers whose last calls all failed

Change: after three failures without a success at any instance, calls that may not be repeated go to other servers, plain or engines, if there are any. For the others, the emptiness of a failing server no longer counts in its favour.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -25,7 +25,7 @@
 )
 from .loads import Loads, ServerCalls
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
-from .server_choice import ServerChoice, choose_within_limits
+from .server_choice import ServerChoice, choose_for_call, choose_within_limits
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 from .server_pace import ServerPace
@@ -397,6 +397,7 @@
             and not self._unavailable_for(server)
             and self.has_room(server, requirements.tokens)
         ]
+        free = choose_for_call(free, self._health, repeatable=requirements.repeatable)
         needs_prefill = requirements.prompt_tokens and not requirements.cached
         if needs_prefill and not self._prefill_available(requirements.zones):
             free = [
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_waiters.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_waiters.py
@@ -17,7 +17,8 @@
     the pause in seconds that they allow. Engines in ``excluded`` are not chosen. A
     ``cached`` call is prefilled and goes first, because its KV cache expires soon. A
     call that goes on with a stream needs an engine of its ``software_version``. With
-    ``zones``, engines and prefill engines must be in these zones.
+    ``zones``, engines and prefill engines must be in these zones. A call that is not
+    ``repeatable`` avoids engines whose last calls have all failed.
     """
 
     tokens: int
@@ -27,6 +28,7 @@
     cached: bool = False
     software_version: str | None = None
     zones: frozenset[str] | None = None
+    repeatable: bool = True
 
     @property
     def restricted(self) -> bool:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -46,8 +46,8 @@
 still send some."""
 
 FIRST_EVENT_OBJECTIVES = 2.0
-"""The same, in objectives, before the first event. The call is late by then, and engines
-that work at all send it much sooner."""
+"""The same, in objectives, before the first event. The call is late by then, and most
+engines send it much sooner."""
 
 
 class ModelCalls:
@@ -184,6 +184,7 @@
                     cached=bool(caches),
                     software_version=version,
                     zones=resolved.zones,
+                    repeatable=resolved.route.resumable,
                 ),
                 priority=priority,
                 arrived=state.waiting_since(),
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -28,7 +28,12 @@
 )
 from .plain_queues import PlainQueues
 from .send_context import SendContext, on_silence
-from .server_choice import ServerChoice, choose_within_limits
+from .server_choice import (
+    ServerChoice,
+    calls_counted,
+    choose_for_call,
+    choose_within_limits,
+)
 from .server_pace import ServerPace
 
 FIRST_SEND_TIMEOUT_OBJECTIVES = 0.5
@@ -164,17 +169,19 @@
             queue = self._queues.for_service(service)
             if queue.applies():
                 return await queue.place(self._queues.queued_call(state, excluded))
-        return self._choose(service, excluded, state.resolved.zones)
+        return self._choose(state, service, excluded)
 
     def _choose(
-        self, service: str, excluded: set[str], zones: frozenset[str] | None
+        self, state: CallState, service: str, excluded: set[str]
     ) -> BackendServer | None:
         """Choose among the servers that have room, preferring those not avoided.
 
         The request counts for the limit of the chosen server from now on.
         """
+        route, zones = state.resolved.route, state.resolved.zones
         servers = self._backends.serving(service, zones=zones)
         servers = [each for each in servers if each.id not in excluded]
+        servers = choose_for_call(servers, self._health, repeatable=route.idempotent)
         reachable = [s for s in servers if not self._health.avoided(s.id)]
         candidates = [
             server
@@ -191,6 +198,7 @@
 
     def _cost(self, server: BackendServer) -> tuple[float, float]:
         calls = self._loads.calls(server.id, REPORTED_LOAD_MAX_AGE_SECONDS)
+        calls = calls_counted(calls, server, self._health)
         penalty = self._health.penalty(server.id) * self._backends.return_cost(server)
         penalty *= cold_cost(server, self._backends, self._limits)
         near = server.availability_zone == self._availability_zone
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
@@ -29,6 +29,7 @@
 from .loads import Loads
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
 from .return_times import ReturnTimes
+from .server_choice import choose_for_call
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
 
@@ -65,7 +66,8 @@
     ``deadline`` when it leaves. A call that ``returned`` after a refusal, or is tried
     at another server, may be late; a ``hasty`` one came back before it can have been
     told to, and counts as late. Servers in ``excluded`` are not chosen, nor those
-    outside ``zones`` if there are any.
+    outside ``zones`` if there are any. One that is not ``repeatable`` avoids servers
+    whose last calls have all failed.
     """
 
     account: str
@@ -77,6 +79,12 @@
     hasty: bool = False
     excluded: frozenset[str] = frozenset()
     zones: frozenset[str] | None = None
+    repeatable: bool = True
+
+    @property
+    def may_go_anywhere(self) -> bool:
+        """Whether the call takes any server with room."""
+        return not self.excluded and self.zones is None and self.repeatable
 
     def times(self, now: float) -> CallTimes:
         """Return by when the answer is planned."""
@@ -256,6 +264,7 @@
         servers = self._backends.serving(self._service, zones=zones)
         if call is not None:
             servers = [each for each in servers if each.id not in call.excluded]
+            servers = choose_for_call(servers, self._health, repeatable=call.repeatable)
         return [each for each in servers if not self._health.avoided(each.id)] or (
             servers
         )
@@ -396,7 +405,7 @@
                 self._shares.record(self._service, each.call.account)
                 each.placed.callback(server)
                 return True
-            if not each.call.excluded and each.call.zones is None:
+            if each.call.may_go_anywhere:
                 return False
         return False
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queues.py
@@ -117,6 +117,7 @@
             hasty=hasty,
             excluded=frozenset(excluded),
             zones=state.resolved.zones,
+            repeatable=route.idempotent,
         )
 
     def summaries(self) -> dict[str, QueueSummary]:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_choice.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_choice.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from .backends import BackendServer
+from .server_health import ServerHealth
 from .server_limits import ServerLimits
 
 Cost = Callable[[BackendServer], Any]
@@ -31,6 +32,29 @@
     return None
 
 
+def choose_for_call(
+    servers: Sequence[BackendServer], health: ServerHealth, *, repeatable: bool
+) -> list[BackendServer]:
+    """Return the servers for a call, less suspected ones if it may not be repeated.
+
+    The load pattern is a server that resets all of its connections. It is always idle,
+    and so would be chosen again and again. Calls that may be repeated find out whether
+    it still does; the others go there only if there is no other server.
+    """
+    if repeatable:
+        return list(servers)
+    sound = [each for each in servers if not health.suspected(each.id)]
+    return sound or list(servers)
+
+
+def calls_counted(calls: int, server: BackendServer, health: ServerHealth) -> float:
+    """Return the calls that count in a server's cost, more than it has if it fails.
+
+    That a server which fails at once is empty says nothing of its capacity.
+    """
+    return max(calls, health.failure_rate(server.id) * server.slots)
+
+
 class ServerChoicePolicy(enum.Enum):
     """The policies, with their names in settings."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/server_health.py
@@ -28,6 +28,13 @@
 
 FAILURE_PENALTY = 8.0
 
+SUSPECT_FAILURES = 3
+"""Failures without a success between them, at all instances, after which a server is
+suspected."""
+
+SUSPECT_SECONDS = 4.0
+"""Time without a further outcome after which it is tried again."""
+
 
 class ServerHealth:
     """Tracks the outcomes of calls to each backend server.
@@ -50,6 +57,7 @@
         self._connect_failures_by_server: dict[str, int] = {}
         self._rejections_by_server: dict[str, int] = {}
         self._unreported_by_server: dict[str, Tally] = {}
+        self._streaks_by_server: dict[str, tuple[int, float]] = {}
 
     def record_success(self, server: str) -> None:
         """Record an answer, and stop avoiding the server."""
@@ -98,6 +106,19 @@
             (self._clock.seconds() - recorded_at) / FAILURE_HALF_LIFE_SECONDS
         )
 
+    def suspected(self, server: str) -> bool:
+        """Return whether the last calls to a server have all failed.
+
+        >>> from twisted.internet.task import Clock
+        >>> health = ServerHealth(Clock())
+        >>> health.apply_outcomes({"a": Tally(3, 3), "b": Tally(3, 4)})
+        >>> health.suspected("a"), health.suspected("b")
+        (True, False)
+        """
+        failures, failed_at = self._streaks_by_server.get(server, (0, 0.0))
+        age = self._clock.seconds() - failed_at
+        return failures >= SUSPECT_FAILURES and age <= SUSPECT_SECONDS
+
     def fails_more_than(self, server: str, others: Sequence[str]) -> bool:
         """Return whether a server fails clearly more often than ``others`` do."""
         if not others:
@@ -115,6 +136,7 @@
         self._avoid_until_by_server.pop(server, None)
         self._connect_failures_by_server.pop(server, None)
         self._rejections_by_server.pop(server, None)
+        self._streaks_by_server.pop(server, None)
 
     def take_unreported(self) -> dict[str, Tally]:
         """Return this instance's failures among its calls since the last such call.
@@ -139,6 +161,9 @@
         add_tallies(self._unreported_by_server, {server: tally})
 
     def _add(self, server: str, failures: Tally) -> None:
+        known, _ = self._streaks_by_server.get(server, (0, 0.0))
+        streak = known + failures.events if failures.events == failures.calls else 0
+        self._streaks_by_server[server] = (streak, self._clock.seconds())
         mean = failures.events / failures.calls
         kept = (1.0 - FAILURE_WEIGHT) ** failures.calls
         rate = mean + (self.failure_rate(server) - mean) * kept
