Queue plain calls only at services whose servers report their pace

Cause: the earlier deployments report their load too and are to be served as before. Services without a pace are placed as before.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/loads.py
@@ -167,9 +167,10 @@
             max(known.calls, least.calls), max(known.tokens, least.tokens)
         )
 
-    def reports_load(self, server: str) -> bool:
-        """Return whether a backend server has reported its load with an answer."""
-        return server in self._reported_by_server
+    def reports_pace(self, server: str) -> bool:
+        """Return whether a backend server last reported its load with its pace."""
+        reported = self._reported_by_server.get(server)
+        return reported is not None and reported[1].pace is not None
 
     def total(self, server: str) -> ServerCalls:
         """Return the calls of all instances at a backend server, with their tokens."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -164,7 +164,7 @@
     async def _acquire(
         self, state: CallState, service: str, excluded: set[str]
     ) -> BackendServer | None:
-        """Return a server with room; a service that reports its load has a queue."""
+        """Return a server with room; a service that reports its pace has a queue."""
         if self._queues is not None:
             queue = self._queues.for_service(service)
             if queue.applies():
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
@@ -163,11 +163,14 @@
         return len(self._waiters)
 
     def applies(self) -> bool:
-        """Return whether the service's servers report their load."""
+        """Return whether the service's servers report their load and their pace.
+
+        Services that do not are served without a queue, as before it.
+        """
         if self._duration is None:
             return False
         servers = self._backends.serving(self._service)
-        return any(self._loads.reports_load(each.id) for each in servers)
+        return any(self._loads.reports_pace(each.id) for each in servers)
 
     @property
     def duration(self) -> float:
--- a/tests/plain_fleet.py
+++ b/tests/plain_fleet.py
@@ -39,7 +39,8 @@
         self.finished_at = []
 
     def load(self):
-        return b"%d,%d,%d" % (self.running, len(self.queue), self.record.slots)
+        load = (self.running, len(self.queue), self.record.slots)
+        return b"%d,%d,%d,100" % load
 
     def receive(self, request):
         if len(self.queue) >= MAX_QUEUED:
--- a/tests/test_plain_queue.py
+++ b/tests/test_plain_queue.py
@@ -152,15 +152,19 @@
 
 
 # Guards against a change for services whose servers do not report their load.
-def test_service_without_reported_load_has_no_queue(harness):
+@pytest.mark.parametrize("load", [None, b"0,0,2"])
+def test_service_without_a_reported_pace_has_no_queue(harness, load):
+    harness.call("/bookings/1")
+    harness.advance(0.1)
+    harness.network.requests[-1].answer(x_pomeloglade_server_load=load)
     for _ in range(20):
         harness.call("/bookings/1")
-    assert len(harness.network.requests) == 16
+    assert len(harness.network.requests) == 1 + 16
 
 
 # Guards against calls that are held until their time limit has passed.
 def test_call_whose_time_limit_can_not_be_met_is_refused_before_it(harness):
-    load = {"x_pomeloglade_server_load": b"0,0,2"}
+    load = {"x_pomeloglade_server_load": b"0,0,2,100"}
     for _ in range(4):
         harness.call("/bookings/1")
         harness.advance(0.1)
@@ -179,9 +183,9 @@
     """Learn the duration of a call, 0.1 s, and let both servers report calls."""
     harness.call("/bookings/1")
     harness.advance(0.1)
-    harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2")
+    harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2,100")
     for name in ("a", "bb"):
-        harness.loads.record_reported_load(name, ServerLoad(2, 4, 2))
+        harness.loads.record_reported_load(name, ServerLoad(2, 4, 2, 100))
     harness.network.requests.clear()
 
 
@@ -209,7 +213,7 @@
 def test_answers_without_a_measurable_duration_do_no_harm(harness):
     for _ in range(3):
         responder, _ = harness.call("/bookings/1")
-        harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2")
+        harness.network.requests[-1].answer(x_pomeloglade_server_load=b"0,0,2,100")
         assert responder.status == 200
 
 
