Keep what was reported of growing lists in one place

Crashes, named limits and the rows of FleetNews each kept the same account of what a report of each scope had had. ReportProgress serves the three; what they send is unchanged.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_news.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_news.py
@@ -6,12 +6,12 @@
 
 from twisted.internet.interfaces import IReactorTime
 
+from .report_progress import ReportProgress
 from .report_scope import ReportScope
 
 REPORTED_SECONDS = 2.0
-REPEAT_SECONDS = 0.5
-"""For how long and how often reports repeat a crash. Datagrams may be lost, and a
-contact that dies is replaced within 1.5 s."""
+"""For how long reports repeat a crash. Datagrams may be lost, and a contact that dies
+is replaced within 1.5 s."""
 
 MAX_REPORTED_KEYS = 200
 """Limit on the keys that reports have within ``REPEAT_SECONDS``: some 4 KB/s."""
@@ -35,15 +35,6 @@
     last_part: bool = False
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What reports of one scope have had since the last time that all was due."""
-
-    all_due_at: float = float("-inf")
-    keys_left: int = 0
-    reported_serial: int = 0
-
-
 class CrashNews:
     """Recent crashes and sound keys, and which of them reports of a scope have had.
 
@@ -67,7 +58,9 @@
         self._clock = clock
         self._count_ends = count_ends
         self._news: list[_News] = []
-        self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+        self._progress_by_scope: dict[ReportScope, ReportProgress] = defaultdict(
+            ReportProgress
+        )
         self.last_serial = 0
 
     def add(
@@ -97,21 +90,18 @@
         oldest = now - REPORTED_SECONDS
         self._news = [each for each in self._news if each.learned_at >= oldest]
         progress = self._progress_by_scope[widest]
-        after = progress.reported_serial
-        if now - progress.all_due_at >= REPEAT_SECONDS:
-            progress.all_due_at = now
-            progress.keys_left = MAX_REPORTED_KEYS
-            after = 0
-        progress.reported_serial = self.last_serial
+        after = progress.begin(
+            now=now, last_serial=self.last_serial, limit=MAX_REPORTED_KEYS
+        )
         due = [
             each
             for each in reversed(self._news)
             if each.serial > after and each.scope <= widest
         ]
-        if len(due) > progress.keys_left:
+        if len(due) > progress.left:
             due.sort(key=lambda each: (-self._count_ends(each.key), each.last_part))
-            del due[progress.keys_left :]
-        progress.keys_left -= len(due)
+            del due[progress.left :]
+        progress.left -= len(due)
         sound = [each.key for each in due if each.run is None]
         return by_run((each.run, each.key) for each in due if each.run), sound
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/crash_quarantine.py
@@ -7,7 +7,6 @@
 
 from .crash_news import (
     MAX_REPORTED_KEYS,
-    REPEAT_SECONDS,
     REPORTED_SECONDS,
     CrashNews,
     ReportedCrashes,
@@ -15,6 +14,7 @@
     by_run,
 )
 from .event_log import EventLog
+from .report_progress import REPEAT_SECONDS
 from .report_scope import ReportScope
 
 CRASHES_TO_QUARANTINE = 3
--- a/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
@@ -9,11 +9,9 @@
 import msgspec
 from twisted.internet.interfaces import IReactorTime
 
+from .report_progress import ReportProgress
 from .report_scope import ReportScope
 
-REPEAT_SECONDS = 0.5
-"""Interval in which all recent rows are reported again, as datagrams may be lost."""
-
 DATAGRAM_MARK = "news"
 """First field of a datagram with rows, which tells it from a report."""
 
@@ -67,22 +65,13 @@
     scope: ReportScope
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What reports of one scope have had since the last time that all was due."""
-
-    all_due_at: float = float("-inf")
-    reported_serial: int = 0
-    left: int = 0
-
-
 @dataclass(slots=True)
 class _Table:
     topic: NewsTopic
     on_row: Callable[[str, Any, float], None]
     entries_by_key: dict[str, _Entry] = field(default_factory=dict)
-    progress_by_scope: dict[ReportScope, _Progress] = field(
-        default_factory=lambda: defaultdict(_Progress)
+    progress_by_scope: dict[ReportScope, ReportProgress] = field(
+        default_factory=lambda: defaultdict(ReportProgress)
     )
 
 
@@ -222,12 +211,9 @@
     ) -> list[tuple[str, Any, float]]:
         now = self._clock.seconds()
         progress = table.progress_by_scope[widest]
-        after = progress.reported_serial
-        if now - progress.all_due_at >= REPEAT_SECONDS:
-            progress.all_due_at = now
-            progress.left = table.topic.max_reported
-            after = 0
-        progress.reported_serial = self._last_serial
+        after = progress.begin(
+            now=now, last_serial=self._last_serial, limit=table.topic.max_reported
+        )
         self._drop_old(table)
         due = [
             (key, entry)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/named_limits.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/named_limits.py
@@ -7,6 +7,7 @@
 from twisted.internet.interfaces import IReactorTime
 
 from .event_log import EventLog
+from .report_progress import ReportProgress
 from .report_scope import ReportScope
 
 MIN_RATE = 0.1
@@ -14,8 +15,7 @@
 server that names a limit of 0 is still asked now and then."""
 
 REPORTED_SECONDS = 0.75
-REPEAT_SECONDS = 0.5
-"""For how long and how often reports repeat a limit, as datagrams may be lost."""
+"""For how long reports repeat a limit, as datagrams may be lost."""
 
 REFRESH_SECONDS = 2.0
 """Age of what is known of a limit at which an answer with it is reported again."""
@@ -48,15 +48,6 @@
     serial: int
 
 
-@dataclass(slots=True)
-class _Progress:
-    """What reports of one scope have had since the last time that all was due."""
-
-    all_due_at: float = float("-inf")
-    left: int = 0
-    reported_serial: int = 0
-
-
 class NamedLimits:
     """Knows the limits that servers name, from answers and other instances' reports.
 
@@ -79,7 +70,9 @@
         self._log = log
         self._limits_by_run: dict[ServerRun, _Limit] = {}
         self._last_serial = 0
-        self._progress_by_scope: dict[ReportScope, _Progress] = defaultdict(_Progress)
+        self._progress_by_scope: dict[ReportScope, ReportProgress] = defaultdict(
+            ReportProgress
+        )
 
     def count(self) -> int:
         """Return the number of server runs with a limit."""
@@ -140,12 +133,9 @@
         """
         now = self._clock.seconds()
         progress = self._progress_by_scope[widest]
-        after = progress.reported_serial
-        if now - progress.all_due_at >= REPEAT_SECONDS:
-            progress.all_due_at = now
-            progress.left = MAX_REPORTED_LIMITS
-            after = 0
-        progress.reported_serial = self._last_serial
+        after = progress.begin(
+            now=now, last_serial=self._last_serial, limit=MAX_REPORTED_LIMITS
+        )
         due = [
             (run, each)
             for run, each in self._limits_by_run.items()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -31,7 +31,7 @@
 )
 from .report_news import News, without
 from .report_scope import ReportScope
-from .report_sums import changing_in, queues_of, work_from
+from .report_sums import changing_in, queues_of, scope_of, work_from
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
 from .server_limits import ServerLimits
@@ -216,7 +216,7 @@
             is_member = datagram.kind == ReportKind.MEMBER
             applies = self._is_contact and in_group == is_member
         if applies:
-            self._news.apply(datagram.rows, _scope_of(datagram.kind))
+            self._news.apply(datagram.rows, scope_of(datagram.kind))
             if self._is_contact and len(self._ranking) > 1:
                 self.schedule_report()
 
@@ -304,7 +304,7 @@
     def _apply(self, report: Report) -> None:
         self._health.apply_outcomes(report.failures)
         self._budget.apply_reported(report.resends)
-        scope = _scope_of(report.kind)
+        scope = scope_of(report.kind)
         self._origins.apply_reported(report.origins, scope)
         self._quarantine.apply_reported(report.crashes, report.sound, scope)
         self._limits.apply_reported(report.limits, scope, report.instance)
@@ -495,8 +495,3 @@
 
     def _own_queues(self, own: Report) -> dict[str, QueueSummary]:
         return own.queues_by_service(self._clock.seconds())
-
-
-def _scope_of(kind: int) -> ReportScope:
-    """Return whose news a report of a kind has for its receiver."""
-    return ReportScope.GROUP if kind == ReportKind.MEMBER else ReportScope.FLEET
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_sums.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_sums.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 
-from .instance_reports import Report
+from .instance_reports import Report, ReportKind
 from .loads import ServerCalls
 from .remote_queues import QueueSummary
+from .report_scope import ReportScope
 
 
 def work_from(calls_by_server: dict[str, ServerCalls]) -> dict[str, tuple[int, int]]:
@@ -24,3 +25,8 @@
 def changing_in(reports: Iterable[Report]) -> set[str]:
     """Return the engines that the reports tell to be changing their stage."""
     return {server for report in reports for server in report.changing}
+
+
+def scope_of(kind: int) -> ReportScope:
+    """Return whose news a report of a kind has for its receiver."""
+    return ReportScope.GROUP if kind == ReportKind.MEMBER else ReportScope.FLEET
--- a/tests/test_fleet_news.py
+++ b/tests/test_fleet_news.py
@@ -6,7 +6,6 @@
 from tests.report_fleet import KNOWN_WITHIN_SECONDS, SIZES, Fleet
 
 from pomeloglade.forwarding.fleet_news import (
-    REPEAT_SECONDS,
     FleetNews,
     NewsDatagram,
     NewsTopic,
@@ -18,6 +17,7 @@
     decode,
     encode,
 )
+from pomeloglade.forwarding.report_progress import REPEAT_SECONDS
 from pomeloglade.forwarding.report_scope import ReportScope
 
 
