--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -30,7 +30,6 @@
     TAKEOVER_STEP_SECONDS,
 )
 from .report_news import News, without
-from .report_scope import ReportScope
 from .report_sums import changing_in, queues_of, scope_of, work_from
 from .resend_budget import ResendBudget
 from .server_health import ServerHealth
