Tell what accounts used to instances that have started only

Cause: after a change of the contact all members count as returned, and each was sent the use of all accounts in the window, some 6 KB, six times: 7 Mbit/s at a contact of twenty.

Change: only an instance whose run is younger than 3 s is sent the use; one that was silent for a while knows it.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/fleet_news.py
@@ -101,7 +101,7 @@
     def __init__(self, clock: IReactorTime) -> None:
         self._clock = clock
         self._tables_by_topic: dict[str, _Table] = {}
-        self._rows_for_returned_by_topic: dict[str, Callable[[], dict[str, Any]]] = {}
+        self._rows_for_started_by_topic: dict[str, Callable[[], dict[str, Any]]] = {}
         self._last_serial = 0
 
     def add_topic(
@@ -116,11 +116,11 @@
         """
         self._tables_by_topic[topic.name] = _Table(topic, on_row)
 
-    def add_rows_for_returned(
+    def add_rows_for_started(
         self, topic: str, rows: Callable[[], dict[str, Any]]
     ) -> None:
-        """Send what ``rows`` returns, by key, to instances that have just returned."""
-        self._rows_for_returned_by_topic[topic] = rows
+        """Send what ``rows`` returns, by key, to instances that have just started."""
+        self._rows_for_started_by_topic[topic] = rows
 
     def put(
         self,
@@ -169,8 +169,11 @@
                 due[name] = rows
         return due
 
-    def everything(self) -> NewsRows:
-        """Return the newest rows for an instance that may have missed some."""
+    def everything(self, *, started: bool = True) -> NewsRows:
+        """Return the newest rows for an instance that may have missed some.
+
+        One that has not just ``started`` was only silent for a while.
+        """
         everything = {}
         for name, table in self._tables_by_topic.items():
             if not table.topic.for_returned:
@@ -179,7 +182,9 @@
             newest = list(table.entries_by_key.items())[-table.topic.max_reported :]
             if newest:
                 everything[name] = self._reported(newest)
-        for name, rows in self._rows_for_returned_by_topic.items():
+        if not started:
+            return everything
+        for name, rows in self._rows_for_started_by_topic.items():
             reported = [(key, value, 0.0) for key, value in rows().items()]
             if reported:
                 everything[name] = reported
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
@@ -31,6 +31,9 @@
 """Silence after which an instance may have missed origins, and the time for which it is
 then sent all of them."""
 
+STARTED_SECONDS = 3.0
+"""Age up to which an instance is told what was used before its start."""
+
 IDLE_INTERVAL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.1
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -26,6 +26,7 @@
     ORIGINS_BY_KIND,
     REPORT_DELAY_SECONDS,
     RETURN_SECONDS,
+    STARTED_SECONDS,
     TAKEOVER_PAUSE_SECONDS,
     TAKEOVER_STEP_SECONDS,
 )
@@ -119,6 +120,7 @@
         self._last_heard: dict[str, tuple[int, float]] = {}
         self._returned_at: dict[str, float] = {}
         self._told_at: dict[str, float] = {}
+        self._started_at: dict[str, float] = {}
         self._sent_at_by_kind: dict[ReportKind, float] = {}
         self._timers_by_kind: dict[ReportKind, Any] = {}
         self._check_timer: Any = None
@@ -150,6 +152,7 @@
             self._last_heard.pop(instance, None)
             self._returned_at.pop(instance, None)
             self._told_at.pop(instance, None)
+            self._started_at.pop(instance, None)
         self._peers_by_instance = dict(peers_by_instance)
         self._group_instances()
         self._elect_contact()
@@ -173,6 +176,7 @@
         if run != report.run or now - heard_at > RETURN_SECONDS:
             self._returned_at[report.instance] = now
         self._last_heard[report.instance] = (report.run, now)
+        self._started_at[report.instance] = now - report.age
         group = self._groups.group_of(report.instance)
         if report.kind is ReportKind.DIGEST:
             if group != self._own_group:
@@ -421,7 +425,9 @@
         if returned and self._clock.seconds() - told_at >= RETURN_SECONDS / 6:
             # Not with each report: after a change of the contact all have returned.
             self._told_at[instance] = self._clock.seconds()
-            rows = self._news.everything()
+            started_at = self._started_at.get(instance, float("-inf"))
+            started = self._clock.seconds() - started_at <= STARTED_SECONDS
+            rows = self._news.everything(started=started)
         if rows:
             # Before the report, whose proof of the store may rely on a change in them.
             news = NewsDatagram(self._instance, report.run, int(report.kind), rows)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage_history.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage_history.py
@@ -9,7 +9,7 @@
 TOPIC = NewsTopic(
     "usage", max_age=1.0, max_rows=1_000, max_reported=0, for_returned=False
 )
-"""Rows of one account each. They are made for whoever has returned, and not passed on:
+"""Rows of one account each. They are made for whoever has started, and not passed on:
 each instance tells what it knows itself."""
 
 
@@ -37,4 +37,4 @@
 
     usage.awaits_history = True
     news.add_topic(TOPIC, apply)
-    news.add_rows_for_returned(TOPIC.name, histories)
+    news.add_rows_for_started(TOPIC.name, histories)
--- a/tests/test_change_relay.py
+++ b/tests/test_change_relay.py
@@ -8,6 +8,7 @@
 from tests.report_fleet import KNOWN_WITHIN_SECONDS, Fleet
 
 from pomeloglade.forwarding.backends import Backends, BackendServer
+from pomeloglade.forwarding.deployment import Account
 from pomeloglade.forwarding.store_follower import MAX_LAG_SECONDS, MAX_WATCH_SECONDS
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
 from pomeloglade_coordination.key_value import Entry
@@ -160,9 +161,18 @@
 # each was then sent with every report held up the reports for seconds.
 def test_change_of_contacts_costs_few_bytes_while_the_store_changes():
     fleet = Fleet(130)
+    for each in fleet.instances:
+        for account in range(16):
+            name = f"account-{account}"
+            each.admit(Account(name, frozenset(), rate=1e5, burst=1e5), 200)
+    fleet.run(8.0)
     for number in range(20):
         fleet.store.put(f"servers/{number}", b"x" * 500)
         fleet.run(0.05)
+    for each in fleet.instances:
+        for account in range(16):
+            name = f"account-{account}"
+            each.admit(Account(name, frozenset(), rate=1e5, burst=1e5), 200)
     before = {each.name: each.bytes for each in fleet.instances}
     for name in sorted(fleet.contacts()):
         fleet.kill(next(each for each in fleet.instances if each.name == name))
