Count what accounts used until an instance hears of the others

An instance reads the store and waits for its contact first, which takes longer.

Change: both times count from the first report that is heard.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
@@ -31,8 +31,9 @@
 """Silence after which an instance may have missed origins, and the time for which it is
 then sent all of them."""
 
-STARTED_SECONDS = 3.0
-"""Age up to which an instance is told what was used before its start."""
+STARTED_SECONDS = 6.0
+"""Age up to which an instance is told what was used before it heard of the others. It
+reads the store first, which may take seconds on a slow machine."""
 
 IDLE_INTERVAL_SECONDS = 0.5
 CHECK_INTERVAL_SECONDS = 0.1
--- a/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/usage.py
@@ -24,12 +24,12 @@
 """Key of all instances' use before the start of this one, as others tell it."""
 
 HISTORY_SECONDS = 2.0
-"""Time after the start in which others tell the use before it. Of several, the highest
-counts, as an instance that was cut off knows less."""
+"""Time after the first report in which others tell the use before it. Of several, the
+highest counts, as an instance that was cut off knows less."""
 
 FIRST_REPORT_SECONDS = 0.3
-"""Time in which an instance that has started gets the first report of each other one.
-It is not charged what that report has, so the history must."""
+"""Time from the first report to those of the other instances. An instance that has
+started is not charged what an instance's first report has, so the history must."""
 
 UsageHistory = list[tuple[float, int]]
 """Units used by all instances in one slot of time each, with the slot's age in
@@ -325,15 +325,16 @@
         """
         now = self._clock.seconds()
         window = self._window_of(name)
-        is_late = now - self._started > HISTORY_SECONDS
-        if is_late or (window.knows_past and not first_hand):
+        heard_since = now if self._heard_since < self._started else self._heard_since
+        is_late = now - heard_since > HISTORY_SECONDS
+        if is_late or self.knows_window or (window.knows_past and not first_hand):
             return
         self._newest_slot(window)
         known = window.used_by_instance.get(BEFORE_START, 0)
         before = [
             (int((now - age) / SLOT_SECONDS), units)
             for age, units in history
-            if now - age < self._started + FIRST_REPORT_SECONDS
+            if now - age < heard_since + FIRST_REPORT_SECONDS
             and 0 <= age < self._window
             and units > 0
         ]
--- a/tests/test_usage_history.py
+++ b/tests/test_usage_history.py
@@ -89,3 +89,17 @@
     receiver.news.apply({"usage": [("hot", [["x", 1]], 0.0)]}, 2)
     assert "bad_usage_history" in receiver.log.names()
     assert BEFORE_START not in receiver.usage.histories()
+
+
+# An instance that heard of the others a second after its start was not charged what
+# they had admitted in that second.
+def test_use_until_the_first_report_is_counted(account):
+    clock = Clock()
+    clock.advance(100.0)
+    usage = SharedUsage(clock, window=WINDOW_SECONDS, startup_burst=STARTUP_BURST)
+    clock.advance(2.5)
+    usage.apply_history("hot", [(0.5, 100_000), (4.0, 50_000)])
+    usage.apply_report("other", 1, {"hot": 400_000}, age=60.0)
+    assert usage.used_fraction(account) == pytest.approx(
+        150_000 / (RATE * WINDOW_SECONDS + BURST), rel=0.05
+    )
