Keep services' software versions in the store, for streams after a restart

Cause: when all instances end, what they know of streams' origins is gone. An instance that has just started took the version that is registered now for the stream's own, so streams of a version whose servers had left went on at the new one.

Change: one record a service in the store has the versions of the last minute, each written by one instance when it comes and when it has gone. The engines' queues got a module of their own, and so did the order of writers.

Ruled out: writing each stream's origin, one write a stream while there are two versions.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/backends.py
@@ -393,6 +393,13 @@
             if name == service
         }
 
+    def version_seen_at(self, service: str, version: str) -> float:
+        """Return when the last server of a software version left, as far as is known.
+
+        Without such a server, and while there is one, this is minus infinity.
+        """
+        return self._last_seen_by_version.get((service, version), float("-inf"))
+
     def _uncount_version(self, server: BackendServer) -> None:
         """Record that a server of its version was registered until now."""
         key = _version(server)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -138,6 +138,7 @@
         self.prefill_available: Callable[[], bool] = lambda: True
         self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
         self.local_prefill_rate: Callable[[], float] = lambda: float("inf")
+        self.recorded: Callable[[BackendServer], bool] = lambda server: True
 
     def __len__(self) -> int:
         return len(self._waiters)
@@ -372,11 +373,16 @@
         """Return the engines that a call may be placed at, now or later.
 
         A call that needs a software version is not kept waiting for engines that are
-        excluded, as those of other versions can't take it instead.
+        excluded, as those of other versions can't take it instead. A stream that may be
+        resumed begins at a version that is recorded in the store, so that it is not
+        joined with another version's even if all instances end meanwhile.
         """
         version = requirements.software_version
         if version is None:
-            return self._engines(requirements.zones)
+            engines = self._engines(requirements.zones)
+            if not requirements.repeatable:
+                return engines
+            return [each for each in engines if self.recorded(each)] or engines
         return [
             each
             for each in self._engines(requirements.zones)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -24,7 +24,7 @@
 from .change_relay import ChangeRelay
 from .cold_servers import ColdServers
 from .crash_quarantine import CrashQuarantine
-from .engine_queue import EngineQueue
+from .engine_queues import EngineQueues
 from .event_log import EventLog
 from .fleet_news import FleetNews, NewsDatagram
 from .forwarder import Forwarder
@@ -55,9 +55,10 @@
 from .stage_orders import StageOrders
 from .store_follower import StoreFollower
 from .store_view import StoreLayout, StoreView
-from .stream_origins import ORIGIN_SECONDS, StreamOrigins
+from .stream_origins import StreamOrigins
 from .usage import SharedUsage
 from .usage_history import share_usage_history
+from .version_history import VersionHistory
 
 READINESS_PROPAGATION_SECONDS = 2.5
 """Time until the load balancer sends no new connections to an instance that is not
@@ -128,12 +129,7 @@
         self._availability.own_unavailable = lambda: (
             self._draining or bool(self._reach.services_out_of_reach())
         )
-        self._queues_by_service: dict[str, EngineQueue] = {}
         self._remote_queues = RemoteQueues(reactor)
-        self._origins = StreamOrigins(
-            reactor,
-            lambda service: self._backends.software_versions(service, ORIGIN_SECONDS),
-        )
         self._quarantine = CrashQuarantine(reactor, log)
         self._limits = ServerLimits(reactor, log, random)
         self.store_view = StoreView(
@@ -165,6 +161,19 @@
         )
         if layout.quarantine_prefix is not None:
             self.store_view.quarantine = self._quarantine_store
+        self._versions = VersionHistory(
+            clock=reactor,
+            store=store,
+            instance=settings.instance,
+            backends=self._backends,
+            log=log,
+            services=self.store_view.engine_services,
+            instances=lambda: self.store_view.instances,
+            store_age=self._follower.age,
+        )
+        if layout.versions_prefix is not None:
+            self.store_view.versions = self._versions
+        self._origins = StreamOrigins(reactor, self._versions.recent)
         self._registration = Registration(
             reactor, store, self._key, self._own_record, log
         )
@@ -247,7 +256,17 @@
         self._ends.share(self._news, self._relay.schedule_report)
         self._ends.on_loss = self._quarantine_store.record_loss
         self._peer_calls = PeerCalls(context, self._availability, random)
-        self._prefills = Prefills(context, log)
+        prefills = Prefills(context, log)
+        self._engine_queues = EngineQueues(
+            context=context,
+            store_view=self.store_view,
+            prefills=prefills,
+            versions=self._versions,
+            remote_queues=self._remote_queues,
+            availability_zone=settings.availability_zone,
+            server_choice=self._server_choice,
+            random=random,
+        )
         self.forwarder = Forwarder(
             clock=reactor,
             random=random,
@@ -263,7 +282,11 @@
                 self._plain_queues,
             ),
             model_calls=ModelCalls(
-                context, self._prefills, self._queue_for, self._origins
+                context,
+                prefills,
+                self._engine_queues.for_service,
+                self._origins,
+                self._versions,
             ),
             peer_calls=self._peer_calls,
             log=log,
@@ -290,6 +313,7 @@
         metrics.gauge("suspected_keys", self._quarantine.count_suspected)
         metrics.gauge("stored_quarantines", self._quarantine_store.count)
         metrics.gauge("quarantine_store_calls", lambda: self._quarantine_store.calls)
+        metrics.gauge("version_store_calls", lambda: self._versions.calls)
         metrics.gauge("limited_servers", self._limits.count)
         metrics.gauge("zones_out_of_use", lambda: len(self._backends.evacuations))
         metrics.gauge("slowest_pace", self._pace.slowest)
@@ -336,6 +360,8 @@
         self._stage_orders.start()
         if self.store_view.quarantine is not None:
             self._quarantine_store.start()
+        if self.store_view.versions is not None:
+            self._versions.start()
         self._reactor.addSystemEventTrigger("before", "shutdown", self._drain)
         self._log.event("started", run=self._run, front_port=settings.front_port)
 
@@ -373,42 +399,10 @@
         self._availability.report_at_once()
         self._relay.schedule_report()
 
-    def _queue_for(self, service: str) -> EngineQueue:
-        queue = self._queues_by_service.get(service)
-        if queue is None:
-            queue = EngineQueue(
-                service,
-                clock=self._reactor,
-                backends=self._backends,
-                loads=self._loads,
-                health=self._health,
-                limits=self._limits,
-                availability_zone=self._settings.availability_zone,
-                server_choice=self._server_choice,
-                remote_queues=self._remote_queues,
-                on_change=self._relay.schedule_report,
-                pace=self._pace,
-                random=self._random,
-            )
-            objective = self.store_view.deployment.shortest_objective(service)
-            queue.prefill_available = lambda: self._prefills.available(
-                service, objective
-            )
-            queue.prefill_available_in = lambda zones: self._prefills.available(
-                service, objective, zones
-            )
-            queue.local_prefill_rate = self._prefills.local_prefill_rate
-            self._queues_by_service[service] = queue
-        configured = self.store_view.deployment.services_by_name.get(service)
-        if configured is not None and configured.engines is not None:
-            queue.pool = configured.engines
-        return queue
-
     def _place_waiting(self) -> None:
         self._cold_servers.refresh()
         self._ends.confirm_ended()
-        for queue in self._queues_by_service.values():
-            queue.place_waiting()
+        self._engine_queues.place_waiting()
         self._plain_queues.place_waiting()
 
     def _report(self) -> Report:
@@ -432,12 +426,7 @@
         )
 
     def _queues(self) -> dict[str, QueueSummary]:
-        summaries = {
-            service: queue.summary()
-            for service, queue in self._queues_by_service.items()
-        }
-        waiting = {name: each for name, each in summaries.items() if each is not None}
-        return waiting | self._plain_queues.summaries()
+        return self._engine_queues.summaries() | self._plain_queues.summaries()
 
     def _stage_ordered(self, server: str) -> None:
         self._health.avoid(server, STAGE_CHANGE_AVOID_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -23,7 +23,8 @@
 from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
 from .send_context import SendContext, on_silence
-from .stream_origins import ORIGIN_SECONDS, StreamOrigin, StreamOrigins
+from .stream_origins import StreamOrigin, StreamOrigins
+from .version_history import VersionHistory
 
 LOCAL_PREFILL_SPACING_SECONDS = 0.08
 """Pause between two local prefills at a decode engine, in which its streams produce an
@@ -63,11 +64,13 @@
         prefills: Prefills,
         queue_for: Callable[[str], EngineQueue],
         origins: StreamOrigins,
+        versions: VersionHistory,
     ) -> None:
         self._context = context
         self._prefills = prefills
         self._queue_for = queue_for
         self._origins = origins
+        self._versions = versions
 
     async def run(self, state: CallState, responder: Responder) -> None:
         """Stream the answer to the caller, or raise ``Refused``."""
@@ -207,8 +210,8 @@
                 return origin
             raise Refused(503, "stream_origin_gone")
         service = state.service()
-        versions = self._context.backends.software_versions(service, ORIGIN_SECONDS)
-        if len(versions) > 1:
+        versions = self._versions.recent(service)
+        if len(versions) > 1 or not self._versions.complete(service):
             raise Refused(
                 503, "stream_origin_unknown", retry_after=UNKNOWN_RETRY_AFTER_SECONDS
             )
--- a/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
@@ -3,7 +3,6 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
-from hashlib import blake2b
 
 import msgspec
 from twisted.internet.defer import Deferred
@@ -30,6 +29,7 @@
 )
 from .event_log import EventLog
 from .quarantine_trials import QuarantineTrials
+from .write_turns import write_turn
 
 CHECK_SECONDS = 0.25
 """Interval in which what the store lacks is looked for. It costs no call."""
@@ -213,11 +213,8 @@
 
     def _others_wait(self, key: int) -> float:
         """Return the seconds for which this instance leaves an entry to others."""
-        ranked = sorted(
-            {self._instance, *self._instances()}, key=lambda name: _weight(key, name)
-        )
-        rank = min(ranked.index(self._instance), MAX_RANK)
-        return MISSING_SECONDS + RANK_SECONDS * rank
+        turn = write_turn(f"{key:016x}", self._instance, self._instances())
+        return MISSING_SECONDS + RANK_SECONDS * min(turn, MAX_RANK)
 
     def _apply(self, entry: Entry, *, restored: bool) -> int | None:
         """Learn one entry, and return its key."""
@@ -329,7 +326,3 @@
             reason = str(failure.value)[:200]
             self._log.event("quarantine_not_stored", key=f"{key:016x}", reason=reason)
         return False
-
-
-def _weight(key: int, instance: str) -> bytes:
-    return blake2b(f"{key:016x}/{instance}".encode(), digest_size=8).digest()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -10,6 +10,7 @@
 from .deployment import Deployment
 from .event_log import EventLog
 from .quarantine_store import QuarantineStore
+from .version_history import VersionHistory
 from .zone_evacuations import ZoneChange
 
 WATCH_STALL_SECONDS = 1.0
@@ -25,7 +26,8 @@
 
     An entry under ``evacuations_prefix`` takes the zone that its key names out of use.
     ``None`` stands for a platform without such entries.
-    Without ``quarantine_prefix``, quarantined keys are not kept in the store.
+    Without ``quarantine_prefix``, quarantined keys are not kept in the store, and
+    without ``versions_prefix``, neither are software versions.
 
     ``decode_deployment`` raises ``BadConfigurationError`` and ``decode_server``
     raises ``BadRegistrationError``.
@@ -39,6 +41,7 @@
     decode_server: Callable[[str, bytes], BackendServer]
     evacuations_prefix: str | None = None
     quarantine_prefix: str | None = None
+    versions_prefix: str | None = None
 
 
 class StoreView:
@@ -82,6 +85,7 @@
         self.on_instances_changed: Callable[[], None] = lambda: None
         self.on_change: Callable[[], None] = lambda: None
         self.quarantine: QuarantineStore | None = None
+        self.versions: VersionHistory | None = None
         self.cold: Callable[[tuple[str, int]], bool] = lambda run: False
 
     def fresh_enough_for_keys(self) -> bool:
@@ -107,6 +111,13 @@
             and self.fresh_enough_for_keys()
         )
 
+    def engine_services(self) -> list[str]:
+        """Return the names of the configured services whose servers are engines."""
+        if self.deployment is None:
+            return []
+        services = self.deployment.services_by_name.values()
+        return [each.name for each in services if each.engines is not None]
+
     def urgent(self, entry: Entry) -> bool:
         """Return whether changes of this entry must be applied without delay.
 
@@ -182,6 +193,9 @@
             elif (zone := self._evacuated_zone(entry)) is not None:
                 revision_by_zone[zone] = entry.revision
         self._backends.replace_all(servers, lenient=lenient, restored=restored)
+        if self.versions is not None:
+            records = [each for each in entries if self._is_version_record(each)]
+            self.versions.replace_all(records)
         self._evacuations.replace_all(revision_by_zone, restored=restored)
         self.instances = instances
         self.order_lease_held = any(e.key == layout.order_lease_key for e in entries)
@@ -212,6 +226,8 @@
                 self._evacuations.remove(zone, entry.revision)
         elif self.quarantine is not None and self._is_quarantine(entry):
             self.quarantine.apply_change(entry)
+        elif self.versions is not None and self._is_version_record(entry):
+            self.versions.apply_change(entry)
         self.on_change()
 
     def _evacuated_zone(self, entry: Entry) -> str | None:
@@ -243,6 +259,10 @@
         prefix = self._layout.quarantine_prefix
         return prefix is not None and entry.key.startswith(prefix)
 
+    def _is_version_record(self, entry: Entry) -> bool:
+        prefix = self._layout.versions_prefix
+        return prefix is not None and entry.key.startswith(prefix)
+
     def _apply_deployment(self, entry: Entry) -> None:
         try:
             deployment = self._layout.decode_deployment(entry.value)
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -34,6 +34,7 @@
 CRASHING_LAST_PART = "c1"
 CRASHING_PAUSE_SECONDS = 0.35
 SHARED_PART = "aa"
+TAKE_UP_PAUSE_SECONDS = 0.3
 SESSIONS = 20
 
 
@@ -74,6 +75,11 @@
     """Sends requests to all routes at a steady rate over persistent connections.
 
     A caller whose resumable stream is broken off takes it up at another instance.
+
+    Attributes
+    ----------
+    persistent : bool
+        Whether one that reaches no instance then tries again until its time is over.
     """
 
     def __init__(self, fleet: Fleet, random: Random, *, per_second: float) -> None:
@@ -86,6 +92,7 @@
         self._pool.retryAutomatically = False
         self._agent = Agent(fleet.reactor, connectTimeout=1.0, pool=self._pool)
         self._stopped = False
+        self.persistent = False
         self.sent: list[SentRequest] = []
 
     def start(self) -> None:
@@ -189,13 +196,19 @@
     def _take_up(self, broken: SentRequest) -> None:
         """Go on with a stream that was broken off after an event."""
         received = broken.body.count(EVENT_END)
+        self._send_rest(broken, broken.attempt, received)
+
+    def _send_rest(
+        self, broken: SentRequest, first_attempt: str, received: int
+    ) -> None:
+        """Ask another instance for the events of a stream after those received."""
         fleet = self._fleet
         instances = [each for each in fleet.instances if each is not broken.instance]
         self._start(
             replace(
                 broken,
                 attempt=f"{len(self.sent):016x}",
-                first_attempt=broken.attempt,
+                first_attempt=first_attempt,
                 resumed_after=received,
                 instance=self._random.choice(instances),
                 sent_at=fleet.reactor.seconds(),
@@ -238,3 +251,16 @@
             and not self._stopped
         ):
             self._take_up(sent)
+        elif (
+            self.persistent
+            and sent.first_attempt is not None
+            and sent.status is None
+            and not self._stopped
+        ):
+            self._fleet.reactor.callLater(
+                TAKE_UP_PAUSE_SECONDS,
+                self._send_rest,
+                sent,
+                sent.first_attempt,
+                sent.resumed_after,
+            )
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -45,6 +45,12 @@
 taken out of use: one that replaces the server left by the other would leave none, and
 the checks compare how well instances serve."""
 
+RELEASES = 4
+RELEASE_INTERVAL_SECONDS = 3.5
+KILL_AFTER_RELEASE_SECONDS = 1.0
+"""A version serves for a while before all instances are killed, so that there are
+streams of it and of the one before. Instances are back within two seconds."""
+
 EVACUATION_SECONDS = 8.0
 """Three seconds longer than the time within which requests to the zone must end, and
 shorter than the recovery after the last fault."""
@@ -95,6 +101,7 @@
         self.inject_by_name["crashing last part"] = self._send_crashing_last_parts
         self.inject_by_name["slow servers"] = self._slow_servers
         self.inject_by_name["cold servers"] = self._cool_down
+        self.inject_by_name["releases and kills"] = self._release_and_kill
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
@@ -323,6 +330,21 @@
             instance.signal(signal.SIGKILL)
         return ""
 
+    def _release_and_kill(self, seconds: float) -> str:
+        """Release new software of the engines and kill all instances, in turns.
+
+        Every other release returns to the first version. Callers whose streams were
+        broken off take them up as soon as they reach an instance.
+        """
+        self._callers.persistent = True
+        for number in range(RELEASES):
+            begin = number * RELEASE_INTERVAL_SECONDS
+            version = f"v{number + 3}" if number % 2 else "v1"
+            self._call_later(begin, self._fleet.release, version)
+            kill_at = begin + self._random.uniform(0.0, KILL_AFTER_RELEASE_SECONDS)
+            self._call_later(kill_at, self._kill_all, seconds)
+        return f"{RELEASES} times"
+
     def _publish(self, seconds: float) -> str:
         self._fleet.publish()
         return f"version {self._fleet.version}"
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -329,6 +329,14 @@
         self.register(backend, draining=True)
         self.reactor.callLater(2 * DOWNTIME_SECONDS, finish)
 
+    def release(self, version: str) -> None:
+        """Replace all engines by those of a software version, at the same time."""
+        for backend in self.backends:
+            if backend.stage:
+                self.unregister(backend.id)
+                backend.restart(version)
+                self.register(backend)
+
     def publish(self) -> None:
         """Write the next version of the configuration."""
         self.version += 1
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -43,8 +43,9 @@
 from pomeloglade.forwarding.server_probes import ServerProbes
 from pomeloglade.forwarding.server_reach import ServerReach
 from pomeloglade.forwarding.store_view import StoreLayout, StoreView
-from pomeloglade.forwarding.stream_origins import ORIGIN_SECONDS, StreamOrigins
+from pomeloglade.forwarding.stream_origins import StreamOrigins
 from pomeloglade.forwarding.usage import SharedUsage
+from pomeloglade.forwarding.version_history import VersionHistory
 from pomeloglade.state.key_digest import digest_key
 from pomeloglade.transport.http_exchange import RequestHead, ResponseHead
 from pomeloglade_coordination.key_value import MemoryKeyValueStore
@@ -383,16 +384,25 @@
         self.probes = ServerProbes(context, self.store_view)
         self.availability = InstanceAvailability(self.clock, Random(1), "entry-0")
         self.peer_calls = PeerCalls(context, self.availability, Random(1))
-        self.origins = StreamOrigins(
-            self.clock,
-            lambda name: self.backends.software_versions(name, ORIGIN_SECONDS),
+        self.versions = VersionHistory(
+            clock=self.clock,
+            store=self.store,
+            instance="entry-0",
+            backends=self.backends,
+            log=self.log,
+            services=lambda: ["llm"],
+            instances=lambda: (),
+            store_age=lambda: self.age,
+            wall_time=self.clock.seconds,
         )
+        self.origins = StreamOrigins(self.clock, self.versions.recent)
         self.prefills = Prefills(context, self.log)
         self.queue.prefill_available = lambda: self.prefills.available("llm", 0.9)
         self.queue.prefill_available_in = lambda zones: self.prefills.available(
             "llm", 0.9, zones
         )
         self.queue.local_prefill_rate = self.prefills.local_prefill_rate
+        self.queue.recorded = self.versions.recorded
         self.plain_queues = PlainQueues(
             clock=self.clock,
             random=Random(1),
@@ -420,7 +430,11 @@
                 self.plain_queues,
             ),
             model_calls=ModelCalls(
-                context, self.prefills, lambda _: self.queue, self.origins
+                context,
+                self.prefills,
+                lambda _: self.queue,
+                self.origins,
+                self.versions,
             ),
             peer_calls=self.peer_calls,
             log=self.log,
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -76,6 +76,12 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against joining two software versions after all instances were killed: ORDER.
+def test_processes_do_not_join_streams_of_two_software_versions(tmp_path):
+    fault = ("--fault", "releases and kills", "--seconds", "15")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 # Guards against placing calls at servers that their last answer showed to be slow.
 def test_processes_avoid_servers_while_they_report_to_be_slow(tmp_path):
     fault = ("--fault", "slow servers", "--seconds", "6")
