Let decode engines prefill long prompts until that pauses a stream too long

Cause: without a free prefill engine, a prompt had to take less than three quarters of the longest pause at a decode engine, as if the engine's streams stood still meanwhile.

Change: any prompt is prefilled at a decode engine, one at a time, until a stream was paused for longer than its route allows. The size of that prompt is told to all instances and is a bound for 60 s; below the former bound nothing changes.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -138,6 +138,7 @@
         self.prefill_available: Callable[[], bool] = lambda: True
         self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
         self.local_prefill_rate: Callable[[], float] = lambda: float("inf")
+        self.prefill_too_long: Callable[[int], bool] = lambda tokens: False
         self.recorded: Callable[[BackendServer], bool] = lambda server: True
 
     def __len__(self) -> int:
@@ -421,14 +422,17 @@
     ) -> bool:
         """Return whether a decode engine may prefill a prompt itself.
 
-        It prefills one prompt at a time, and its streams must not pause too long.
+        It prefills one prompt at a time, and its streams must not pause too long. A
+        prompt that takes less than the pause that they allow never is too long.
         """
         if self._loads.local_prefills(server.id).calls:
             return False
         if self._loads.engine_calls(server.id).calls <= MAX_DELAYED_STREAMS:
             return True
         seconds = requirements.prompt_tokens / self.local_prefill_rate()
-        return seconds <= MAX_PREFILL_PAUSE_FRACTION * requirements.longest_pause
+        if seconds <= MAX_PREFILL_PAUSE_FRACTION * requirements.longest_pause:
+            return True
+        return not self.prefill_too_long(requirements.prompt_tokens)
 
     def _cost(self, server: BackendServer) -> tuple[float, int, str]:
         penalty = self._health.penalty(server.id) * self._backends.return_cost(server)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
@@ -81,5 +81,8 @@
             service, objective, zones
         )
         queue.local_prefill_rate = prefills.local_prefill_rate
+        queue.prefill_too_long = lambda tokens: prefills.pauses.too_long(
+            service, tokens
+        )
         queue.recorded = self._versions.recorded
         return queue
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -39,6 +39,7 @@
 from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
 from .plain_queues import PlainQueues
+from .prefill_pauses import PrefillPauses
 from .prefills import Prefills
 from .quarantine_store import QuarantineStore
 from .registration import Registration
@@ -256,7 +257,8 @@
         self._ends.share(self._news, self._relay.schedule_report)
         self._ends.on_loss = self._quarantine_store.record_loss
         self._peer_calls = PeerCalls(context, self._availability, random)
-        prefills = Prefills(context, log)
+        pauses = PrefillPauses(reactor, self._loads, self._news)
+        prefills = Prefills(context, log, pauses)
         self._engine_queues = EngineQueues(
             context=context,
             store_view=self.store_view,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -16,6 +16,7 @@
 from .calls import SendParameters
 from .cold_servers import cold_cost
 from .event_log import EventLog
+from .prefill_pauses import PrefillPauses
 from .send_context import CONNECT_TIMEOUT_SECONDS, SendContext, on_silence
 from .server_pace import NORMAL
 
@@ -66,11 +67,20 @@
 
 
 class Prefills:
-    """Chooses prefill engines, prefills prompts and frees unused KV caches."""
+    """Chooses prefill engines, prefills prompts and frees unused KV caches.
 
-    def __init__(self, context: SendContext, log: EventLog) -> None:
+    Attributes
+    ----------
+    pauses : PrefillPauses
+        Which prompts decode engines should not prefill beside their streams.
+    """
+
+    def __init__(
+        self, context: SendContext, log: EventLog, pauses: PrefillPauses
+    ) -> None:
         self._context = context
         self._log = log
+        self.pauses = pauses
         self._rate = INITIAL_TOKENS_PER_SECOND
 
     def local_prefill_rate(self) -> float:
