Compute the expected wait for an engine from its KV memory

Cause: the rate at which engines begin calls was their slots (64) by the duration. KV memory holds 8 to 11 streams, so the expected wait was a sixth of the real one: calls were held for 675 ms of an objective of 900 and then refused, with a Retry-After as wrong.

Change: EngineRate averages what calls hold and for how long; slots or memory bound the rate. Calls ahead count by their size, and those that are late already do not count for one that is on time.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -17,6 +17,7 @@
 from .calls import Refused
 from .cold_servers import cold_cost
 from .deployment import EnginePool
+from .engine_rate import EngineRate
 from .engine_waiters import EngineRequirements, Waiter
 from .expected_completion import (
     ENGINE_CROWDING,
@@ -61,10 +62,6 @@
 """Fraction of an engine's KV memory that is allocated to calls. Output lengths are
 estimates, and a preempted call must prefill its whole prompt again."""
 
-INITIAL_DECODE_SECONDS = 3.0
-"""Initial value of the average duration of calls."""
-
-DURATION_WEIGHT = 0.1
 RETRY_INTERVAL_SECONDS = 0.05
 NO_ENGINE_RETRY_AFTER_SECONDS = 1.0
 """Retry delay without any engine: those that crash or restart are away for seconds."""
@@ -133,7 +130,7 @@
         self._last_sequence = 0
         self._retry_scheduled = False
         self._yielding = False
-        self._duration = INITIAL_DECODE_SECONDS
+        self._rate = EngineRate()
         self.pool = EnginePool(1, 1)
         self.prefill_available: Callable[[], bool] = lambda: True
         self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
@@ -161,6 +158,7 @@
         Cancel the result to leave the queue.
         """
         now = self._clock.seconds()
+        self._rate.record_call(requirements.tokens)
         placed: Deferred[BackendServer] = Deferred(self._remove_cancelled)
         if not self._candidates(requirements):
             placed.errback(self._no_engine_refusal(requirements))
@@ -212,25 +210,35 @@
         return QueueSummary(len(self._waiters), min(self._waiters).rank)
 
     def record_duration(self, seconds: float) -> None:
-        """Update the average duration with the time for which a call held its slot."""
-        self._duration += DURATION_WEIGHT * (seconds - self._duration)
+        """Record the time for which a call held its slot."""
+        self._rate.record_duration(seconds)
 
     def expected_wait(self, waiter: Waiter | None = None) -> float:
         """Return the expected seconds until ``waiter``, or a new call, is placed.
 
         Of the calls in this queue, those that sort before ``waiter`` count as ahead
-        of it; calls that wait at other instances all do.
+        of it, each by its KV memory. Of those at other instances, all do that are on
+        time, or all if ``waiter`` is late itself.
         """
         zones = waiter.requirements.zones if waiter is not None else None
-        rate = sum(map(self._service_rate, self._engines(zones)))
+        rate = sum(map(self._calls_a_second, self._engines(zones)))
         waiting = [each for each in self._waiters if waiter is None or each < waiter]
-        ahead = len(waiting) + self._remote_queues.count(self._service) + 1
-        return ahead / rate if rate else ahead * self._duration
-
-    def _service_rate(self, server: BackendServer) -> float:
-        """Return how many calls a second an engine can begin."""
+        tokens = [each.requirements.tokens for each in waiting]
+        tokens.append(waiter.requirements.tokens if waiter is not None else 0)
+        late = waiter is None or waiter.rank.late
+        ahead = self._remote_queues.count(self._service, late=late)
+        ahead += sum(map(self._rate.size, tokens))
+        return ahead / rate if rate else ahead * self._rate.duration
+
+    def _calls_a_second(self, server: BackendServer) -> float:
+        """Return how many calls of the average KV memory an engine begins a second."""
         slots = min(server.slots, self.pool.slots)
-        return min(slots / self._duration, self._limits.rate(server.run))
+        rate = self._rate.calls_a_second(slots, self._memory())
+        return min(rate, self._limits.rate(server.run))
+
+    def _memory(self) -> float:
+        """Return the tokens of KV memory of an engine that are allocated to calls."""
+        return MEMORY_FRACTION * self.pool.kv_capacity
 
     def place_waiting(self) -> None:
         """Place waiting calls while engines have room, yielding to other instances."""
@@ -356,9 +364,8 @@
         """
         server_calls = self._loads.engine_calls(server.id)
         blocks = -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
-        memory = MEMORY_FRACTION * self.pool.kv_capacity
         return server_calls.calls < min(server.slots, self.pool.slots) and (
-            server_calls.tokens + blocks <= memory or not server_calls.calls
+            server_calls.tokens + blocks <= self._memory() or not server_calls.calls
         )
 
     def _engines(self, zones: frozenset[str] | None = None) -> list[BackendServer]:
@@ -448,7 +455,7 @@
         self, server: BackendServer, server_calls: ServerCalls, far: bool
     ) -> float:
         slots = min(server.slots, self.pool.slots)
-        pace, work = self._pace.ratio(server.run), self._duration
+        pace, work = self._pace.ratio(server.run), self._rate.duration
         completion = expected_completion(
             work=work,
             calls=server_calls.calls,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/remote_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/remote_queues.py
@@ -74,9 +74,16 @@
         """Drop the summaries of an instance that has left."""
         self._queues_by_instance.pop(instance, None)
 
-    def count(self, service: str) -> int:
-        """Return how many calls to a service wait at the other instances."""
-        return sum(summary.count for summary in self._fresh_summaries(service))
+    def count(self, service: str, *, late: bool = True) -> int:
+        """Return how many calls to a service wait at the other instances.
+
+        Without ``late``, instances whose waiting calls are all late do not count.
+        """
+        return sum(
+            summary.count
+            for summary in self._fresh_summaries(service)
+            if late or not summary.first.late
+        )
 
     def first(self, service: str) -> QueueRank | None:
         """Return the rank of the first call that waits at the other instances."""
