Retry errors of sound servers while the retry budget is plentiful

Change: a safe call that got an error, other than a time-out, is tried at another server while the instance has used less than half of its even share of the budget. Retries for lost answers keep the rest.

The test that such errors are never retried is replaced by four, as strict: not once half is used, while it is plentiful at another server, the last answer if all fail, and never time-outs or bookings.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -50,6 +50,9 @@
 """Multiple of the expected response time after which a safe call is retried, if that is
 later: a call that waits its turn at a busy server is not better served elsewhere."""
 
+GATEWAY_TIMEOUT = 504
+"""Status of a server that has reached the time limit of a call."""
+
 
 @dataclass(frozen=True, slots=True)
 class CompleteAnswer:
@@ -151,7 +154,9 @@
                     self._context.record_answer(state, answer.metadata.status)
                     return answer
                 self._health.record_failure(server.id)
-                if not self._should_retry_error(resolved.route, service, server):
+                if not self._should_retry_error(
+                    resolved.route, service, server, answer.metadata.status
+                ):
                     return answer
                 best = answer
                 tried.add(server.id)
@@ -225,19 +230,22 @@
         return cost - (0.5 / server.slots if near else 0.0), self._random.random()
 
     def _should_retry_error(
-        self, route: Route, service: str, server: BackendServer
+        self, route: Route, service: str, server: BackendServer, status: int
     ) -> bool:
         """Return whether to retry a call that was answered with an error status.
 
-        The error is taken to be the call's own unless this server fails more often
-        than the others.
+        The error may be the call's own, unless this server fails more often than the
+        others. Such a call is retried only while the retry budget is plentiful, and not
+        after a time-out, which would leave it no time.
         """
+        if route.kind is not CallKind.SAFE:
+            return False
         others = [
             each.id for each in self._backends.serving(service) if each.id != server.id
         ]
-        return route.kind is CallKind.SAFE and self._health.fails_more_than(
-            server.id, others
-        )
+        if self._health.fails_more_than(server.id, others):
+            return True
+        return status != GATEWAY_TIMEOUT and self._budget.plentiful(service)
 
     def _no_server_refusal(self, service: str, zones: frozenset[str] | None) -> Refused:
         servers = self._backends.serving(service, zones=zones)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/resend_budget.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/resend_budget.py
@@ -102,6 +102,14 @@
         own, _ = self._recent(service)
         return min(self._share_left(own), self.remaining(service))
 
+    def plentiful(self, service: str) -> bool:
+        """Return whether this instance has used less than half of its even share.
+
+        Retries that help less often than others are made only then.
+        """
+        own, _ = self._recent(service)
+        return self._share_left(own) > own.events and self.remaining(service) > 0
+
     def try_spend(self, service: str) -> bool:
         """Count a retry, or return ``False`` if the budget is exhausted."""
         if self.remaining(service) <= 0:
--- a/tests/test_plain_calls.py
+++ b/tests/test_plain_calls.py
@@ -135,13 +135,45 @@
     assert harness.forwarder.open_calls == 0
 
 
-def test_error_of_a_server_that_is_not_faulty_is_not_retried(harness):
+# Guards against spending the budget for lost answers on errors that may be the call's.
+def test_error_of_a_sound_server_is_not_retried_once_the_budget_is_half_used(harness):
+    share = harness.budget.remaining("api")
+    while 2 * harness.budget.remaining("api") > share:
+        harness.budget.try_spend("api")
     responder, _ = harness.call("/lookups/1", method=b"GET")
     harness.network.requests[0].answer(500, b"no")
     assert (responder.status, responder.body) == (500, b"no")
     assert len(harness.network.requests) == 1
 
 
+# Guards against lookups that fail while another server would answer them.
+def test_error_of_a_sound_server_is_retried_while_the_budget_is_plentiful(harness):
+    responder, _ = harness.call("/lookups/1", method=b"GET")
+    harness.network.requests[0].answer(500, b"no")
+    harness.network.requests[1].answer(200, b"yes")
+    assert (responder.status, responder.body) == (200, b"yes")
+    first, second = (each.address for each in harness.network.requests)
+    assert first != second
+
+
+def test_calls_that_fail_everywhere_get_the_last_answer(harness):
+    responder, _ = harness.call("/lookups/1", method=b"GET")
+    harness.network.requests[0].answer(500, b"no")
+    harness.network.requests[1].answer(500, b"never")
+    assert (responder.status, responder.body) == (500, b"never")
+    assert len(harness.network.requests) == 2
+
+
+@pytest.mark.parametrize(
+    ("target", "status"), [("/lookups/1", 504), ("/bookings/1", 500)]
+)
+def test_time_outs_and_errors_of_bookings_are_not_retried(harness, target, status):
+    responder, _ = harness.call(target)
+    harness.network.requests[0].answer(status, b"no")
+    assert responder.status == status
+    assert len(harness.network.requests) == 1
+
+
 def test_error_of_a_faulty_server_is_retried_at_another_server(harness, servers):
     faulty = servers[0]
     for _ in range(6):
