Spread placements that instances make before they hear of each other's

Cause: in a fleet with contacts a placement is known everywhere after up to 130 ms, in which a burst has a dozen.

Change: an instance chooses at random among as many of the best engines as the fleet places calls within the time of a report; with up to 16 instances, which report at once, that is the best one as before. After the prefill, a call whose engine others have filled goes to another one that has room.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -368,6 +368,24 @@
             server_calls.tokens + blocks <= self._memory() or not server_calls.calls
         )
 
+    def should_move(
+        self, server: BackendServer, requirements: EngineRequirements
+    ) -> bool:
+        """Return whether a call that was placed at an engine should go elsewhere.
+
+        Instances may place calls at one engine before they hear of each other's. It
+        should if all of these are more than the engine's KV memory holds, and another
+        engine has room.
+        """
+        if self._loads.engine_calls(server.id).tokens <= self.pool.kv_capacity:
+            return False
+        return any(
+            each.id != server.id
+            and not self._unavailable_for(each)
+            and self.has_room(each, requirements.tokens)
+            for each in self._candidates(requirements)
+        )
+
     def _engines(self, zones: frozenset[str] | None = None) -> list[BackendServer]:
         """Return the decode engines, or those without a stage if there are none.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
@@ -3,6 +3,7 @@
 from random import Random
 
 from .engine_queue import EngineQueue
+from .placement_spread import PlacementSpread
 from .prefills import Prefills
 from .remote_queues import QueueSummary, RemoteQueues
 from .send_context import SendContext
@@ -61,6 +62,12 @@
 
     def _make(self, service: str) -> EngineQueue:
         context, prefills = self._context, self._prefills
+        spread = PlacementSpread(
+            context.clock,
+            self._random,
+            self._server_choice,
+            lambda: max(1, len(self._store_view.instances)),
+        )
         queue = EngineQueue(
             service,
             clock=context.clock,
@@ -69,7 +76,7 @@
             health=context.health,
             limits=context.limits,
             availability_zone=self._availability_zone,
-            server_choice=self._server_choice,
+            server_choice=spread.choose,
             remote_queues=self._remote_queues,
             on_change=context.on_load_changed,
             pace=context.pace,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -1,9 +1,9 @@
 """Model calls: prefill at one engine, then decode and streaming at another."""
 
 from collections.abc import Callable
+from dataclasses import replace
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IReactorTime
 
 from ..errors import (
     BackendError,
@@ -19,17 +19,13 @@
 from .engine_queue import EngineQueue
 from .engine_waiters import EngineRequirements
 from .event_stream import EventStream
-from .loads import Loads
+from .local_prefill import LocalPrefill
 from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
 from .send_context import SendContext, on_silence
 from .stream_origins import StreamOrigin, StreamOrigins
 from .version_history import VersionHistory
 
-LOCAL_PREFILL_SPACING_SECONDS = 0.08
-"""Pause between two local prefills at a decode engine, in which its streams produce an
-event. Without it, the pauses of successive prefills would add up."""
-
 SERVER_ERROR = 500
 """Lowest status of an error of the server."""
 
@@ -127,6 +123,9 @@
                 # The engine still has room, but it was not chosen for a local
                 # prefill, which would delay its streams.
                 continue
+            except _CrowdedError as error:
+                state.record_step(server.id, "crowded", str(error))
+                continue
             except _RejectedError as error:
                 state.record_step(server.id, "rejected", str(error))
                 # A paused engine is chosen again only after its pause.
@@ -171,24 +170,17 @@
         An engine that rejected the call is asked again only if the stream needs its
         software version, after the time for which it is avoided.
         """
-        call, resolved = state.call, state.resolved
-        version = stream.origin.software_version if stream.origin is not None else None
+        resolved = state.resolved
         priority = resolved.route.priority
         if resolved.account is not None and resolved.account.priority is not None:
             priority = resolved.account.priority
         self._drop_unusable(state, caches)
+        requirements = self._requirements(state, stream, caches)
+        if requirements.software_version is None:
+            excluded |= rejecting
         try:
             return await queue.place(
-                requirements=EngineRequirements(
-                    tokens=call.prompt.mean_kv_tokens if call.prompt else 0,
-                    prompt_tokens=call.prompt.prompt_tokens if call.prompt else 0,
-                    longest_pause=resolved.route.longest_pause.total_seconds(),
-                    excluded=excluded if version is not None else excluded | rejecting,
-                    cached=bool(caches),
-                    software_version=version,
-                    zones=resolved.zones,
-                    repeatable=resolved.route.resumable,
-                ),
+                requirements=replace(requirements, excluded=excluded),
                 priority=priority,
                 arrived=state.waiting_since(),
                 objective=resolved.route.objective.total_seconds(),
@@ -197,6 +189,20 @@
         finally:
             self._context.on_load_changed()
 
+    def _requirements(
+        self, state: CallState, stream: EventStream, caches: list[KvCache]
+    ) -> EngineRequirements:
+        call, resolved = state.call, state.resolved
+        return EngineRequirements(
+            tokens=call.prompt.mean_kv_tokens if call.prompt else 0,
+            prompt_tokens=call.prompt.prompt_tokens if call.prompt else 0,
+            longest_pause=resolved.route.longest_pause.total_seconds(),
+            cached=bool(caches),
+            software_version=stream.origin.software_version if stream.origin else None,
+            zones=resolved.zones,
+            repeatable=resolved.route.resumable,
+        )
+
     def _origin_of_taken_up(self, state: CallState) -> StreamOrigin | None:
         """Return the origin of the stream that a call takes up, and use its service.
 
@@ -263,7 +269,7 @@
         engine can't be reached.
         """
         context, prompt = self._context, state.call.prompt
-        local_prefill = _LocalPrefill(context.clock, context.loads, server.id)
+        local_prefill = LocalPrefill(context.clock, context.loads, server.id)
         exchange: Exchange | None = None
         connection: ServerConnection | None = None
         try:
@@ -285,6 +291,10 @@
                 if caches and not self._may_be_fetched(state, caches[0]):
                     caches.clear()
                     raise PrefillFailedError("KV cache must not be fetched any more")
+                if caches and self._queue_for(state.service()).should_move(
+                    server, self._requirements(state, stream, caches)
+                ):
+                    raise _CrowdedError("other calls have taken its KV memory")
             if caches:
                 local_prefill.end()
             elif prompt is not None:
@@ -461,34 +471,13 @@
     return min(STREAM_SILENCE_SECONDS, FIRST_EVENT_OBJECTIVES * objective)
 
 
-class _LocalPrefill:
-    """Counts a local prefill until ``LOCAL_PREFILL_SPACING_SECONDS`` after its end."""
-
-    def __init__(self, clock: IReactorTime, loads: Loads, server: str) -> None:
-        self._clock = clock
-        self._loads = loads
-        self._server = server
-        self._tokens: int | None = None
-
-    def begin(self, tokens: int) -> None:
-        if self._tokens is None:
-            self._tokens = tokens
-            self._loads.begin_local_prefill(self._server, tokens)
-
-    def end(self) -> None:
-        tokens, self._tokens = self._tokens, None
-        if tokens is not None:
-            self._clock.callLater(
-                LOCAL_PREFILL_SPACING_SECONDS,
-                self._loads.end_local_prefill,
-                self._server,
-                tokens,
-            )
-
-
 class _FaultyEngineError(Exception):
     """An engine that fails often answered a call by an error."""
 
 
+class _CrowdedError(Exception):
+    """An engine has too many calls by now, and another one has room."""
+
+
 class _RejectedError(Exception):
     """An engine rejected the call and promised not to have run it."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_intervals.py
@@ -1,5 +1,6 @@
 """Intervals of the reports between instances, and when one counts as silent."""
 
+from .instance_groups import MAX_DIRECT_INSTANCES
 from .instance_reports import ReportKind
 from .report_scope import ReportScope
 
@@ -56,3 +57,14 @@
 
 CANDIDATES_PER_GROUP = 2
 """Candidates of a group that get reports while its contact is not known."""
+
+
+def propagation_seconds(instances: int) -> float:
+    """Return how long it takes until all instances know of a change, without losses.
+
+    >>> propagation_seconds(8) < propagation_seconds(100)
+    True
+    """
+    if instances <= MAX_DIRECT_INSTANCES:
+        return REPORT_DELAY_SECONDS
+    return sum(MIN_INTERVAL_SECONDS_BY_KIND.values())
