--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -15,16 +15,11 @@
     BackendServer,
 )
 from .calls import Refused
-from .cold_servers import cold_cost
 from .deployment import EnginePool
+from .engine_costs import EngineCosts
 from .engine_rate import EngineRate
 from .engine_waiters import EngineRequirements, Waiter
-from .expected_completion import (
-    ENGINE_CROWDING,
-    expected_completion,
-    spread_completion,
-)
-from .loads import Loads, ServerCalls
+from .loads import Loads
 from .remote_queues import QueueRank, QueueSummary, RemoteQueues
 from .server_choice import ServerChoice, choose_for_call, choose_within_limits
 from .server_health import ServerHealth
@@ -120,17 +115,26 @@
         self._loads = loads
         self._health = health
         self._limits = limits
-        self._availability_zone = availability_zone
         self._server_choice = server_choice
         self._remote_queues = remote_queues
         self._on_change = on_change
-        self._pace = pace or ServerPace(clock)
-        self._random = random or Random()
         self._waiters: list[Waiter] = []
         self._last_sequence = 0
         self._retry_scheduled = False
         self._yielding = False
         self._rate = EngineRate()
+        costs = EngineCosts(
+            backends=backends,
+            loads=loads,
+            health=health,
+            limits=limits,
+            pace=pace or ServerPace(clock),
+            random=random or Random(),
+            availability_zone=availability_zone,
+        )
+        self._cost = lambda server: costs.cost(
+            server, min(server.slots, self.pool.slots), self._rate.duration
+        )
         self.pool = EnginePool(1, 1)
         self.prefill_available: Callable[[], bool] = lambda: True
         self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
@@ -459,39 +463,6 @@
             return True
         return not self.prefill_too_long(requirements.prompt_tokens)
 
-    def _cost(self, server: BackendServer) -> tuple[float, int, str]:
-        penalty = self._health.penalty(server.id) * self._backends.return_cost(server)
-        penalty *= cold_cost(server, self._backends, self._limits)
-        server_calls = self._loads.engine_calls(server.id)
-        far = server.availability_zone != self._availability_zone
-        if self._pace.affects(self._service):
-            return penalty * self._cost_by_pace(server, server_calls, far), 0, ""
-        calls = (server_calls.calls + 1) * penalty
-        return calls + (0.5 if far else 0.0), server_calls.tokens, server.id
-
-    def _cost_by_pace(
-        self, server: BackendServer, server_calls: ServerCalls, far: bool
-    ) -> float:
-        slots = min(server.slots, self.pool.slots)
-        pace, work = self._pace.ratio(server.run), self._rate.duration
-        completion = expected_completion(
-            work=work,
-            calls=server_calls.calls,
-            slots=slots,
-            pace=pace,
-            crowding=ENGINE_CROWDING,
-            # A KV cache takes twice as long to another zone; as without pace, that
-            # counts as half a call.
-            latency=0.5 * work / slots if far else 0.0,
-        )
-        return spread_completion(
-            completion,
-            work=work,
-            slots=slots,
-            pace=pace,
-            random=self._random,
-        )
-
     def _time_out(self, waiter: Waiter) -> None:
         if waiter in self._waiters:
             self._waiters.remove(waiter)
