--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -247,6 +247,14 @@
         "        if False:\n            calls",
         ("tests/test_engine_rate.py",),
     ),
+    Mutation(
+        "read in vain",
+        "instances always choose the engine that seems to be the emptiest",
+        FORWARDING + "placement_spread.py",
+        "        if count == 1:\n",
+        "        if True:\n",
+        ("tests/test_placement_spread.py",),
+    ),
     Mutation(
         "late streams, local prefills",
         "a prompt that paused streams too long is not remembered",
