--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -140,7 +140,6 @@
         self.prefill_available_in: Callable[[frozenset[str]], bool] = lambda zones: True
         self.local_prefill_rate: Callable[[], float] = lambda: float("inf")
         self.prefill_too_long: Callable[[int], bool] = lambda tokens: False
-        self.unknown_calls: Callable[[], float] = lambda: 0.0
         self.recorded: Callable[[BackendServer], bool] = lambda server: True
 
     def __len__(self) -> int:
@@ -365,14 +364,12 @@
     def has_room(self, server: BackendServer, tokens: int) -> bool:
         """Return whether an engine has a free slot and KV memory for ``tokens`` more.
 
-        An idle engine has room for a call of any size. Otherwise some is left for the
-        call that another instance may have placed there meanwhile.
+        An idle engine has room for a call of any size.
         """
         server_calls = self._loads.engine_calls(server.id)
         blocks = -(-tokens // BLOCK_TOKENS) * BLOCK_TOKENS
         return server_calls.calls < min(server.slots, self.pool.slots) and (
-            server_calls.tokens + blocks <= self._memory() - self._unknown_tokens()
-            or not server_calls.calls
+            server_calls.tokens + blocks <= self._memory() or not server_calls.calls
         )
 
     def should_move(
@@ -393,10 +390,6 @@
             for each in self._candidates(requirements)
         )
 
-    def _unknown_tokens(self) -> float:
-        """Return the KV memory at one engine that other instances may have taken."""
-        return min(1.0, self.unknown_calls()) * self._rate.mean_tokens
-
     def _engines(self, zones: frozenset[str] | None = None) -> list[BackendServer]:
         """Return the decode engines, or those without a stage if there are none.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queues.py
@@ -91,6 +91,5 @@
         queue.prefill_too_long = lambda tokens: prefills.pauses.too_long(
             service, tokens
         )
-        queue.unknown_calls = spread.concurrent_placements
         queue.recorded = self._versions.recorded
         return queue
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_rate.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_rate.py
@@ -17,8 +17,6 @@
     ----------
     duration : float
         The average duration of calls, in seconds.
-    mean_tokens : float
-        The average KV memory of calls, in tokens; 0 before the first one.
 
     Examples
     --------
@@ -34,7 +32,7 @@
 
     def __init__(self) -> None:
         self.duration = INITIAL_DECODE_SECONDS
-        self.mean_tokens = 0.0
+        self._mean_tokens = 0.0
 
     def record_duration(self, seconds: float) -> None:
         """Record the time for which a call held its slot."""
@@ -42,13 +40,13 @@
 
     def record_call(self, tokens: int) -> None:
         """Record the KV memory of a call that has arrived, in tokens."""
-        if not self.mean_tokens:
-            self.mean_tokens = tokens
-        self.mean_tokens += WEIGHT * (tokens - self.mean_tokens)
+        if not self._mean_tokens:
+            self._mean_tokens = tokens
+        self._mean_tokens += WEIGHT * (tokens - self._mean_tokens)
 
     def size(self, tokens: int) -> float:
         """Return the KV memory of a call, relative to that of the average call."""
-        return tokens / self.mean_tokens if tokens and self.mean_tokens else 1.0
+        return tokens / self._mean_tokens if tokens and self._mean_tokens else 1.0
 
     def calls_a_second(self, slots: int, memory: float) -> float:
         """Return how many average calls an engine begins a second while it is full.
@@ -56,6 +54,6 @@
         ``memory`` is its KV memory for calls, in tokens.
         """
         calls = float(slots)
-        if self.mean_tokens:
-            calls = min(calls, max(1.0, memory / self.mean_tokens))
+        if self._mean_tokens:
+            calls = min(calls, max(1.0, memory / self._mean_tokens))
         return calls / self.duration
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -243,7 +243,7 @@
         "held in vain",
         "the rate at which engines begin calls leaves out their memory",
         FORWARDING + "engine_rate.py",
-        "        if self.mean_tokens:\n            calls",
+        "        if self._mean_tokens:\n            calls",
         "        if False:\n            calls",
         ("tests/test_engine_rate.py",),
     ),
