Let a server of the soak crash once while it is down

Cause: several requests that crash a server may run at it at the same time.

Change: a server that is down does not crash again, and a proxy stops only while it listens.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -302,8 +302,13 @@
         self.reactor.callLater(DOWNTIME_SECONDS, self.register, backend)
 
     def take_down(self, backend: BackendStandIn) -> None:
-        """Restart a backend server whose port refuses connections meanwhile."""
+        """Restart a backend server whose port refuses connections meanwhile.
+
+        Several requests may crash it at the same time.
+        """
         proxy = self.backend_proxies[backend]
+        if not proxy.listening:
+            return
         proxy.stop()
         self.crash(backend)
         self.reactor.callLater(DOWNTIME_SECONDS, proxy.resume)
--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -45,6 +45,7 @@
         self._host = host
         self._port = reactor.listenTCP(0, self, interface=host)
         self._port_number = self._port.getHost().port
+        self.listening = True
         self.address = f"{host}:{self._port_number}"
 
     def set_mode(self, mode: LinkMode) -> None:
@@ -71,12 +72,15 @@
 
     def stop(self) -> None:
         """Stop listening and abort all connections."""
-        self._port.stopListening()
+        if self.listening:
+            self.listening = False
+            self._port.stopListening()
         self.set_mode(LinkMode.RESET)
 
     def resume(self) -> None:
         """Listen again at the same address after ``stop``."""
         self.mode = LinkMode.PASS
+        self.listening = True
         self._port = self.reactor.listenTCP(
             self._port_number, self, interface=self._host
         )
