--- a/scripts/experiment.py
+++ b/scripts/experiment.py
@@ -15,7 +15,7 @@
 import tomllib
 from collections.abc import Iterable, Iterator
 from concurrent.futures import ThreadPoolExecutor, as_completed
-from dataclasses import asdict, dataclass
+from dataclasses import asdict, dataclass, replace
 from hashlib import blake2b
 from pathlib import Path
 from typing import Annotated
@@ -238,10 +238,14 @@
     bench: Annotated[str, typer.Option(help="The bench's command.")],
     folder: Annotated[Path, typer.Option(help="Folder of clones and results.")],
     processes: Annotated[int, typer.Option(min=1, max=MAX_PROCESSES)] = 3,
+    site: Annotated[
+        list[str] | None, typer.Option(help="Site file, instead of the plan's.")
+    ] = None,
 ) -> None:
     """Play what a plan lacks, then print its report."""
     try:
         plan = read_plan(plan_path)
+        plan = replace(plan, sites=tuple(site or plan.sites))
         folder.mkdir(parents=True, exist_ok=True)
         clone_by_variant = {each.name: clone(each, folder) for each in plan.variants}
     except PlanError as error:
--- a/tests/test_experiment.py
+++ b/tests/test_experiment.py
@@ -114,6 +114,15 @@
             mutate(repository, [TextMutation("program.py", old, "")])
 
 
+# Guards against an ablation that no longer fits the program.
+def test_mutations_of_the_ablation_fit_the_sources():
+    plan = read_plan(experiment.ROOT / "bench" / "ablation.toml")
+    mutations = [each for variant in plan.variants for each in variant.mutations]
+    assert len(mutations) == len(plan.variants) - 2
+    for each in mutations:
+        assert (experiment.ROOT / each.path).read_text().count(each.old) == 1, each
+
+
 def test_interrupted_run_goes_on_with_the_plays_that_it_lacks(
     tmp_path, plan, repository, monkeypatch
 ):
