Move a call only to engines that have not failed it, and only before it was sent

A call that had failed at the only other engine with room was moved off its own and then waited for nothing, and a call that was moved after a resend took a second one from the retry budget. Calls without a prompt, and prefilled ones that were placed again, changed the average KV memory of calls.

Change: such calls are not moved and not counted. A test follows a prefilled call with its KV cache to the other engine.

Measured: by tests only.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -162,7 +162,8 @@
         Cancel the result to leave the queue.
         """
         now = self._clock.seconds()
-        self._rate.record_call(requirements.tokens)
+        if not requirements.cached:
+            self._rate.record_call(requirements.tokens)
         placed: Deferred[BackendServer] = Deferred(self._remove_cancelled)
         if not self._candidates(requirements):
             placed.errback(self._no_engine_refusal(requirements))
@@ -384,7 +385,7 @@
         if self._loads.engine_calls(server.id).tokens <= self.pool.kv_capacity:
             return False
         return any(
-            each.id != server.id
+            each.id not in {server.id, *requirements.excluded}
             and not self._unavailable_for(each)
             and self.has_room(each, requirements.tokens)
             for each in self._candidates(requirements)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_rate.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_rate.py
@@ -39,7 +39,9 @@
         self.duration += WEIGHT * (seconds - self.duration)
 
     def record_call(self, tokens: int) -> None:
-        """Record the KV memory of a call that has arrived, in tokens."""
+        """Record the KV memory of a call that has arrived, in tokens, if it has any."""
+        if not tokens:
+            return
         if not self._mean_tokens:
             self._mean_tokens = tokens
         self._mean_tokens += WEIGHT * (tokens - self._mean_tokens)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -1,7 +1,6 @@
 """Model calls: prefill at one engine, then decode and streaming at another."""
 
 from collections.abc import Callable
-from dataclasses import replace
 
 from twisted.internet.defer import Deferred
 
@@ -109,7 +108,8 @@
             started = clock.seconds()
             tokens = state.call.prompt.mean_kv_tokens if state.call.prompt else 0
             try:
-                await self._send(state, responder, stream, server, caches)
+                avoided = frozenset(excluded | rejecting)
+                await self._send(state, responder, stream, server, caches, avoided)
                 if responder.status < SERVER_ERROR:
                     health.record_success(server.id)
                     self._context.record_answer(state, responder.status)
@@ -175,12 +175,11 @@
         if resolved.account is not None and resolved.account.priority is not None:
             priority = resolved.account.priority
         self._drop_unusable(state, caches)
-        requirements = self._requirements(state, stream, caches)
-        if requirements.software_version is None:
+        if stream.origin is None:
             excluded |= rejecting
         try:
             return await queue.place(
-                requirements=replace(requirements, excluded=excluded),
+                requirements=self._requirements(state, stream, caches, excluded),
                 priority=priority,
                 arrived=state.waiting_since(),
                 objective=resolved.route.objective.total_seconds(),
@@ -190,13 +189,18 @@
             self._context.on_load_changed()
 
     def _requirements(
-        self, state: CallState, stream: EventStream, caches: list[KvCache]
+        self,
+        state: CallState,
+        stream: EventStream,
+        caches: list[KvCache],
+        excluded: frozenset[str],
     ) -> EngineRequirements:
         call, resolved = state.call, state.resolved
         return EngineRequirements(
             tokens=call.prompt.mean_kv_tokens if call.prompt else 0,
             prompt_tokens=call.prompt.prompt_tokens if call.prompt else 0,
             longest_pause=resolved.route.longest_pause.total_seconds(),
+            excluded=excluded,
             cached=bool(caches),
             software_version=stream.origin.software_version if stream.origin else None,
             zones=resolved.zones,
@@ -262,11 +266,14 @@
         stream: EventStream,
         server: BackendServer,
         caches: list[KvCache],
+        avoided: frozenset[str],
     ) -> None:
         """Send a call to a decode engine and forward its stream.
 
         The connection is opened before the prefill, which would be wasted if the
-        engine can't be reached.
+        engine can't be reached. After it, a call whose engine others have filled goes
+        to another one that is not ``avoided``, unless it was sent before: the retry
+        that it took from the budget would be lost.
         """
         context, prompt = self._context, state.call.prompt
         local_prefill = LocalPrefill(context.clock, context.loads, server.id)
@@ -291,8 +298,12 @@
                 if caches and not self._may_be_fetched(state, caches[0]):
                     caches.clear()
                     raise PrefillFailedError("KV cache must not be fetched any more")
-                if caches and self._queue_for(state.service()).should_move(
-                    server, self._requirements(state, stream, caches)
+                requirements = self._requirements(state, stream, caches, avoided)
+                queue = self._queue_for(state.service())
+                if (
+                    caches
+                    and not state.send_count
+                    and queue.should_move(server, requirements)
                 ):
                     raise _CrowdedError("other calls have taken its KV memory")
             if caches:
--- a/tests/test_placement_spread.py
+++ b/tests/test_placement_spread.py
@@ -1,9 +1,10 @@
 """Bursts in a large fleet, in which instances place calls unknown to each other."""
 
+from dataclasses import replace
 from random import Random
 
 import pytest
-from tests.forwarding_fakes import engine_queue, server
+from tests.forwarding_fakes import Harness, engine_queue, server
 from twisted.internet.task import Clock
 
 from pomeloglade.forwarding.backends import Backends
@@ -109,6 +110,24 @@
     assert not queue.should_move(first, requirements)
     loads.apply_report("other", {first.id: ServerCalls(5, 45_000)})
     assert queue.should_move(first, requirements)
+    failed = replace(requirements, excluded=frozenset({"bb"}))
+    assert not queue.should_move(first, failed)
     full = ServerCalls(5, 45_000)
     loads.apply_report("other", {first.id: full, "bb": full})
     assert not queue.should_move(first, requirements)
+
+
+# Guards against reading a prompt for an engine that will reject it.
+def test_prefilled_call_is_sent_to_another_engine_if_its_own_was_filled_meanwhile():
+    decodes = [server(name, "llm", "decode", 4) for name in ("dec-a", "dec-bb")]
+    harness = Harness(server("pre", "llm", "prefill"), *decodes)
+    harness.model_call("/digests/1")
+    (prefill,) = harness.network.requests
+    assert harness.loads.own().keys() >= {"dec-a"}
+    harness.loads.apply_report("other", {"dec-a": ServerCalls(3, 50_000)})
+    prefill.answer_prefill()
+    run = harness.network.requests[-1]
+    assert run.header("X-Pomeloglade-Expect-Instance") == b"dec-bb"
+    assert run.header("X-Pomeloglade-Kv-Source").endswith(b"/h1")
+    assert sum(each.prefill for each in harness.network.requests) == 1
+    assert "dec-a" not in harness.loads.own()
