Ask for a move's requirements only where a call may move

After each prefill the requirements were built and the queue was looked up again, also for calls that can't be moved; a docstring of the soak named a time limit that its callers don't have.

Change: the queue that the prefill used is asked, and only for a call with a KV cache that was not sent before. No decision changes.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -290,22 +290,20 @@
             self._drop_unusable(state, caches)
             if not caches and prompt is not None and state.trial is None:
                 # A trial is made at one server only, which reads the prompt itself.
-                pool = self._queue_for(state.service()).pool
-                cache = await self._prefills.run(state, server, pool.handle_seconds)
+                queue = self._queue_for(state.service())
+                cache = await self._prefills.run(
+                    state, server, queue.pool.handle_seconds
+                )
                 if cache is not None:
                     caches.append(cache)
                 context.revalidate(state, server)
                 if caches and not self._may_be_fetched(state, caches[0]):
                     caches.clear()
                     raise PrefillFailedError("KV cache must not be fetched any more")
-                requirements = self._requirements(state, stream, caches, avoided)
-                queue = self._queue_for(state.service())
-                if (
-                    caches
-                    and not state.send_count
-                    and queue.should_move(server, requirements)
-                ):
-                    raise _CrowdedError("other calls have taken its KV memory")
+                if caches and not state.send_count:
+                    requirements = self._requirements(state, stream, caches, avoided)
+                    if queue.should_move(server, requirements):
+                        raise _CrowdedError("other calls have taken its KV memory")
             if caches:
                 local_prefill.end()
             elif prompt is not None:
--- a/soak/callers.py
+++ b/soak/callers.py
@@ -79,7 +79,7 @@
     Attributes
     ----------
     persistent : bool
-        Whether one that reaches no instance then tries again until its time is over.
+        Whether one that reaches no instance then tries again until it does.
     """
 
     def __init__(self, fleet: Fleet, random: Random, *, per_second: float) -> None:
