--- a/review/harness/fleet.py
+++ b/review/harness/fleet.py
@@ -344,6 +344,8 @@
     trouble = os.environ.get("TROUBLE", "1") != "0"
     record = Record(folder / "record.txt")
     record(f"trouble: {trouble}")
+    # Ends the event loop's tasks, which stop all processes.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     with tempfile.TemporaryDirectory() as temporary:
         try:
             broken = asyncio.run(case(record, Path(temporary), trouble))
