--- a/review/harness/http.py
+++ b/review/harness/http.py
@@ -57,15 +57,22 @@
     return Request(method, target, headers, body, writer)
 
 
-async def serve(host: str, handler: Handler) -> tuple[asyncio.Server, int]:
+async def serve(
+    host: str,
+    handler: Handler,
+    connections: set[asyncio.StreamWriter] | None = None,
+) -> tuple[asyncio.Server, int]:
     """Listen on a free port, answer requests with ``handler``, and return the port.
 
-    A handler whose connection is closed meanwhile is cancelled.
+    A handler whose connection is closed meanwhile is cancelled. ``connections`` is
+    kept up to date with the open ones.
     """
+    known = set() if connections is None else connections
 
     async def connection(
         reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        known.add(writer)
         try:
             while True:
                 request = await read_request(reader, writer)
@@ -82,6 +89,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, _ClosedError):
             pass
         finally:
+            known.discard(writer)
             writer.close()
 
     server = await asyncio.start_server(connection, host, 0, backlog=512)
--- a/review/harness/replicas.py
+++ b/review/harness/replicas.py
@@ -43,6 +43,7 @@
         work_seconds: float,
         body: bytes = b"ok",
         stage: str = "",
+        version: str = "v1",
     ) -> None:
         self.id = f"i-{next(self.numbers):08x}"
         self.runs: list[Run] = []
@@ -54,6 +55,13 @@
         self._work_seconds = work_seconds
         self._body = body
         self._stage = stage
+        self.version = version
+        self.zone = zone
+        self.deadly = ""
+        self.on_crash: Callable[["Replica"], None] = lambda replica: None
+        self._connections: set[asyncio.StreamWriter] = set()
+        self._state = "ready"
+        self._crashed = False
         self._free = asyncio.Semaphore(slots)
         self._waiting = 0
         self._running = 0
@@ -61,29 +69,57 @@
 
     async def start(self, host: str) -> None:
         """Listen and register."""
-        self._server, port = await serve(host, self._answer)
+        self._server, port = await serve(
+            host, self._answer, self._connections
+        )
         self._address = f"{host}:{port}"
         self._task = asyncio.ensure_future(self._beat())
 
+    async def drain(self, seconds: float) -> None:
+        """Report that it leaves, serve on for a time, and leave."""
+        self._state = "draining"
+        await self._store.put(f"servers/{self.id}", self._entry(0))
+        await asyncio.sleep(seconds)
+        if not self._crashed:
+            self._end()
+            await self._store.delete(f"servers/{self.id}")
+
+    def crash(self) -> None:
+        """End without a word: all connections are reset."""
+        if self._crashed:
+            return
+        self._crashed = True
+        self._end()
+        self.on_crash(self)
+
+    def _end(self) -> None:
+        self._task.cancel()
+        self._server.close()
+        for writer in list(self._connections):
+            writer.transport.abort()
+
     async def _beat(self) -> None:
         for sequence in itertools.count(1):
-            entry = {
-                "service": self._service,
-                "address": self._address,
-                "zone": self._zone,
-                "version": "v1",
-                "slots": self._slots,
-                "state": "ready",
-                "coldRemainingMs": 0,
-                "born": self._started_ms,
-                "seq": sequence,
-            }
-            if self._stage:
-                entry["stage"] = self._stage
-                entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
-            await self._store.put(f"servers/{self.id}", json.dumps(entry).encode())
+            await self._store.put(f"servers/{self.id}", self._entry(sequence))
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
+    def _entry(self, sequence: int) -> bytes:
+        entry = {
+            "service": self._service,
+            "address": self._address,
+            "zone": self._zone,
+            "version": self.version,
+            "slots": self._slots,
+            "state": self._state,
+            "coldRemainingMs": 0,
+            "born": self._started_ms,
+            "seq": sequence,
+        }
+        if self._stage:
+            entry["stage"] = self._stage
+            entry["models"] = [{"name": "m", "version": 1, "adapters": []}]
+        return json.dumps(entry).encode()
+
     async def _answer(self, request: Request) -> Answer | None:
         attempt = request.headers.get("x-pomeloglade-attempt-id", "")
         headers = {"X-Pomeloglade-Server-Load": self._load()}
@@ -111,6 +147,9 @@
             self.runs.append(Run(time.monotonic(), attempt, tenant, tokens))
             self._record(f"replica {self.id}: runs {attempt} of {tenant} ({tokens})")
             await asyncio.sleep(self._work_seconds)
+            if self.deadly and request.path == self.deadly:
+                self.crash()
+                return None
         finally:
             self._running -= 1
             self._free.release()
