Let no entry of the store end an instance or hide the others

Cause: msgspec raises RecursionError for deep nesting, which the decoder of registrations did not catch; the error ended the task that follows the store, and so the process. The fault is wider: whatever a decoder did not foresee was fatal. In a trial with three real processes, nested lists under an instance, a quarantine or a record of versions, whole numbers of 400 digits as slots or start of a server, and an instance's record with an address of another type or port 70000 ended all instances as well. A port out of range or in other digits was taken as a server.

Looked at: all decoders of the store's values (servers, instances, quarantines, versions, configuration, the store's own answers), bodies and load headers of engines, callers' headers, datagrams. The lease of the stage orders and the evacuated zones are read by their keys only; CBOR limits nesting itself.

Why the fix works: decode_json raises one kind of error, and its bounds keep numbers out that overflow later. Addresses, ids and handles are checked before they are used. An error that no decoder foresees is caught for each entry and logged; a read that can't be applied is repeated.

An entry that can't be used no longer keeps its server in use at instances that had known it: those that read the store anew left it out already.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_shards.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/configuration_shards.py
@@ -16,6 +16,7 @@
     KeyValueUnavailableError,
     RevisionConflictError,
 )
+from .json_decoding import decode_json
 from .key_value import ABSENT, Entry, KeyValueStore
 
 CONFIGURATION_KEY = "configuration"
@@ -77,7 +78,7 @@
     if not value.startswith(_MANIFEST_HEADER):
         return None
     try:
-        return msgspec.json.decode(value[len(_MANIFEST_HEADER) :], type=Manifest)
+        return decode_json(value[len(_MANIFEST_HEADER) :], Manifest)
     except msgspec.DecodeError as error:
         raise ManifestError(f"the manifest can't be decoded: {error}") from error
 
--- a/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
@@ -8,6 +8,7 @@
 
 from pomeloglade_coordination.clock import Clock
 from pomeloglade_coordination.errors import KeyValueError
+from pomeloglade_coordination.json_decoding import decode_json
 from pomeloglade_coordination.key_value import Entry, KeyValueStore
 
 from ..state.instance_record import INSTANCES_PREFIX, InstanceRecord
@@ -54,7 +55,7 @@
 
     def _decode(self, entry: Entry) -> InstanceRecord | None:
         try:
-            return msgspec.json.decode(entry.value, type=InstanceRecord)
+            return decode_json(entry.value, InstanceRecord)
         except (msgspec.DecodeError, msgspec.ValidationError):
             self._metrics.event("instance_list", "bad_entry")
             return None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -391,7 +391,7 @@
                 continue
             try:
                 peers[name] = decode_peer(value)
-            except (ValueError, KeyError, TypeError) as error:
+            except ValueError as error:
                 self._log.event("instance_rejected", key=name, reason=str(error))
         self._relay.set_peers(peers)
         self._peer_calls.set_peers(peers)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance_groups.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance_groups.py
@@ -2,11 +2,16 @@
 
 import functools
 import hashlib
-import json
 from collections import defaultdict
 from collections.abc import Mapping
 from dataclasses import dataclass
 
+import msgspec
+
+from pomeloglade_coordination.json_decoding import Name, decode_json
+
+from ..protocol.network_address import parse_address
+
 MAX_DIRECT_INSTANCES = 16
 """Up to this many instances report to each other directly, as groups of one. Beyond
 it the messages, which grow with the square of the instances, cost more than the delay
@@ -25,14 +30,20 @@
     address: tuple[str, int]
 
 
+class PeerRecord(msgspec.Struct):
+    """An instance's registration in the store."""
+
+    address: Name
+    zone: Name
+
+
 def decode_peer(value: bytes) -> Peer:
     """Return the instance that a registration describes.
 
-    Raises ``ValueError``, ``KeyError`` or ``TypeError`` if it is malformed.
+    Raises ``ValueError`` or its subclass ``msgspec.DecodeError`` if it is malformed.
     """
-    record = json.loads(value)
-    host, _, port = record["address"].rpartition(":")
-    return Peer(record["zone"], (host, int(port)))
+    record = decode_json(value, PeerRecord)
+    return Peer(record.zone, parse_address(record.address))
 
 
 class InstanceGroups:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -8,6 +8,8 @@
 from twisted.internet.defer import CancelledError
 from twisted.internet.task import LoopingCall
 
+from pomeloglade_coordination.json_decoding import decode_json
+
 from ..errors import BackendError, BackendLostError, BackendUnreachableError
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ResponseHead
@@ -284,7 +286,7 @@
         reason = f"status {answer.status}"
         # A request that the site rejects has no body.
         with contextlib.suppress(msgspec.MsgspecError):
-            reason = msgspec.json.decode(body, type=_Refusal).reason
+            reason = decode_json(body, _Refusal).reason
         seconds = self._context.codec.parse_retry_after(answer)
         raise _PeerRefusedError(reason, seconds)
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
@@ -3,8 +3,8 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 
-import msgspec
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
@@ -27,6 +27,7 @@
     Quarantine,
     ServerRun,
 )
+from .entry_isolation import isolated
 from .event_log import EventLog
 from .quarantine_trials import QuarantineTrials
 from .write_turns import write_turn
@@ -48,6 +49,9 @@
 EXPIRED_SECONDS = 5.0
 """Time after its end for which an entry stays, as clocks differ."""
 
+MAX_CLOCK_DIFFERENCE_SECONDS = 60.0
+"""Largest difference between the times of day of two machines."""
+
 VERSIONS_SECONDS = 60.0
 """Time before a quarantine in which the service's software versions are not new."""
 
@@ -150,7 +154,8 @@
         """
         missing = set(self._entries_by_key)
         for entry in entries:
-            missing.discard(self._apply(entry, restored=restored))
+            apply = partial(self._apply, entry, restored=restored)
+            missing.discard(isolated(self._log, entry, apply, None))
         for key in missing:
             if restored:
                 del self._entries_by_key[key]
@@ -221,7 +226,9 @@
         try:
             key = key_of(entry.key)
             read = decode(entry.value) if entry.value else None
-        except (ValueError, msgspec.MsgspecError) as error:
+            if read is not None:
+                self._ensure_end_is_plausible(read)
+        except ValueError as error:
             reason = str(error)[:200]
             self._log.event("quarantine_rejected", key=entry.key[:80], reason=reason)
             return None
@@ -240,6 +247,12 @@
             self._quarantine.restore(key, read.servers, left)
         return key
 
+    def _ensure_end_is_plausible(self, entry: QuarantineEntry) -> None:
+        """Raise ``ValueError`` if an entry ends later than any that is written."""
+        left = entry.until - self._wall_time()
+        if left > QUARANTINE_SECONDS + MAX_CLOCK_DIFFERENCE_SECONDS:
+            raise ValueError(f"quarantine ends in {left:.0f} s")
+
     def _remove(self, key: int) -> None:
         """End a quarantine whose entry was deleted; not one that has run out."""
         known = self._entries_by_key.pop(key, None)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_follower.py
@@ -1,6 +1,8 @@
 """Follows the platform's store with watches and tracks the age of the copy."""
 
+from collections.abc import Callable
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import NamedTuple, Protocol
 
@@ -13,6 +15,7 @@
 from pomeloglade_coordination.store_era import era_of
 
 from .change_relay import ChangeRelay
+from .entry_isolation import isolated
 from .event_log import EventLog
 
 MAX_WATCH_SECONDS = 2.5
@@ -184,18 +187,22 @@
     def _apply(self, entries: tuple[Entry, ...]) -> list[Entry]:
         """Apply changes, and return the urgent ones."""
         # Before they are applied: a removal is urgent only while the server is known.
-        urgent = [each for each in entries if self._listener.urgent(each)]
+        urgent = [each for each in entries if self._is(self._listener.urgent, each)]
         relevant = []
         for entry in entries:
-            if self._relay is not None and self._listener.relevant(entry):
+            if self._relay is not None and self._is(self._listener.relevant, entry):
                 relevant.append(entry)
-            self._listener.apply_change(entry, lenient=self._lenient())
+            apply = partial(self._listener.apply_change, entry, lenient=self._lenient())
+            isolated(self._log, entry, apply, None)
         if self._relay is not None:
             self._relay.publish(relevant, to_members=self.relays_proofs)
         newest = max((each.revision for each in urgent), default=0)
         self._urgent_position = max(self._urgent_position, newest)
         return urgent
 
+    def _is(self, quality: Callable[[Entry], bool], entry: Entry) -> bool:
+        return isolated(self._log, entry, partial(quality, entry), False)
+
     def _covered_by_relay(self) -> bool:
         """Return whether a relayed proof makes a call to the store needless."""
         if self.relays_proofs or self._relayed is None:
@@ -238,6 +245,11 @@
                 self._revision = None
             except KeyValueError as error:
                 await self._failed(error)
+            except Exception as error:
+                # The copy grows old meanwhile; the process keeps its calls.
+                self._log.event("store_not_applied", reason=repr(error)[:200])
+                self._revision = None
+                await deferLater(self._clock, MAX_RETRY_SECONDS)
 
     async def _step(self) -> None:
         if self._revision is not None and self._covered_by_relay():
--- a/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/store_view.py
@@ -2,12 +2,14 @@
 
 from collections.abc import Callable
 from dataclasses import dataclass, replace
+from functools import partial
 
 from pomeloglade_coordination.key_value import Entry
 
 from ..errors import BadConfigurationError, BadRegistrationError
 from .backends import Backends, BackendServer
 from .deployment import Deployment
+from .entry_isolation import isolated
 from .event_log import EventLog
 from .quarantine_store import QuarantineStore
 from .version_history import VersionHistory
@@ -137,7 +139,8 @@
         try:
             server = layout.decode_server(entry.key, entry.value)
         except BadRegistrationError:
-            # Logged when the entry is applied.
+            # Logged when the entry is applied. A server that it no longer registers may
+            # get calls meanwhile.
             return False
         if known is not None and (not server.cold_seconds or self.cold(known.run)):
             # Only a server that becomes cold must not get more calls.
@@ -157,7 +160,7 @@
             try:
                 return layout.decode_server(entry.key, entry.value) != known
             except BadRegistrationError:
-                return False
+                return known is not None
         if entry.key.startswith(layout.instances_prefix):
             name = entry.key.removeprefix(layout.instances_prefix)
             return self.instances.get(name, b"") != entry.value
@@ -183,9 +186,11 @@
             self.quarantine.replace_all(stored, restored=restored)
         for entry in entries:
             if entry.key == layout.configuration_key:
-                self._apply_deployment(entry)
+                apply = partial(self._apply_deployment, entry)
+                isolated(self._log, entry, apply, None)
             elif entry.key.startswith(layout.servers_prefix):
-                server = self._decode_server(entry)
+                decode = partial(self._decode_server, entry)
+                server = isolated(self._log, entry, decode, None)
                 if server is not None:
                     servers.append(server)
             elif entry.key.startswith(layout.instances_prefix):
@@ -299,6 +304,7 @@
             return
         server = self._decode_server(entry)
         if server is None:
+            self._backends.remove(name, lenient=lenient)
             return
         self._backends.put(server)
         self._log.event(
--- a/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
+from functools import partial
 
 import msgspec
 from twisted.internet.interfaces import IReactorTime
@@ -20,6 +21,7 @@
     store_key,
 )
 from .backends import Backends, BackendServer
+from .entry_isolation import isolated
 from .event_log import EventLog
 from .stream_origins import ORIGIN_SECONDS
 from .write_turns import write_turn
@@ -164,7 +166,8 @@
         for entry in entries:
             service = service_of(entry.key)
             missing.discard(service)
-            self._learn(service, entry, first_read=first_read)
+            learn = partial(self._learn, service, entry, first_read=first_read)
+            isolated(self._log, entry, learn, None)
         for service in missing:
             self._known_by_service[service].revision = ABSENT
 
--- a/packages/pomeloglade/src/pomeloglade/protocol/completions.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/completions.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import decode_json
 from pomeloglade_coordination.refusals import Reason, Refusal
 
 from ..errors import BadRequestError
@@ -102,7 +103,7 @@
 def decode_body(body: bytes) -> CompletionBody:
     """Return the decoded body, or raise ``BadRequestError`` naming the field."""
     try:
-        completion = msgspec.json.decode(body, type=CompletionBody)
+        completion = decode_json(body, CompletionBody)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         raise BadRequestError(f"body: {error}", step="receive") from error
     if not completion.text:
--- a/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/deployment.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import decode_json
+
 from ..state.deployment import Deployment
 
 CONFIGURATION_KEY = "configuration"
@@ -53,7 +55,7 @@
 
     Raises ``msgspec.ValidationError`` with the path of the first invalid field.
     """
-    return msgspec.json.decode(value, type=PublishedDeployment)
+    return decode_json(value, PublishedDeployment)
 
 
 def without_withdrawn_keys(published: PublishedDeployment) -> Deployment:
--- a/packages/pomeloglade/src/pomeloglade/protocol/engine.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/engine.py
@@ -6,6 +6,8 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import decode_json
+
 from ..errors import InvalidBackendResponseError
 from ..state.call import Token, Usage
 
@@ -122,7 +124,7 @@
     Raises ``InvalidBackendResponseError``.
     """
     try:
-        return msgspec.json.decode(body, type=expected)
+        return decode_json(body, expected)
     except (msgspec.DecodeError, msgspec.ValidationError) as error:
         text = (
             f"backend server {peer!r} sent an invalid response {body[:80]!r}: {error}"
--- a/packages/pomeloglade/src/pomeloglade/protocol/instances.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/instances.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import decode_json
+
 from ..state.instance_record import INSTANCES_PREFIX, InstanceRecord
 
 STATUS_PATH = "/admin/status"
@@ -44,12 +46,12 @@
 
 def decode_record(value: bytes) -> InstanceRecord:
     """Decode a record; ``msgspec.MsgspecError`` if it is invalid."""
-    return msgspec.json.decode(value, type=InstanceRecord)
+    return decode_json(value, InstanceRecord)
 
 
 def decode_status(body: bytes) -> InstanceStatus:
     """Decode a status; ``msgspec.MsgspecError`` if it is invalid."""
-    return msgspec.json.decode(body, type=InstanceStatus)
+    return decode_json(body, InstanceStatus)
 
 
 def encode(message: InstanceRecord | InstanceStatus) -> bytes:
--- a/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/key_value.py
@@ -25,6 +25,7 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import decode_json
 from pomeloglade_coordination.key_value import Entry
 
 ErrorName = Literal[
@@ -124,7 +125,7 @@
 
     Raises ``msgspec.MsgspecError`` naming the first invalid field.
     """
-    return msgspec.json.decode(body, type=expected)
+    return decode_json(body, expected)
 
 
 def entries_message(entries: tuple[Entry, ...]) -> EntriesMessage:
--- a/packages/pomeloglade/src/pomeloglade/protocol/quarantine.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/quarantine.py
@@ -1,13 +1,19 @@
 """Encoding of quarantined keys as values of the key-value service."""
 
 from dataclasses import dataclass
+from typing import Annotated
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import Count, Name, UnixTime, decode_json
+
 QUARANTINE_PREFIX = "pomeloglade/quarantine/"
 """Prefix of the quarantined keys in the platform's key-value service."""
 
 
+KEY_DIGITS = 16
+
+
 @dataclass(frozen=True, slots=True)
 class QuarantineEntry:
     """A request or prompt part that ended servers, and for how long it is refused.
@@ -18,10 +24,10 @@
     their trial. ``written_by`` is the instance that wrote the entry last.
     """
 
-    service: str
-    servers: tuple[tuple[str, int], ...]
-    software_versions: tuple[str, ...]
-    until: float
+    service: Name
+    servers: Annotated[tuple[tuple[Name, Count], ...], msgspec.Meta(max_length=64)]
+    software_versions: Annotated[tuple[Name, ...], msgspec.Meta(max_length=1_000)]
+    until: UnixTime
     written_by: str = ""
 
 
@@ -31,12 +37,15 @@
     >>> key_of(store_key(17))
     17
     """
-    return int(store_key.removeprefix(QUARANTINE_PREFIX), 16)
+    digits = store_key.removeprefix(QUARANTINE_PREFIX)
+    if len(digits) != KEY_DIGITS or not set(digits) <= set("0123456789abcdef"):
+        raise ValueError(f"key {digits[:40]!r} is not {KEY_DIGITS} hexadecimal digits")
+    return int(digits, 16)
 
 
 def store_key(key: int) -> str:
     """Return the key of the entry of a crash key."""
-    return f"{QUARANTINE_PREFIX}{key:016x}"
+    return f"{QUARANTINE_PREFIX}{key:0{KEY_DIGITS}x}"
 
 
 def encode(entry: QuarantineEntry) -> bytes:
@@ -46,4 +55,4 @@
 
 def decode(value: bytes) -> QuarantineEntry:
     """Decode an entry; ``msgspec.MsgspecError`` if it is invalid."""
-    return msgspec.json.decode(value, type=QuarantineEntry)
+    return decode_json(value, QuarantineEntry)
--- a/packages/pomeloglade/src/pomeloglade/protocol/software_versions.py
+++ b/packages/pomeloglade/src/pomeloglade/protocol/software_versions.py
@@ -4,6 +4,8 @@
 
 import msgspec
 
+from pomeloglade_coordination.json_decoding import Count, Name, UnixTime, decode_json
+
 SOFTWARE_VERSIONS_PREFIX = "pomeloglade/software-versions/"
 """Prefix of the records of software versions in the platform's key-value service."""
 
@@ -18,9 +20,9 @@
     of further versions may have served.
     """
 
-    last_seen_by_version: dict[str, float | None]
-    era: int = 0
-    complete_since: float = 0.0
+    last_seen_by_version: dict[Name, UnixTime | None]
+    era: Count = 0
+    complete_since: UnixTime = 0.0
 
 
 def service_of(store_key: str) -> str:
@@ -44,4 +46,4 @@
 
 def decode(value: bytes) -> VersionRecord:
     """Decode a record; ``msgspec.MsgspecError`` if it is invalid."""
-    return msgspec.json.decode(value, type=VersionRecord)
+    return decode_json(value, VersionRecord)
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -195,6 +195,7 @@
         {"routes": [{"name": "r"}]},
         {"routes": [CONFIGURATION["routes"][0] | {"kind": "odd"}]},
         {"services": None},
+        {"routes": [CONFIGURATION["routes"][0] | {"timeoutMs": 1e300}]},
         {"limits": []},
     ],
 )
@@ -203,6 +204,12 @@
         configuration.decode(json.dumps(CONFIGURATION | change).encode())
 
 
+def test_configuration_with_deep_nesting_raises_a_typed_error():
+    nested = b'{"later": ' + b"[" * 2_000 + b"]" * 2_000 + b","
+    with pytest.raises(BadConfigurationError):
+        configuration.decode(nested + json.dumps(CONFIGURATION).encode()[1:])
+
+
 @settings(max_examples=150, deadline=None, derandomize=True)
 @given(st.binary(max_size=60) | json_values.map(lambda v: json.dumps(v).encode()))
 def test_arbitrary_bytes_raise_the_decoders_typed_errors(value):
@@ -311,6 +318,11 @@
         (b"X-Pomeloglade-Deadline-Ms", b"soon"),
         (b"X-Pomeloglade-Token-Counts", b"1"),
         (b"X-Pomeloglade-Token-Counts", b"1,x"),
+        (b"X-Pomeloglade-Deadline-Ms", b"nan"),
+        (b"X-Pomeloglade-Deadline-Ms", b"1e300"),
+        (b"X-Pomeloglade-Token-Counts", b"-1000000,5"),
+        (b"X-Pomeloglade-Token-Counts", b"1," + b"9" * 5_000),
+        (b"X-Pomeloglade-Token-Counts", b"1" * 400 + b",1"),
     ],
 )
 def test_call_with_malformed_headers_is_a_bad_request(codec, header):
@@ -318,6 +330,22 @@
         parse_call(codec, header)
 
 
+def test_call_with_a_huge_part_of_a_prompt_is_a_bad_request(codec):
+    counts = (b"X-Pomeloglade-Token-Counts", b"1460,80")
+    with pytest.raises(BadRequestError):
+        parse_call(codec, counts, (b"X-Pomeloglade-Prompt-Prefix", b"5c:" + b"9" * 400))
+
+
+def test_length_hint_that_no_answer_can_have_is_ignored(codec):
+    # A number of over 4,300 digits raises in int().
+    call = parse_call(
+        codec,
+        (b"X-Pomeloglade-Token-Counts", b"1460,80"),
+        (b"X-Pomeloglade-Length-Hint", b"9" * 5_000),
+    )
+    assert call.prompt.expected_output_tokens is None
+
+
 def test_forwarded_request_has_the_routers_headers(codec, snapshot):
     call = parse_call(codec, (b"X-Own", b"1"), (b"Authorization", b"Bearer key-1"))
     parameters = SendParameters(
@@ -372,6 +400,9 @@
         (b"3,0,8,100,7", ServerLoad(3, 0, 8, 100.0)),
         (b"3,0", None),
         (b"3,x,8,100", None),
+        (b"3,0," + b"9" * 5_000, None),
+        (b"3,0," + b"9" * 400, None),
+        (b"3,0,8,1e300", ServerLoad(3, 0, 8)),
     ],
 )
 def test_a_load_of_three_or_four_figures_is_read_from_any_answer(codec, value, load):
@@ -390,6 +421,26 @@
         codec.parse_engine_report(b"\xff")
 
 
+@pytest.mark.parametrize(
+    "body",
+    [
+        b'{"kvHandle":"h","stage":"decode","later":'
+        + b"[" * 2_000
+        + b"]" * 2_000
+        + b"}",
+        b'{"kvHandle":"h","tokens":%d,"stage":"decode","seq":%d}' % (10**400, 10**400),
+        b'{"kvHandle":"h\\r\\nX-Other: 1","stage":5}',
+        b'{"kvHandle":"","stage":""' + b"{",
+    ],
+    ids=["nested lists", "huge numbers", "line feed", "not closed"],
+)
+def test_engine_bodies_of_a_faulty_engine_raise_a_typed_error(codec, body):
+    with pytest.raises(InvalidBackendResponseError):
+        codec.parse_prefill_result(body)
+    with pytest.raises(InvalidBackendResponseError):
+        codec.parse_engine_report(body)
+
+
 def test_stage_order_contains_its_fencing_token(codec):
     target = BackendServer("i-1", "s", "10.1.0.9:80", "z", 1)
     head, body = codec.stage_order_request(
@@ -597,7 +648,9 @@
     assert isinstance(results[0].value, KeyValueUnavailableError)
 
 
-@pytest.mark.parametrize("figure", [b"null", b'"many"', b"-1", b"true", b"{}"])
+@pytest.mark.parametrize(
+    "figure", [b"null", b'"many"', b"-1", b"true", b"{}", b"9" * 400]
+)
 def test_an_engines_report_is_of_use_without_a_figure_that_cannot_be_read(
     codec, figure
 ):
