Keep an instance registered, and count those that are only heard

What callers saw: six instances start while the store answers three writes late.

Cause: the registration was written without a condition. After a write without an answer it was written again under a new lease; the store then carried out the first write, which tied the key to the first lease, and the key went with it. Renewals of the second lease went on to succeed. The others refused the reports of the unregistered instance and divided all limits without it.

Why the fix works: each write names the revision that it replaces, so that a late one finds another revision and does nothing. At each renewal the instance compares the copy of the store with what it wrote, and writes again if its key is gone or another's. In fleets of up to 16 instances, one whose registration has ended goes on as a peer while it is heard; any other sender is counted, and limits leave it a share. One that has been silent for 1.2 s is not waited for.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -42,7 +42,7 @@
 from .prefill_pauses import PrefillPauses
 from .prefills import Prefills
 from .quarantine_store import QuarantineStore
-from .registration import Registration
+from .registration import Registration, StoredValue
 from .remote_queues import QueueSummary, RemoteQueues
 from .report_relay import ReportRelay
 from .resend_budget import ResendBudget
@@ -176,7 +176,7 @@
             self.store_view.versions = self._versions
         self._origins = StreamOrigins(reactor, self._versions.recent)
         self._registration = Registration(
-            reactor, store, self._key, self._own_record, log
+            reactor, store, self._key, self._own_record, log, self._stored_record
         )
         self._pace = ServerPace(
             reactor,
@@ -384,6 +384,10 @@
         zone = self._settings.availability_zone
         return json.dumps({"address": address, "zone": zone}).encode()
 
+    def _stored_record(self) -> StoredValue:
+        value = self.store_view.instances.get(self._settings.instance)
+        return StoredValue(value, self._follower.revision)
+
     def _peers_changed(self) -> None:
         peers = {}
         for name, value in self.store_view.instances.items():
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -12,6 +12,7 @@
 from .instance_availability import InstanceAvailability
 from .instance_groups import InstanceGroups, Peer
 from .instance_reports import Report, ReportKind, waiting_from
+from .known_peers import KnownPeers
 from .loads import PEER_LOAD_MAX_AGE_SECONDS, Loads
 from .remote_queues import QueueSummary, RemoteQueues, merge_queues
 from .report_intervals import (
@@ -107,6 +108,7 @@
         self._due_rows: NewsRows = {}
         limits.coverage = lambda: (usage.covered(), usage.instances)
         self._log = log
+        self._known = KnownPeers(clock)
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
         self._contact: str | None = None
@@ -145,6 +147,13 @@
 
     def set_peers(self, peers_by_instance: Mapping[str, Peer]) -> None:
         """Set the other registered instances."""
+        self._known.set_registered(peers_by_instance)
+        self._update_peers()
+
+    def _update_peers(self) -> None:
+        """Apply which instances are registered or heard."""
+        peers_by_instance = self._known.peers()
+        self._count_instances(len(peers_by_instance))
         if peers_by_instance == self._peers_by_instance:
             return
         for instance in set(self._peers_by_instance) - set(peers_by_instance):
@@ -153,7 +162,7 @@
             self._returned_at.pop(instance, None)
             self._told_at.pop(instance, None)
             self._started_at.pop(instance, None)
-        self._peers_by_instance = dict(peers_by_instance)
+        self._peers_by_instance = peers_by_instance
         self._group_instances()
         self._elect_contact()
         self.schedule_report()
@@ -165,6 +174,7 @@
 
     def receive(self, report: Report, address: tuple[str, int]) -> None:
         """Apply a report that this instance's role needs, and ignore others."""
+        self._known.hear(report.instance, address)
         peer = self._peers_by_instance.get(report.instance)
         if peer is None or peer.address != address:
             self._log.event(
@@ -235,7 +245,7 @@
         self._groups = InstanceGroups({**zones, self._instance: self._zone})
         self._own_group = self._groups.group_of(self._instance)
         self._ranking = self._groups.ranking(self._own_group)
-        self._usage.instances = self._budget.instances = len(zones) + 1
+        self._count_instances(len(zones))
         self._update_follower()
         for members in (self._members, self._contacts):
             for key, (_, report) in list(members.items()):
@@ -247,6 +257,10 @@
                     del members[key]
                     self._forget(report.instance)
 
+    def _count_instances(self, peers: int) -> None:
+        instances = 1 + peers + self._known.count_others()
+        self._usage.instances = self._budget.instances = instances
+
     def _elect_contact(self) -> None:
         """Choose the first candidate that is heard, or take over after its silence."""
         now = self._clock.seconds()
@@ -330,6 +344,7 @@
         """Elect the contact, drop what is silent, and send the periodic reports."""
         now = self._clock.seconds()
         self._check_timer = self._clock.callLater(CHECK_INTERVAL_SECONDS, self._check)
+        self._update_peers()
         for reports, silence in (
             (self._members, MEMBER_SILENCE_SECONDS),
             # Another contact may report the same calls before; until then they count.
