Believe a refusal on a kept connection only if it names the call

What callers saw: a faulty server writes an earlier refusal again on a kept connection.

Cause: a refusal counted as a promise if it named the call's id or none. A refusal of a health check names none, and its copy arrives where the answer to the next call is due.

Why the fix works: on a connection that was used before, only a refusal with the call's own id is a promise. Without it the answer is invalid, the connection is aborted and the call may have run. On a new connection nothing else was asked, so a refusal without an id still counts. The same holds for the handle in a prefill's answer.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/calls.py
@@ -148,7 +148,8 @@
 class AnswerMetadata:
     """The parsed headers of a backend server's answer.
 
-    ``not_run`` is the backend server's promise that it has not run the call.
+    ``not_run`` is the backend server's promise that it has not run the call. A promise
+    is made to one call, so one on a connection that was used before must name its id.
     ``has_seal`` says whether the answer carries the backend server's seal,
     ``echoes_call_id`` whether it echoes the id of the call that was sent, and
     ``echoes_other_id`` whether it echoes that of another one.
@@ -267,8 +268,14 @@
         """
 
     @abc.abstractmethod
-    def parse_answer(self, call: ForwardedCall, head: ResponseHead) -> AnswerMetadata:
-        """Parse the headers of a backend server's answer to ``call``."""
+    def parse_answer(
+        self, call: ForwardedCall, head: ResponseHead, *, on_kept_connection: bool
+    ) -> AnswerMetadata:
+        """Parse the headers of a backend server's answer to ``call``.
+
+        An answer ``on_kept_connection`` may be a second copy of an earlier one: without
+        the id of the call it promises nothing.
+        """
 
     @abc.abstractmethod
     def parse_notice(self, head: ResponseHead) -> ServerNotice:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -338,7 +338,9 @@
                     self._discard(state, caches.pop())
                 raise
             context.record_notice(server, exchange, head, sent_at)
-            metadata = context.codec.parse_answer(state.call, head)
+            metadata = context.codec.parse_answer(
+                state.call, head, on_kept_connection=connection.reused
+            )
             if metadata.not_run:
                 state.record_not_run(server.id)
                 raise _RejectedError(f"status {metadata.status}")
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -233,7 +233,9 @@
         try:
             answer = await exchange.read_head()
             self._answered_at_by_instance[peer] = context.clock.seconds()
-            metadata = context.codec.parse_answer(call, answer)
+            metadata = context.codec.parse_answer(
+                call, answer, on_kept_connection=exchange.connection.reused
+            )
             if not metadata.has_seal:
                 await self._raise_refusal(exchange, answer, peer)
             success = 200 <= answer.status < 300
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -368,11 +368,13 @@
         head = await exchange.read_head()
         self._context.record_notice(server, exchange, head, sent_at)
         body = await self._context.body_memory.read_body(exchange)
-        metadata = self._codec.parse_answer(call, head)
+        metadata = self._codec.parse_answer(
+            call, head, on_kept_connection=exchange.connection.reused
+        )
         try:
             validate_answer(metadata, server.id)
         except InvalidBackendResponseError:
-            if metadata.echoes_other_id:
+            if not metadata.echoes_call_id:
                 # The answer to this call may follow, on the next call's exchange.
                 exchange.connection.abort()
             raise
--- a/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/prefills.py
@@ -236,9 +236,10 @@
         head = await exchange.read_head()
         context.record_notice(server, exchange, head, sent_at)
         body = await context.body_memory.read_body(exchange, MAX_CONTROL_BODY_BYTES)
-        metadata = self._context.codec.parse_answer(state.call, head)
-        if metadata.echoes_other_id:
-            # A late second copy of an answer names the KV cache of another call.
+        kept = exchange.connection.reused
+        metadata = context.codec.parse_answer(state.call, head, on_kept_connection=kept)
+        if metadata.echoes_other_id or (kept and not metadata.echoes_call_id):
+            # A late second copy of an answer may name the KV cache of another call.
             exchange.connection.abort()
             text = f"prefill's answer of backend server {server.id!r} is another call's"
             raise InvalidBackendResponseError(text, step="prefill", peer=server.id)
--- a/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_exchange.py
@@ -401,6 +401,7 @@
     ) -> "Deferred[ServerConnection]":
         """Return a connection idle for at most ``max_idle_seconds``, or a new one.
 
+        With 0 it is always a new one, on which no earlier answer can arrive.
         Fails with ``BackendUnreachableError`` if no connection can be opened.
         """
         now = self._reactor.seconds()
@@ -411,7 +412,12 @@
             if connection.keep_alive_seconds is not None:
                 # Half a second for the request to arrive before the server times out.
                 idle_limit = min(idle_limit, connection.keep_alive_seconds - 0.5)
-            if connection.reusable() and now - connection.idle_since <= idle_limit:
+            idle_for = now - connection.idle_since
+            if (
+                max_idle_seconds > 0
+                and idle_for <= idle_limit
+                and connection.reusable()
+            ):
                 return succeed(connection)
             connection.abort()
         return self._open(address, timeout)
--- a/tests/test_http_exchange.py
+++ b/tests/test_http_exchange.py
@@ -246,3 +246,12 @@
         connection.dataReceived(b"HTTP/1.1 100 Continue\r\n\r\n")
     connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
     assert results == [(200, b"ok")]
+
+
+def test_new_connection_is_opened_for_what_must_not_meet_an_earlier_answer(
+    pool, reactor
+):
+    # Released and acquired in one turn, the idle time is 0 as well.
+    connection, _ = start_exchange(pool, reactor)
+    connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+    assert open_connection(pool, reactor, max_idle_seconds=0.0) is not connection
--- a/tests/test_platform_codecs.py
+++ b/tests/test_platform_codecs.py
@@ -365,7 +365,8 @@
         by_name = {
             name.replace("_", "-").encode(): value for name, value in headers.items()
         }
-        return codec.parse_answer(call, ResponseHead(status, (), by_name))
+        head = ResponseHead(status, (), by_name)
+        return codec.parse_answer(call, head, on_kept_connection=False)
 
     complete = metadata(
         200,
