Read the store before taking up a stream that others may know

What callers saw elsewhere: during a release, streams were taken up at an instance that had been cut off or stood still for some seconds, and went on at a server of another version.

Cause: it can happen here. A stream of unknown origin was taken up if the instance knew one version of the last minute. An instance that missed reports and changes knows one where there are two, and did not ask whether it had missed any.

Why the fix works: FleetContact tells whether reports cover all instances and none has just been heard again. If so, an origin at another version would have been reported, and a reported version counts at once. If not, the instance reads the record of versions, which lists a version before it begins a stream. Without the store it takes streams up only in step with more than half of the instances.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -289,6 +289,7 @@
                 self._engine_queues.for_service,
                 self._origins,
                 self._versions,
+                self._relay.fleet_contact,
             ),
             peer_calls=self._peer_calls,
             log=log,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -18,6 +18,7 @@
 from .engine_queue import EngineQueue
 from .engine_waiters import EngineRequirements
 from .event_stream import EventStream
+from .fleet_contact import FleetContact
 from .local_prefill import LocalPrefill
 from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
@@ -60,12 +61,14 @@
         queue_for: Callable[[str], EngineQueue],
         origins: StreamOrigins,
         versions: VersionHistory,
+        contact: FleetContact,
     ) -> None:
         self._context = context
         self._prefills = prefills
         self._queue_for = queue_for
         self._origins = origins
         self._versions = versions
+        self._contact = contact
 
     async def run(self, state: CallState, responder: Responder) -> None:
         """Stream the answer to the caller, or raise ``Refused``."""
@@ -89,7 +92,7 @@
         )
         state.stream = stream
         if stream.resumable and stream.last_id is not None:
-            stream.origin = self._origin_of_taken_up(state)
+            stream.origin = await self._origin_of_taken_up(state)
         health, clock = self._context.health, self._context.clock
         excluded: set[str] = set()
         rejecting: set[str] = set()
@@ -207,26 +210,45 @@
             repeatable=resolved.route.resumable,
         )
 
-    def _origin_of_taken_up(self, state: CallState) -> StreamOrigin | None:
+    async def _origin_of_taken_up(self, state: CallState) -> StreamOrigin | None:
         """Return the origin of the stream that a call takes up, and use its service.
 
+        An instance that does not hear all others may not know a version that has joined
+        meanwhile and begun the stream, so it reads the store. If it can't, it trusts
+        what it knows only together with most instances.
+
         Raises ``Refused`` if the stream may have been begun by another software
         version than an engine that is chosen for it.
         """
-        call_id = state.call.first_call_id
-        origin = self._origins.find(call_id) if call_id is not None else None
+        service = state.service()
+        missed = False
+        if self._known_origin(state) is None and not self._contact.with_all():
+            missed = not (
+                self._several_versions(service)
+                or await self._versions.confirm(service)
+                or self._contact.with_most()
+            )
+        origin = self._known_origin(state)
         if origin is not None:
             if state.pin_service(origin.service):
                 return origin
             raise Refused(503, "stream_origin_gone")
-        service = state.service()
-        versions = self._versions.recent(service)
-        if len(versions) > 1 or not self._versions.complete(service):
+        if missed or self._several_versions(service):
             raise Refused(
                 503, "stream_origin_unknown", retry_after=UNKNOWN_RETRY_AFTER_SECONDS
             )
+        versions = self._versions.recent(service)
         return StreamOrigin(service, versions.pop()) if versions else None
 
+    def _known_origin(self, state: CallState) -> StreamOrigin | None:
+        call_id = state.call.first_call_id
+        return self._origins.find(call_id) if call_id is not None else None
+
+    def _several_versions(self, service: str) -> bool:
+        """Return whether several versions may have begun a service's streams."""
+        versions = self._versions.recent(service) | self._origins.versions(service)
+        return len(versions) > 1 or not self._versions.complete(service)
+
     def _record_origin(
         self, state: CallState, stream: EventStream, server: BackendServer
     ) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/report_relay.py
@@ -8,6 +8,7 @@
 
 from .crash_quarantine import CrashQuarantine
 from .event_log import EventLog
+from .fleet_contact import FleetContact
 from .fleet_news import FleetNews, NewsDatagram, NewsRows
 from .instance_availability import InstanceAvailability
 from .instance_groups import InstanceGroups, Peer
@@ -63,6 +64,11 @@
         Sends a report to an address.
     on_report : callable
         Called after a report was applied.
+
+    Attributes
+    ----------
+    fleet_contact : FleetContact
+        Whether this instance has heard what the others know.
     """
 
     def __init__(
@@ -109,6 +115,9 @@
         limits.coverage = lambda: (usage.covered(), usage.instances)
         self._log = log
         self._known = KnownPeers(clock)
+        self.fleet_contact = FleetContact(
+            clock, lambda: (usage.covered(), usage.instances)
+        )
         self._peers_by_instance: dict[str, Peer] = {}
         self._sequence = 0
         self._contact: str | None = None
@@ -185,6 +194,7 @@
         run, heard_at = self._last_heard.get(report.instance, (0, float("-inf")))
         if run != report.run or now - heard_at > RETURN_SECONDS:
             self._returned_at[report.instance] = now
+            self.fleet_contact.record_return()
         self._last_heard[report.instance] = (report.run, now)
         self._started_at[report.instance] = now - report.age
         group = self._groups.group_of(report.instance)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/stream_origins.py
@@ -72,6 +72,7 @@
         self._services: set[str] = set()
         self._mixed_since: dict[str, float] = {}
         self._known_by_call_id: dict[str, _Known] = {}
+        self._learned_at_by_origin: dict[StreamOrigin, float] = {}
 
     def record(self, call_id: str, origin: StreamOrigin) -> None:
         """Record the origin of a stream that a call of this instance began."""
@@ -91,6 +92,18 @@
         known = self._known_by_call_id.get(call_id)
         return known.origin if known is not None else None
 
+    def versions(self, service: str) -> set[str]:
+        """Return the software versions that began a service's known streams.
+
+        Another instance may have reported one that is not read from the store yet.
+        """
+        oldest = self._clock.seconds() - ORIGIN_SECONDS
+        return {
+            origin.software_version
+            for origin, learned_at in self._learned_at_by_origin.items()
+            if origin.service == service and learned_at >= oldest
+        }
+
     def recent(self, seconds: float, widest: ReportScope) -> ReportedOrigins:
         """Return the origins of a scope that were learned in the last ``seconds``.
 
@@ -116,6 +129,7 @@
         self._services.add(origin.service)
         now = self._clock.seconds()
         self._known_by_call_id[call_id] = _Known(origin, scope, now)
+        self._learned_at_by_origin[origin] = now
 
     def _drop_old(self) -> None:
         oldest = self._clock.seconds() - ORIGIN_SECONDS
@@ -125,6 +139,7 @@
                 return
             del self._known_by_call_id[call_id]
         self._services.clear()
+        self._learned_at_by_origin.clear()
 
     def _update_mixed(self) -> None:
         """Note since when each service has several software versions."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
@@ -6,6 +6,7 @@
 from functools import partial
 
 import msgspec
+from twisted.internet.defer import TimeoutError
 from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import LoopingCall
 from twisted.python.failure import Failure
@@ -41,6 +42,9 @@
 """Time after which a version without servers counts as gone. Those of a service with
 one server are without for a moment when it restarts."""
 
+CONFIRM_SECONDS = 0.5
+"""Time for which a caller waits for the store, which answers within milliseconds."""
+
 MAX_VERSIONS = 32
 """Limit on the versions in a record."""
 
@@ -156,6 +160,26 @@
             and server.software_version in known.record.last_seen_by_version
         )
 
+    async def confirm(self, service: str) -> bool:
+        """Read the record of a service anew; return whether there is one.
+
+        This takes a call to the store, which is for an instance that may have missed a
+        version, and for a caller that can't be served otherwise.
+        """
+        self.calls += 1
+        read = self._store.get(store_key(service))
+        read.addTimeout(CONFIRM_SECONDS, self._clock)
+        try:
+            entry = await read
+        except (KeyValueError, TimeoutError):
+            return False
+        if entry is None:
+            return False
+        known = self._known_by_service.get(service)
+        if known is None or known.revision < entry.revision:
+            self._learn(service, entry, first_read=False)
+        return True
+
     def replace_all(self, entries: Iterable[Entry]) -> None:
         """Learn all records of the store, after its servers have been learned.
 
--- a/tests/forwarding_fakes.py
+++ b/tests/forwarding_fakes.py
@@ -22,6 +22,7 @@
     ServiceWeight,
 )
 from pomeloglade.forwarding.engine_queue import EngineQueue
+from pomeloglade.forwarding.fleet_contact import FleetContact
 from pomeloglade.forwarding.fleet_news import FleetNews
 from pomeloglade.forwarding.forwarder import Forwarder
 from pomeloglade.forwarding.forwarding_metrics import ForwardingMetrics
@@ -397,6 +398,8 @@
             wall_time=self.clock.seconds,
         )
         self.origins = StreamOrigins(self.clock, self.versions.recent)
+        self.coverage = (1, 1)
+        self.contact = FleetContact(self.clock, lambda: self.coverage)
         self.news = FleetNews(self.clock)
         pauses = PrefillPauses(self.clock, self.loads, self.news)
         self.prefills = Prefills(context, self.log, pauses)
@@ -439,6 +442,7 @@
                 lambda _: self.queue,
                 self.origins,
                 self.versions,
+                self.contact,
             ),
             peer_calls=self.peer_calls,
             log=self.log,
