--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -27,6 +27,53 @@
     return path
 
 
+@pytest.fixture
+def free_port():
+    with socket.create_server((HOST, 0)) as free:
+        return free.getsockname()[1]
+
+
+@pytest.fixture
+def launch(settings, free_port):
+    """Starts a process whose output includes a line for each imported module."""
+    settings.write_text(
+        settings_text(
+            name="entry-1",
+            host=HOST,
+            zone="zone-a",
+            base_port=free_port,
+            store=f"{HOST}:1",
+        )
+    )
+    processes = []
+
+    def start_process():
+        process = subprocess.Popen(
+            [sys.executable, "-X", "importtime", "-m", "pomeloglade_platform"],
+            env={**os.environ, "POMELOGLADE_BOOT": str(settings)},
+            stdout=subprocess.PIPE,
+            stderr=subprocess.STDOUT,
+            text=True,
+        )
+        processes.append(process)
+        return process
+
+    yield start_process
+    for process in processes:
+        process.kill()
+        process.wait()
+
+
+def read_until(process, text):
+    """Return the output up to the first line with ``text``, or to its end."""
+    lines = []
+    for line in process.stdout:
+        lines.append(line)
+        if text in line:
+            break
+    return "".join(lines)
+
+
 def start(settings, *arguments):
     return subprocess.run(
         [sys.executable, "-m", "pomeloglade_platform", *arguments],
@@ -48,12 +95,42 @@
     assert str(port) in completed.stdout
 
 
-def test_second_sigterm_does_not_interrupt_the_shutdown(settings):
-    with socket.create_server((HOST, 0)) as free:
-        port = free.getsockname()[1]
+IMPORTED_MODULES = ("zope.interface", "msgspec", "pomeloglade.forwarding.instance")
+"""Modules that are imported one after the other while a process starts."""
+
+
+# Guards against a settings change that ends a process while it starts: FAULT.
+@pytest.mark.parametrize("module", IMPORTED_MODULES)
+def test_sighup_during_the_imports_does_not_end_the_process(launch, module):
+    process = launch()
+    assert module in read_until(process, f" {module}\n")
+    process.send_signal(signal.SIGHUP)
+    assert '"started"' in read_until(process, '"started"'), process.wait()
+    assert '"reloaded"' in read_until(process, '"reloaded"')
+    process.send_signal(signal.SIGTERM)
+    assert '"stopped"' in process.stdout.read()
+    assert process.wait() == 0
+
+
+# Guards against a stop during the start that looks like a crash: FAULT.
+@pytest.mark.parametrize("module", IMPORTED_MODULES)
+def test_sigterm_during_the_imports_ends_the_process_with_0_and_a_line(launch, module):
+    process = launch()
+    assert module in read_until(process, f" {module}\n")
+    process.send_signal(signal.SIGTERM)
+    output = process.stdout.read()
+    assert process.wait() == 0
+    assert '"stopped_early"' in output or '"stopped"' in output
+
+
+def test_second_sigterm_does_not_interrupt_the_shutdown(settings, free_port):
     settings.write_text(
         settings_text(
-            name="entry-1", host=HOST, zone="zone-a", base_port=port, store=f"{HOST}:1"
+            name="entry-1",
+            host=HOST,
+            zone="zone-a",
+            base_port=free_port,
+            store=f"{HOST}:1",
         )
     )
     process = subprocess.Popen(
