Try a port that is in use again before the process ends

The port of the metrics, which no request needs, ended it as well.

Cause: each port was opened once, and any error of it ended the start.

The new cases of test_platform_process.py fail on (the process ends) and pass here.

Ports that calls need are tried again for 15 s; then, or if the error is of another kind, the process ends with 1 and not_started as before. The metrics' port is tried in the background without an end.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ServerEndpoint
 from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
@@ -33,6 +32,7 @@
 from .instance_availability import InstanceAvailability
 from .instance_groups import decode_peer
 from .instance_reports import Report, ReportExchange, waiting_from
+from .listeners import Listeners
 from .loads import Loads
 from .model_calls import ModelCalls
 from .passed_on_calls import PassedOnCalls
@@ -340,22 +340,20 @@
             memory,
             self.forwarder.owner_of,
         )
-        self._pages = TextPages(settings.ready_path, self._ready, metrics.render)
+        self._listeners = Listeners(
+            reactor,
+            settings,
+            log,
+            pages=TextPages(settings.ready_path, self._ready, metrics.render),
+            callers=self._site,
+            peers=self._peer_site,
+            reports=self._exchange,
+        )
         self._tasks: list[Deferred[None]] = []
 
     async def start(self) -> None:
         """Start listening, following the store and registering."""
-        settings = self._settings
-        ports = (settings.ready_port, settings.metrics_port)
-        for port in ports:
-            await self._endpoint(port).listen(self._pages)
-        front = self._endpoint(settings.front_port, backlog=512)
-        self._listener = await front.listen(self._site)
-        peers = self._endpoint(settings.peer_port)
-        self._peer_listener = await peers.listen(self._peer_site)
-        self._reactor.listenUDP(
-            settings.peer_port, self._exchange, interface=settings.host
-        )
+        await self._listeners.open()
         self._relay.start()
         for task in (self._follower.start(), self._registration.start()):
             task.addErrback(self._task_failed)
@@ -366,17 +364,12 @@
         if self.store_view.versions is not None:
             self._versions.start()
         self._reactor.addSystemEventTrigger("before", "shutdown", self._drain)
-        self._log.event("started", run=self._run, front_port=settings.front_port)
+        self._log.event("started", run=self._run, front_port=self._settings.front_port)
 
     def reload(self) -> None:
         """Log a reload request; settings are read at the start only."""
         self._log.event("reloaded")
 
-    def _endpoint(self, port: int, backlog: int = 50) -> TCP4ServerEndpoint:
-        return TCP4ServerEndpoint(
-            self._reactor, port, backlog=backlog, interface=self._settings.host
-        )
-
     def _ready(self) -> bool:
         return not self._draining and self.store_view.ready()
 
@@ -479,8 +472,7 @@
             last_long_call_at=started + READINESS_PROPAGATION_SECONDS, stops_at=until
         )
         await deferLater(self._reactor, READINESS_PROPAGATION_SECONDS)
-        await self._listener.stopListening()
-        await self._peer_listener.stopListening()
+        await self._listeners.close()
         sites = (self._site, self._peer_site)
         while self._reactor.seconds() < until:
             for site in sites:
--- /dev/null
+++ b/packages/pomeloglade/src/pomeloglade/startup.py
@@ -0,0 +1,85 @@
+"""What a process needs at its start and may lack for a moment."""
+
+import errno
+from collections.abc import Awaitable, Callable
+from typing import Any, Protocol
+
+from twisted.internet.error import CannotListenError
+from twisted.internet.interfaces import IListeningPort, IReactorTime
+from twisted.internet.task import deferLater
+
+PORT_SECONDS = 15.0
+"""Time after which a port in use ends the process: longer than a predecessor's grace
+period."""
+
+PORT_RETRY_SECONDS = 0.1
+
+PASSING_ERRORS = frozenset((errno.EADDRINUSE, errno.EADDRNOTAVAIL))
+"""Errors of ``bind`` that end by themselves: a port is in use, or an address that the
+machine is to have has not been assigned yet."""
+
+
+class Log(Protocol):
+    """Receives the events of the start."""
+
+    def event(self, name: str, **fields: Any) -> None:
+        """Write an event."""
+
+
+class PortOpener:
+    """Listens on ports that another process may still hold for a moment.
+
+    The holder may be the process's predecessor, an outgoing connection or another
+    program on a machine that is shared.
+
+    Parameters
+    ----------
+    clock : IReactorTime
+        Times the retries.
+    log : Log
+        Gets a line for each port that is in use, and one when it is free.
+    """
+
+    def __init__(self, clock: IReactorTime, log: Log) -> None:
+        self._clock = clock
+        self._log = log
+
+    async def open_required(
+        self, purpose: str, listen: Callable[[], Awaitable[IListeningPort]]
+    ) -> IListeningPort:
+        """Listen on a port without which the process can't work.
+
+        Raises ``CannotListenError`` if it is in use for ``PORT_SECONDS``.
+        """
+        return await self._open(purpose, listen, self._clock.seconds() + PORT_SECONDS)
+
+    async def open_optional(
+        self, purpose: str, listen: Callable[[], Awaitable[IListeningPort]]
+    ) -> IListeningPort:
+        """Listen on a port that no request needs, as soon as it is free."""
+        return await self._open(purpose, listen, float("inf"))
+
+    async def _open(
+        self,
+        purpose: str,
+        listen: Callable[[], Awaitable[IListeningPort]],
+        until: float,
+    ) -> IListeningPort:
+        started = self._clock.seconds()
+        reported = False
+        while True:
+            try:
+                port = await listen()
+            except CannotListenError as error:
+                passing = getattr(error.socketError, "errno", 0) in PASSING_ERRORS
+                if not passing or self._clock.seconds() >= until:
+                    raise
+                if not reported:
+                    reported = True
+                    self._log.event("port_in_use", purpose=purpose, reason=str(error))
+            else:
+                if reported:
+                    waited = round(self._clock.seconds() - started, 3)
+                    self._log.event("port_free", purpose=purpose, waited=waited)
+                return port
+            await deferLater(self._clock, PORT_RETRY_SECONDS)
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from pomeloglade_platform.program import METRICS_PORT
 from pomeloglade_platform_standin.deployment import settings_text
 
 HOST = f"127.{1 + os.getpid() % 250}.1.1"
@@ -123,6 +124,27 @@
     assert '"stopped_early"' in output or '"stopped"' in output
 
 
+PORTS_BY_PURPOSE = {"callers": 0, "readiness": 1, "peers": 2}
+"""The ports that calls need, counted from the settings' first one."""
+
+
+# Guards against a process that ends as its predecessor still holds a port: FAULT.
+@pytest.mark.parametrize("purpose", PORTS_BY_PURPOSE)
+def test_port_that_is_in_use_for_a_moment_delays_the_start(launch, free_port, purpose):
+    with socket.create_server((HOST, free_port + PORTS_BY_PURPOSE[purpose])):
+        process = launch()
+        assert '"port_in_use"' in read_until(process, '"port_in_use"')
+    assert '"started"' in read_until(process, '"started"'), process.wait()
+
+
+# Guards against a process that ends for want of a port that no request needs: FAULT.
+def test_metrics_port_in_use_does_not_delay_the_start(launch):
+    with socket.create_server((HOST, METRICS_PORT)):
+        process = launch()
+        assert '"started"' in read_until(process, '"started"'), process.wait()
+    assert '"port_free"' in read_until(process, '"port_free"')
+
+
 def test_second_sigterm_does_not_interrupt_the_shutdown(settings, free_port):
     settings.write_text(
         settings_text(
