Read settings again that are being written when the process starts

What operators saw: a process that started while its settings file was empty or half written ended with 1 after half a second. The platform changes the file without any signal, also while machines restart.

Cause: the file was read once, and any error of it ended the start.

The file is read again for 5 s before it counts as wrong; then the process ends with the first bad field as before.

--- a/packages/pomeloglade/src/pomeloglade/startup.py
+++ b/packages/pomeloglade/src/pomeloglade/startup.py
@@ -1,13 +1,24 @@
-"""What a process needs at its start and may lack for a moment."""
+"""What a process needs at its start and may lack for a moment: settings and ports."""
 
 import errno
+import time
 from collections.abc import Awaitable, Callable
-from typing import Any, Protocol
+from typing import Any, Protocol, TypeVar
 
 from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IListeningPort, IReactorTime
 from twisted.internet.task import deferLater
 
+from .errors import SettingsError
+
+T = TypeVar("T")
+
+SETTINGS_SECONDS = 5.0
+"""Time after which settings that can't be read count as wrong, and not as being
+written."""
+
+SETTINGS_RETRY_SECONDS = 0.1
+
 PORT_SECONDS = 15.0
 """Time after which a port in use ends the process: longer than a predecessor's grace
 period."""
@@ -26,6 +37,36 @@
         """Write an event."""
 
 
+def read_settings(
+    load: Callable[[], T],
+    *,
+    now: Callable[[], float] = time.monotonic,
+    sleep: Callable[[float], object] = time.sleep,
+) -> T:
+    """Return what ``load`` returns, also if the file is just being written.
+
+    Raises the last ``SettingsError`` if there is still one after ``SETTINGS_SECONDS``.
+
+    Examples
+    --------
+    >>> texts = iter(["", "name = 1"])
+    >>> def load():
+    ...     if not (text := next(texts)):
+    ...         raise SettingsError("empty")
+    ...     return text
+    >>> read_settings(load, sleep=lambda seconds: None)
+    'name = 1'
+    """
+    until = now() + SETTINGS_SECONDS
+    while True:
+        try:
+            return load()
+        except SettingsError:
+            if now() >= until:
+                raise
+        sleep(SETTINGS_RETRY_SECONDS)
+
+
 class PortOpener:
     """Listens on ports that another process may still hold for a moment.
 
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -145,6 +146,18 @@
     assert '"port_free"' in read_until(process, '"port_free"')
 
 
+# Guards against a process that ends as its settings are being written: FAULT.
+@pytest.mark.parametrize("part", [0.0, 0.5])
+def test_settings_file_that_is_being_written_delays_the_start(launch, settings, part):
+    whole = settings.read_text()
+    settings.write_text(whole[: int(part * len(whole))])
+    process = launch()
+    assert "pomeloglade_platform" in read_until(process, " pomeloglade_platform.store")
+    time.sleep(0.5)
+    settings.write_text(whole)
+    assert '"started"' in read_until(process, '"started"'), process.wait()
+
+
 def test_second_sigterm_does_not_interrupt_the_shutdown(settings, free_port):
     settings.write_text(
         settings_text(
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -7,7 +7,13 @@
 from twisted.internet.error import CannotListenError
 
 from forwarding_fakes import ListLog
-from pomeloglade.startup import PORT_SECONDS, PortOpener
+from pomeloglade.errors import SettingsError
+from pomeloglade.startup import (
+    PORT_SECONDS,
+    SETTINGS_SECONDS,
+    PortOpener,
+    read_settings,
+)
 
 LISTENING = object()
 
@@ -71,3 +77,22 @@
     port = Port(clock, free_at=10 * PORT_SECONDS)
     opened = opener.open_optional("metrics", port.listen)
     assert run(clock, opened, 10 * PORT_SECONDS + 1) == [LISTENING]
+
+
+# Guards against a process that ends as its settings are being written: FAULT.
+def test_settings_that_are_being_written_are_read_again(clock):
+    def load():
+        if clock.seconds() < 1.0:
+            raise SettingsError("settings file is invalid")
+        return "settings"
+
+    assert read_settings(load, now=clock.seconds, sleep=clock.advance) == "settings"
+
+
+def test_settings_that_stay_wrong_are_an_error(clock):
+    def load():
+        raise SettingsError("settings file is invalid")
+
+    with pytest.raises(SettingsError):
+        read_settings(load, now=clock.seconds, sleep=clock.advance)
+    assert SETTINGS_SECONDS <= clock.seconds() < SETTINGS_SECONDS + 1
