Log the event ids with which each engine's answer began and ended

Callers saw streams out of order, and a number that went back. The log of a call named its engines and where each answer ended, but no ids, so that a repetition, a gap and a stream that continues with other text look alike in it.

The steps `end` and `lost` now have the first and the last id of the answer, each cut after 20 bytes; also where the stream was passed on through another instance.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -9,6 +9,9 @@
 """An empty line ends an event; each of the three line ends is allowed."""
 
 
+MAX_LOGGED_ID_BYTES = 20
+"""Length from which on the log has only the begin of an event's id."""
+
 MAX_EVENT_BYTES = 256 * 1024
 """Limit on one event, and on events without data that follow each other. An event
 usually has a few tokens, and servers that send empty ones do so once a second."""
@@ -56,6 +59,13 @@
         self.forwarded_at = 0.0
         self.data_events = 0
         self._bytes_without_data = 0
+        self._answer_first_id: bytes | None = None
+        self._answer_last_id: bytes | None = None
+
+    def begin_answer(self) -> None:
+        """Expect the answer of another server from now on."""
+        self.discard_answer()
+        self._answer_first_id = self._answer_last_id = None
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the part that may be forwarded.
@@ -79,8 +89,12 @@
         """Keep the last id of whole events, and count those with data."""
         self._bytes_without_data += len(events)
         for line in events.splitlines():
-            if line.startswith(b"id:") and self.resumable:
-                self.last_id = line[3:].strip()
+            if line.startswith(b"id:"):
+                self._answer_last_id = line[3:].strip()
+                if self._answer_first_id is None:
+                    self._answer_first_id = self._answer_last_id
+                if self.resumable:
+                    self.last_id = self._answer_last_id
             elif line.startswith(b"data:") and line[5:].strip():
                 self.data_events += 1
                 self._bytes_without_data = 0
@@ -88,6 +102,21 @@
             text = f"events without data have more than {MAX_EVENT_BYTES} bytes"
             raise InvalidBackendResponseError(text, step="stream")
 
+    def describe_ids(self) -> str:
+        """Return the first and the last id in the present answer, for the log.
+
+        >>> stream = EventStream(resumable=True)
+        >>> stream.describe_ids()
+        'no ids'
+        >>> _ = stream.feed(b"id: 1\\ndata: a\\n\\nid: 2\\ndata: b\\n\\n")
+        >>> stream.describe_ids()
+        'ids 1 to 2'
+        """
+        if self._answer_first_id is None:
+            return "no ids"
+        first, last = map(_logged, (self._answer_first_id, self._answer_last_id))
+        return f"ids {first} to {last}"
+
     @property
     def held_bytes(self) -> int:
         """The bytes received of an event that has not ended."""
@@ -135,3 +164,8 @@
         """Drop the partial event of an answer that broke; the next one may follow."""
         self._partial = b""
         self._answer_has_events = False
+
+
+def _logged(event_id: bytes) -> str:
+    text = event_id[:MAX_LOGGED_ID_BYTES].decode("ascii", "backslashreplace")
+    return text + "..." if len(event_id) > MAX_LOGGED_ID_BYTES else text
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -143,7 +143,9 @@
                 health.record_unreachable(server.id)
                 excluded.add(server.id)
             except BackendError as error:
-                state.record_step(server.id, "lost", str(error))
+                state.record_step(
+                    server.id, "lost", f"{error}, {stream.describe_ids()}"
+                )
                 health.record_unreachable(server.id)
                 self._context.record_loss(state, server, error)
                 failed_servers.add(server.id)
@@ -349,6 +351,7 @@
             details = (server.software_version, context.describe_pace(server))
             state.record_send(server.id, " ".join(filter(None, details)))
             sent_at = context.clock.seconds()
+            stream.begin_answer()
             exchange.start(connection, context.pool.release)
             try:
                 head = await self._with_silence_timeout(
@@ -434,7 +437,8 @@
                     # While the caller does not read, neither is the engine read.
                     stalls_at += forwarded_at - written_at
             place = "inside an event" if stream.inside_event else "after an event"
-            state.record_step(server.id, "end", f"{head.framing.value}, {place}")
+            details = (head.framing.value, place, stream.describe_ids())
+            state.record_step(server.id, "end", ", ".join(details))
             ensure_whole_stream(stream, head, server.id)
         except BackendError:
             stream.discard_answer()
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -158,7 +158,8 @@
                 state.record_step(peer, "unreachable", str(error))
                 self._avoid(peer)
             except BackendError as error:
-                state.record_step(peer, "lost", str(error))
+                ids = f", {state.stream.describe_ids()}" if state.stream else ""
+                state.record_step(peer, "lost", f"{error}{ids}")
                 if not isinstance(error, _PeerFailedError):
                     self._avoid(peer)
                 spend = True
@@ -228,6 +229,8 @@
         )
         exchange = Exchange(head, call.body)
         state.record_send(peer, "passed on")
+        if stream is not None:
+            stream.begin_answer()
         exchange.start(connection, context.pool.release)
         silence = self._watch_silence(peer)
         try:
@@ -240,7 +243,7 @@
                 await self._raise_refusal(exchange, answer, peer)
             success = 200 <= answer.status < 300
             if stream is not None and success:
-                await self._forward(responder, stream, exchange, answer, peer)
+                await self._forward(state, responder, stream, exchange, answer, peer)
                 return
             body = await context.body_memory.read_body(exchange)
             if begun:
@@ -294,6 +297,7 @@
 
     async def _forward(
         self,
+        state: CallState,
         responder: Responder,
         stream: EventStream,
         exchange: Exchange,
@@ -312,6 +316,8 @@
                 if data:
                     responder.write(data)
                     await responder.wait_writable()
+            details = (head.framing.value, stream.describe_ids())
+            state.record_step(peer, "end", ", ".join(details))
             ensure_whole_stream(stream, head, peer)
         except BackendError:
             stream.discard_answer()
