--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -14,7 +14,7 @@
 from ..transport.http_site import Responder
 from .backends import BackendServer
 from .call_state import CallState
-from .calls import Refused, SendParameters, answer_headers
+from .calls import SendParameters, answer_headers
 from .engine_queue import EngineQueue
 from .engine_waiters import EngineRequirements
 from .event_stream import EventStream
@@ -23,7 +23,8 @@
 from .plain_calls import ensure_whole_stream, validate_answer
 from .prefills import KvCache, PrefillFailedError, Prefills
 from .send_context import SendContext, on_silence
-from .stream_origins import StreamOrigin, StreamOrigins
+from .stream_origins import StreamOrigins
+from .stream_take_up import StreamTakeUp
 from .version_history import VersionHistory
 
 SERVER_ERROR = 500
@@ -32,10 +33,6 @@
 RETRY_COST = 2
 """Requests that a retry takes from the retry budget: a prefill and the call."""
 
-UNKNOWN_RETRY_AFTER_SECONDS = 0.3
-"""Retry delay given to a caller whose stream's origin is not known here: another
-instance may know it, and one that has just started learns it within this time."""
-
 STREAM_SILENCE_SECONDS = 2.0
 """Time without an event with data after which a resumable stream is resumed at another
 engine. Callers give up after twice that time; events usually follow each other within a
@@ -66,9 +63,7 @@
         self._context = context
         self._prefills = prefills
         self._queue_for = queue_for
-        self._origins = origins
-        self._versions = versions
-        self._contact = contact
+        self._take_up = StreamTakeUp(origins, versions, contact)
 
     async def run(self, state: CallState, responder: Responder) -> None:
         """Stream the answer to the caller, or raise ``Refused``."""
@@ -92,7 +87,7 @@
         )
         state.stream = stream
         if stream.resumable and stream.last_id is not None:
-            stream.origin = await self._origin_of_taken_up(state)
+            stream.origin = await self._take_up.find_origin(state)
         health, clock = self._context.health, self._context.clock
         excluded: set[str] = set()
         rejecting: set[str] = set()
@@ -212,55 +207,6 @@
             repeatable=resolved.route.resumable,
         )
 
-    async def _origin_of_taken_up(self, state: CallState) -> StreamOrigin | None:
-        """Return the origin of the stream that a call takes up, and use its service.
-
-        An instance that does not hear all others may not know a version that has joined
-        meanwhile and begun the stream, so it reads the store. If it can't, it trusts
-        what it knows only together with most instances.
-
-        Raises ``Refused`` if the stream may have been begun by another software
-        version than an engine that is chosen for it.
-        """
-        service = state.service()
-        missed = False
-        if self._known_origin(state) is None and not self._contact.with_all():
-            missed = not (
-                self._several_versions(service)
-                or await self._versions.confirm(service)
-                or self._contact.with_most()
-            )
-        origin = self._known_origin(state)
-        if origin is not None:
-            if state.pin_service(origin.service):
-                return origin
-            raise Refused(503, "stream_origin_gone")
-        if missed or self._several_versions(service):
-            raise Refused(
-                503, "stream_origin_unknown", retry_after=UNKNOWN_RETRY_AFTER_SECONDS
-            )
-        versions = self._versions.recent(service)
-        return StreamOrigin(service, versions.pop()) if versions else None
-
-    def _known_origin(self, state: CallState) -> StreamOrigin | None:
-        call_id = state.call.first_call_id
-        return self._origins.find(call_id) if call_id is not None else None
-
-    def _several_versions(self, service: str) -> bool:
-        """Return whether several versions may have begun a service's streams."""
-        versions = self._versions.recent(service) | self._origins.versions(service)
-        return len(versions) > 1 or not self._versions.complete(service)
-
-    def _record_origin(
-        self, state: CallState, stream: EventStream, server: BackendServer
-    ) -> None:
-        """Tell all instances which software version has begun a resumable stream."""
-        if not stream.resumable or stream.origin is not None:
-            return
-        stream.origin = StreamOrigin(server.service, server.software_version)
-        self._origins.record(state.call.id, stream.origin)
-        self._context.on_load_changed()
-
     def _may_be_fetched(self, state: CallState, cache: KvCache) -> bool:
         """Return whether the zone of a KV cache is in use and allowed for the call."""
         backends = self._context.backends
@@ -409,7 +355,8 @@
             return
         if not stream.begun:
             stream.begun = True
-            self._record_origin(state, stream, server)
+            if self._take_up.record_origin(state, stream, server):
+                self._context.on_load_changed()
             state.record_step("", "head")
             responder.write_head(head.status, answer_headers(head))
         clock = self._context.clock
--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -698,7 +698,7 @@
     Mutation(
         "ORDER, out of step",
         "an instance that has missed reports trusts what it knows",
-        FORWARDING + "model_calls.py",
+        FORWARDING + "stream_take_up.py",
         "not self._contact.with_all()",
         "False",
         ("tests/test_fleet_contact.py",),
