Go on with a stream only with its next events

Callers found an engine's error, at times its whole head, in the middle of their stream, events twice or a gap in their ids, or a stream that ended as complete although no engine had gone on with it (ORDER, MIXED).

Cause: the answer to a run that goes on was trusted by its status alone, any 2xx. What an engine in trouble wrote after it was appended to the events of the engine before, and the end of its body was taken for the end of the stream. Likewise where the stream was passed on through another instance.

EventStream now checks every whole event of an answer that follows another one before any of it is sent: status 200, an id that comes next, no reported error, no bytes that are not fields, and at least one event with data before the end. What comes next follows from the ids sent so far (EventOrder): the stream's own step where it is regular, increasing numbers where it is not, ids that are not repeated where they are not numbers. Anything else drops the answer, and the next engine is asked within max_servers, the retry budget and the time limit; else the stream ends visibly broken, which its caller can repair. A first answer is passed on unchanged. If it left the order itself (no id, an id that goes back, an error), the stream is not resumed, since the next event is not known.

Where an engine has sent all events and is lost before the end of its body, the next answer may rightly be empty; that stream now ends broken too, and its caller can take it up.

--- a/packages/pomeloglade/src/pomeloglade/errors.py
+++ b/packages/pomeloglade/src/pomeloglade/errors.py
@@ -39,6 +39,10 @@
     """The backend server's answer does not follow its protocol."""
 
 
+class WrongContinuationError(BackendLostError):
+    """The answer does not go on with the stream of which the caller has a part."""
+
+
 class BackendRefusedError(BackendError):
     """The backend server understood the call and declined it."""
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -2,13 +2,16 @@
 
 import re
 
-from ..errors import InvalidBackendResponseError
+from ..errors import InvalidBackendResponseError, WrongContinuationError
+from .event_order import Event, EventOrder, begins_event
 from .stream_origins import StreamOrigin
 
 END_OF_EVENT = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 """An empty line ends an event; each of the three line ends is allowed."""
 
 
+SUCCESS = 200
+
 MAX_LOGGED_ID_BYTES = 20
 """Length from which on the log has only the begin of an event's id."""
 
@@ -23,7 +26,8 @@
     If the backend server fails within an event, another one resumes the stream
     after the last whole event, so the caller must not receive a part of the next one.
     Partial events of other streams are forwarded and remembered. The answers of the
-    servers that a stream goes on at are received one after the other.
+    servers that a stream goes on at are received one after the other. The first one is
+    forwarded as it is; of the others only the events that come next in the stream.
 
     Parameters
     ----------
@@ -51,8 +55,10 @@
     def __init__(self, *, resumable: bool, last_id: bytes | None = None) -> None:
         self.resumable = resumable
         self._partial = b""
-        self._answer_has_events = False
-        self.last_id = last_id
+        self._answer_has_events = self._answer_has_data = False
+        self._order = EventOrder(last_id)
+        self._goes_on = False
+        self._answer_has_data = False
         self.begun = False
         self.origin: StreamOrigin | None = None
         self.forwarded_bytes = 0
@@ -62,45 +68,107 @@
         self._answer_first_id: bytes | None = None
         self._answer_last_id: bytes | None = None
 
+    @property
+    def last_id(self) -> bytes | None:
+        """The id of the last event that the caller has received."""
+        return self._order.last
+
+    @property
+    def may_go_on(self) -> bool:
+        """Whether another server can go on after what the caller has received.
+
+        >>> stream = EventStream(resumable=True)
+        >>> _ = stream.feed(b"id: 1\\ndata: a\\n\\n")
+        >>> stream.may_go_on
+        True
+        >>> _ = stream.feed(b"data: no id\\n\\n")
+        >>> stream.may_go_on
+        False
+        """
+        return self.resumable and not self._order.ended
+
     def begin_answer(self) -> None:
         """Expect the answer of another server from now on."""
         self.discard_answer()
+        self._goes_on = self.begun
         self._answer_first_id = self._answer_last_id = None
 
     def feed(self, data: bytes) -> bytes:
         """Add received data and return the part that may be forwarded.
 
         Raises ``InvalidBackendResponseError`` if an event is too long, or if too many
-        have no data.
+        have no data, and ``WrongContinuationError`` if one does not come next in a
+        stream that goes on; of the data, nothing may be forwarded then.
         """
         received = self._partial + data
-        end = 0
+        events, end = [], 0
         for match in END_OF_EVENT.finditer(received):
+            events.append(received[end : match.end()])
             end = match.end()
         whole, self._partial = received[:end], received[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             text = f"event has more than {MAX_EVENT_BYTES} bytes"
             raise InvalidBackendResponseError(text, step="stream")
         self._answer_has_events = self._answer_has_events or bool(whole)
-        self._read_fields(whole)
+        self._read_events(events)
         return whole if self.resumable else data
 
-    def _read_fields(self, events: bytes) -> None:
-        """Keep the last id of whole events, and count those with data."""
-        self._bytes_without_data += len(events)
-        for line in events.splitlines():
-            if line.startswith(b"id:"):
-                self._answer_last_id = line[3:].strip()
+    def _read_events(self, events: list[bytes]) -> None:
+        """Keep the order of whole events, and count those with data."""
+        order, data_events = self._order, 0
+        for lines in events:
+            event = Event.read(lines)
+            if event.id is not None:
+                self._answer_last_id = event.id
                 if self._answer_first_id is None:
-                    self._answer_first_id = self._answer_last_id
-                if self.resumable:
-                    self.last_id = self._answer_last_id
-            elif line.startswith(b"data:") and line[5:].strip():
-                self.data_events += 1
+                    self._answer_first_id = event.id
+            if self._goes_on and (fault := order.fault(event)):
+                raise WrongContinuationError(fault, step="resume")
+            if self.resumable:
+                order = order.after(event)
+            data_events += event.has_data
+            self._bytes_without_data += len(lines)
+            if event.has_data:
                 self._bytes_without_data = 0
-        if self._bytes_without_data > MAX_EVENT_BYTES:
-            text = f"events without data have more than {MAX_EVENT_BYTES} bytes"
-            raise InvalidBackendResponseError(text, step="stream")
+            elif self._bytes_without_data > MAX_EVENT_BYTES:
+                text = f"events without data have more than {MAX_EVENT_BYTES} bytes"
+                raise InvalidBackendResponseError(text, step="stream")
+        self._order = order
+        self.data_events += data_events
+        self._answer_has_data = self._answer_has_data or data_events > 0
+
+    def ensure_status(self, status: int) -> None:
+        """Raise ``WrongContinuationError`` unless an answer may go on with the stream.
+
+        >>> stream = EventStream(resumable=True)
+        >>> stream.ensure_status(404)
+        >>> stream.begun = True
+        >>> stream.begin_answer()
+        >>> stream.ensure_status(200)
+        >>> stream.ensure_status(204)
+        Traceback (most recent call last):
+            ...
+        pomeloglade.errors.WrongContinuationError: resumed stream was answered with 204
+        """
+        if self._goes_on and status != SUCCESS:
+            text = f"resumed stream was answered with {status}"
+            raise WrongContinuationError(text, step="resume")
+
+    def ensure_continued(self) -> None:
+        """Raise ``WrongContinuationError`` if an answer has ended and does not go on.
+
+        A server that has lost the stream may answer without an event, and so may a
+        server whose events were all received; a caller can take up what is broken off,
+        but not what looks complete.
+        """
+        if not self._goes_on:
+            return
+        if not begins_event(self._partial):
+            text = "the rest of a resumed stream is no event"
+            raise WrongContinuationError(text, step="resume")
+        if not self._answer_has_data and not self.inside_event:
+            text = "resumed stream was answered without an event"
+            raise WrongContinuationError(text, step="resume")
 
     def describe_ids(self) -> str:
         """Return the first and the last id in the present answer, for the log.
@@ -163,7 +231,7 @@
     def discard_answer(self) -> None:
         """Drop the partial event of an answer that broke; the next one may follow."""
         self._partial = b""
-        self._answer_has_events = False
+        self._answer_has_events = self._answer_has_data = False
 
 
 def _logged(event_id: bytes) -> str:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -6,9 +6,9 @@
 
 from ..errors import (
     BackendError,
-    BackendLostError,
     BackendNotServingError,
     BackendUnreachableError,
+    WrongContinuationError,
 )
 from ..transport.http_exchange import Exchange, ResponseHead, ServerConnection
 from ..transport.http_site import Responder
@@ -138,15 +138,18 @@
                 health.record_unreachable(server.id)
                 excluded.add(server.id)
             except BackendError as error:
+                wrong = isinstance(error, WrongContinuationError)
                 state.record_step(
-                    server.id, "lost", f"{error}, {stream.describe_ids()}"
+                    server.id,
+                    "wrong" if wrong else "lost",
+                    f"{error}, {stream.describe_ids()}",
                 )
                 health.record_unreachable(server.id)
                 self._context.record_loss(state, server, error)
                 failed_servers.add(server.id)
                 excluded.add(server.id)
                 if (
-                    not resolved.route.resumable
+                    not stream.may_go_on
                     or state.servers_tried + len(failed_servers)
                     >= resolved.route.max_servers
                 ):
@@ -348,11 +351,10 @@
                 self._context.health.record_failure(server.id)
                 if self._should_retry_error(state, server):
                     raise _FaultyEngineError(f"status {head.status}")
-            if stream.begun:
-                text = f"resumed stream was answered with {head.status}"
-                raise BackendLostError(text, step="resume", peer=server.id)
+            stream.ensure_status(head.status)
             responder.answer(head.status, answer_headers(head), body)
             return
+        stream.ensure_status(head.status)
         if not stream.begun:
             stream.begun = True
             if self._take_up.record_origin(state, stream, server):
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -10,7 +10,12 @@
 
 from pomeloglade_coordination.json_decoding import decode_json
 
-from ..errors import BackendError, BackendLostError, BackendUnreachableError
+from ..errors import (
+    BackendError,
+    BackendLostError,
+    BackendUnreachableError,
+    WrongContinuationError,
+)
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ResponseHead
 from ..transport.http_site import Responder
@@ -124,7 +129,7 @@
         ):
             return False
         stream = state.stream
-        return not responder.head_sent or (stream is not None and stream.resumable)
+        return not responder.head_sent or (stream is not None and stream.may_go_on)
 
     async def run(
         self, state: CallState, responder: Responder, refused: Refused
@@ -158,9 +163,10 @@
                 state.record_step(peer, "unreachable", str(error))
                 self._avoid(peer)
             except BackendError as error:
+                wrong = isinstance(error, WrongContinuationError)
                 ids = f", {state.stream.describe_ids()}" if state.stream else ""
-                state.record_step(peer, "lost", f"{error}{ids}")
-                if not isinstance(error, _PeerFailedError):
+                state.record_step(peer, "wrong" if wrong else "lost", f"{error}{ids}")
+                if not wrong and not isinstance(error, _PeerFailedError):
                     self._avoid(peer)
                 spend = True
                 refused = state.give_up_refusal("answer_lost")
@@ -241,14 +247,13 @@
             )
             if not metadata.has_seal:
                 await self._raise_refusal(exchange, answer, peer)
+            if stream is not None:
+                stream.ensure_status(answer.status)
             success = 200 <= answer.status < 300
             if stream is not None and success:
                 await self._forward(state, responder, stream, exchange, answer, peer)
                 return
             body = await context.body_memory.read_body(exchange)
-            if begun:
-                text = f"resumed stream was answered with {answer.status}"
-                raise BackendLostError(text, step="resume", peer=peer)
             responder.answer(answer.status, answer_headers(answer), body)
         except CancelledError:
             if state.expired and not exchange.has_head:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_calls.py
@@ -398,7 +398,12 @@
 
 
 def ensure_whole_stream(stream: EventStream, head: ResponseHead, server: str) -> None:
-    """Raise ``BackendLostError`` if a stream whose body has ended was broken off."""
+    """Check a stream whose body has ended.
+
+    Raises ``BackendLostError`` if it was broken off, and ``WrongContinuationError`` if
+    it does not go on with what the caller has received.
+    """
+    stream.ensure_continued()
     framing = head.framing
     if stream.broken_off(ends_with_connection=framing is BodyFraming.CLOSE):
         text = f"stream of backend server {server!r} was broken off"
--- a/tests/test_peer_calls.py
+++ b/tests/test_peer_calls.py
@@ -1,6 +1,7 @@
 """Calls that an instance without a way to servers passes on to others."""
 
 import json
+from dataclasses import replace
 
 import pytest
 from tests.forwarding_fakes import FakeResponder, Harness, deployment, server
@@ -396,6 +397,42 @@
     assert responder.body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
 
 
+# Guards against passing on an engine's error, repetition or gap in the middle of a
+# stream, or ending it as complete after that: ORDER, MIXED (first report of issue 46).
+@pytest.mark.parametrize(
+    ("status", "body"),
+    [
+        (200, b""),
+        (204, b""),
+        (206, b"id: 2\ndata: x\n\n"),
+        (500, b"oops"),
+        (200, b"event: error\ndata: overloaded\n\n"),
+        (200, b"HTTP/1.1 500 Oops\n\n"),
+        (200, b"id: 1\ndata: x\n\n"),
+        (200, b"id: 3\ndata: x\n\n"),
+    ],
+)
+def test_stream_goes_on_only_with_its_next_events_from_another_instance(
+    engines, status, body
+):
+    (reports,) = [each for each in deployment().routes if each.name == "reports"]
+    configuration = deployment(reports=replace(reports, max_servers=3))
+    harness = cut_off(*engines, configuration=configuration)
+    responder, _ = harness.model_call("/reports/1")
+    request = passed_on(harness)[0]
+    request.begin_answer()
+    request.event(1)
+    request.reset()
+    passed_on(harness)[1].answer(status, body, transfer_encoding=b"chunked")
+    third = passed_on(harness)[2]
+    assert third.header("Last-Event-Id") == b"1"
+    third.begin_answer()
+    third.event(2)
+    third.end()
+    assert responder.body == b"id: 1\ndata: x\n\nid: 2\ndata: x\n\n"
+    assert not responder.was_aborted
+
+
 # Guards against asking instances that are cut off themselves: RECOVER (second1,
 # issue 28).
 @pytest.mark.parametrize("size", SIZES)
