Don't count an engine that answers a resumed stream by an error as ended

A request whose stream was taken up by sound engines that answered it by an error, three times, was refused afterwards by all instances for ten minutes as one that ends servers (`ends_servers`), though none had ended.

Cause: such an answer was raised as a BackendLostError, which stands for a broken connection, and record_loss took it for the end of the engine. It is an answer that does not follow the protocol, so WrongContinuationError is an InvalidBackendResponseError now. The engine's health still counts it as a failure, and the call asks another engine.

The test failed in all of its five forms on the parent of this commit (503, ends_servers).

--- a/packages/pomeloglade/src/pomeloglade/errors.py
+++ b/packages/pomeloglade/src/pomeloglade/errors.py
@@ -39,7 +39,7 @@
     """The backend server's answer does not follow its protocol."""
 
 
-class WrongContinuationError(BackendLostError):
+class WrongContinuationError(InvalidBackendResponseError):
     """The answer does not go on with the stream of which the caller has a part."""
 
 
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -5,6 +5,8 @@
 import pytest
 from tests.forwarding_fakes import Harness, deployment, server
 
+from pomeloglade.forwarding.model_calls import STREAM_SILENCE_SECONDS
+
 TARGET = "/reports/1"
 
 
@@ -17,7 +19,7 @@
 def begin_stream(harness, *ids):
     """Start a call whose first engine sends these events; return its responder."""
     responder, _ = harness.model_call(TARGET)
-    harness.network.requests[0].answer_prefill()
+    harness.network.requests[-1].answer_prefill()
     engine = harness.network.requests[-1]
     engine.begin_answer(transfer_encoding=b"chunked")
     for each in ids:
@@ -269,3 +271,32 @@
     feed(b"id: 8\ndata: x\n\n")(lose_engine(harness))
     assert responder.was_aborted
     assert responder.body == b"id: 8\ndata: x\n\n"
+
+
+# Guards against refusing a request as one that ends servers because sound engines
+# answered its stream by errors (issue 46).
+@pytest.mark.parametrize("name", ["status 500", "status 404", "nothing", "gap", "JSON"])
+def test_engines_that_go_on_wrongly_do_not_count_as_ended(name):
+    names = [length * "d" for length in range(1, 7)]
+    harness = with_engines(*names, max_servers=2)
+    answer, _ = WRONG_ANSWERS[name]
+    failing = set()
+    for _ in range(3):
+        responder = begin_stream(harness, 1, 2)
+        # A silent engine does not count as ended either.
+        harness.advance(STREAM_SILENCE_SECONDS + 0.01)
+        again = harness.network.requests[-1]
+        if again.prefill:
+            again.answer_prefill("h2")
+            again = harness.network.requests[-1]
+        failing.add(again.header("X-Pomeloglade-Expect-Instance").decode())
+        answer(again)
+        assert responder.was_aborted
+        harness.advance(1.0)
+    assert len(failing) == 3
+    assert all(harness.health.failure_rate(each) > 0 for each in failing)
+    responder = begin_stream(harness, 1)
+    harness.network.requests[-1].end()
+    assert responder.done
+    assert responder.status == 200
+    assert not responder.was_aborted
