--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -6,7 +6,6 @@
 from pomeloglade_platform_standin.backend import (
     Run,
     event_count,
-    is_flood,
     plain_answer,
     stream_event,
 )
@@ -23,6 +22,7 @@
     USAGE_SLACK,
     USAGE_WINDOW_SECONDS,
 )
+from pomeloglade_platform_standin.flood import is_flood
 
 from .callers import (
     CRASHING_LAST_PART,
