Answer the calls that are open when a planned stop ends

What callers saw: in a planned stop in calm, a call that had been passed on to a backend server, and was still waiting there 0.7 s before the end of the grace period, ended with a closed connection and no answer, also if it may not be repeated (LOST).

Cause: the stop ended with its time, whatever was open: the reactor closed the callers' connections. An answer written in the last moment was lost in the same way. Towards an HTTP/1.0 caller, whose answer ends with the connection, a stream that was broken off so looked complete (MIXED).

Fix: the stop is a module of its own. When its time is up, it ends the open calls: one that certainly has not run is answered 503 with Retry-After, another one 502, and an answer that has begun is broken off visibly. Calls that wait are ended first, as those that end make room for them at a server. Then the stop waits for the connections, for 0.25 s at most.

tests/test_planned_stop.py: without the new step, four of its tests fail (no answer in three, and the HTTP/1.0 stream that is not reset); without the order, the one with a queue fails, as three of the waiting calls are sent.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -80,6 +80,7 @@
         self.prefill_count = 0
         self.longest_pause = 0.0
         self.expired = False
+        self.stopped = False
         self.trial: ServerRun | None = None
         self.steps: list[str] = []
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -80,6 +80,7 @@
         self._last_long_call_at = float("inf")
         self._stops_at = float("inf")
         self._longest_time_limit_by_route: dict[str, float] = {}
+        self._running: dict[CallState, Deferred[None]] = {}
         self.open_calls = 0
 
     def begin_drain(self, *, last_long_call_at: float, stops_at: float) -> None:
@@ -92,6 +93,20 @@
         self._last_long_call_at = last_long_call_at
         self._stops_at = stops_at
 
+    def end_open_calls(self) -> None:
+        """Answer the open calls with an error, as the instance stops now.
+
+        An answer that has begun is broken off.
+        """
+        running = sorted(
+            self._running.items(),
+            # A call that ends gives its place at a server to one that waits.
+            key=lambda each: each[0].may_have_run,
+        )
+        for state, run in running:
+            state.stopped = True
+            run.cancel()
+
     def limits(self) -> ConnectionLimits:
         """Return the connection limits in force."""
         deployment = self._store_view.deployment
@@ -164,7 +179,7 @@
         if self._clock.seconds() <= self._last_long_call_at:
             return
         if state.deadline() > self._stops_at:
-            raise Refused(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
+            raise _stopping_refusal()
 
     def _longest_time_limit(self, state: CallState) -> float:
         """Return the longest time limit on the call's route, this call included."""
@@ -203,15 +218,19 @@
 
         seconds_left = max(0.0, state.deadline() - self._clock.seconds())
         timer = self._clock.callLater(seconds_left, expire)
+        self._running[state] = run
         try:
             await run
         except CancelledError as error:
+            if state.stopped:
+                raise _stopping_refusal() from error
             if not state.expired:
                 raise
             if state.may_have_run:
                 raise Refused(504, "time_limit") from error
             raise Refused(503, "time_limit", retry_after=0.1) from error
         finally:
+            del self._running[state]
             if timer.active():
                 timer.cancel()
             if account is not None and not state.may_have_run:
@@ -364,3 +383,7 @@
                 call.prompt.max_output_tokens if call and call.prompt else None
             ),
         )
+
+
+def _stopping_refusal() -> Refused:
+    return Refused(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.task import deferLater
 from twisted.python.failure import Failure
 
 from pomeloglade_coordination.key_value import KeyValueStore
@@ -39,6 +38,7 @@
 from .peer_calls import PeerCalls
 from .plain_calls import PlainCalls
 from .plain_queues import PlainQueues
+from .planned_stop import PlannedStop
 from .prefill_pauses import PrefillPauses
 from .prefills import Prefills
 from .quarantine_store import QuarantineStore
@@ -61,10 +61,6 @@
 from .usage_history import share_usage_history
 from .version_history import VersionHistory
 
-READINESS_PROPAGATION_SECONDS = 2.5
-"""Time until the load balancer sends no new connections to an instance that is not
-ready: two readiness probes, one second apart, and their transit."""
-
 RUN_ID_BITS = 53
 """Bits of the random run id. CBOR and JSON readers keep this many exactly."""
 
@@ -76,9 +72,6 @@
 """How long an engine that is reported as changing its stage is avoided; the next
 report extends it."""
 
-EXIT_MARGIN_SECONDS = 0.7
-"""Time at the end of the shutdown grace period left for closing connections."""
-
 
 class ForwardingInstance:
     """Builds and connects the components of an instance.
@@ -461,25 +454,19 @@
         return Deferred.fromCoroutine(self._shut_down())
 
     async def _shut_down(self) -> None:
-        """Drain: accept calls until the load balancer has noticed, then finish them."""
-        started = self._reactor.seconds()
+        """Report that the instance is not ready, and finish its calls."""
         self._log.event("draining", open_calls=self.forwarder.open_calls)
         self._draining = True
         self._availability_changed()
         self._stage_orders.stop()
-        until = started + self._settings.shutdown_grace_seconds - EXIT_MARGIN_SECONDS
-        self.forwarder.begin_drain(
-            last_long_call_at=started + READINESS_PROPAGATION_SECONDS, stops_at=until
+        stop = PlannedStop(
+            self._reactor,
+            forwarder=self.forwarder,
+            listeners=self._listeners,
+            sites=(self._site, self._peer_site),
+            grace=self._settings.shutdown_grace_seconds,
         )
-        await deferLater(self._reactor, READINESS_PROPAGATION_SECONDS)
-        await self._listeners.close()
-        sites = (self._site, self._peer_site)
-        while self._reactor.seconds() < until:
-            for site in sites:
-                site.close_idle()
-            if not self.forwarder.open_calls and not any(s.connections for s in sites):
-                break
-            await deferLater(self._reactor, 0.05)
+        await stop.run()
         self._relay.stop()
         self._log.event("stopped", open_calls=self.forwarder.open_calls)
         self._log.flush()
