Give callers that read slowly as long as they read on

What callers saw: while an instance drained, and after answers with "Connection: close" or to HTTP/1.0, or with the store out of reach, an answer that was read after a pause of 2.5 s was reset two seconds after it began. Bookings that had run had no whole answer. On kept connections the idle timeout began with the end of the writing, so answers that took longer than that to read were cut as well.

Cause: timeouts that run from the begin of something instead of from the last progress. The connection could not see progress either, as a whole answer lay in the transport, which only tells when all of it is gone.

Same cause elsewhere: streams whose source waits (3 s until all was read); streams that broke off (what was ready was dropped after 2 s); rejected callers that were still sending (reset after 2 s, before they could read why).

A complete response may stand still for 30 s, then it is dropped; the idle timeout and the next request of the connection begin when all is sent. A rejected caller is read for up to 30 s while it sends. In a drain, all ends with the grace as before.

--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -14,6 +14,7 @@
 from ..state.connection_limits import ConnectionLimits
 from .held_memory import HeldMemory
 from .http_exchange import Headers, RequestHead
+from .send_buffer import SendBuffer
 
 MAX_PARSED_HEAD_BYTES = 65_536
 """Upper bound on the size of a request head, even if the configured limit is higher."""
@@ -24,19 +25,30 @@
 SMALL_BODY_BYTES = 16_384
 """Size up to which a request body is received without being counted."""
 
+TRANSPORT_BUFFER_BYTES = 16_384
+"""Size above which the transport tells that it is full, and later that it is empty."""
+
 MAX_UNREAD_BYTES = 256 * 1024
-"""What a caller may leave unread, beside the transport's buffer, before the response's
-source is no longer read. It is more than a usual stream has altogether."""
+"""What a caller may leave unread before the response's source is no longer read. It is
+more than a usual stream has altogether."""
 
 MAX_UNREAD_SECONDS = 3.0
-"""Time after which a response that its caller does not read is broken off. Backend
-servers cut off what is left unread for some seconds, and hold a slot meanwhile."""
+"""Time without progress after which a response whose source waits for its caller is
+broken off. Backend servers cut off what is left unread for some seconds, and hold a
+slot meanwhile."""
+
+MAX_STALL_SECONDS = 30.0
+"""Time without progress after which the rest of a complete response is dropped."""
 
 MEMORY_RETRY_AFTER = b"1"
 """Retry delay in seconds of a request that there is no memory for."""
 
-CLOSE_TIMEOUT_SECONDS = 2.0
-"""Time that a closing connection has to flush its response before it is reset."""
+LINGER_SECONDS = 2.0
+"""Time for which a caller that was rejected may send nothing before it is reset."""
+
+MAX_LINGER_SECONDS = 30.0
+"""Time for which what such a caller sends is read at most. Without reading it, the
+rejection would be lost with the reset of the connection."""
 
 
 class Handler(Interface):
@@ -113,29 +125,33 @@
         self._task: Deferred[None] | None = None
         self._responder: Responder | None = None
         self._timer: Any = None
+        self._output: SendBuffer | None = None
+        self._on_sent: Callable[[], None] | None = None
         self._resumed: Deferred[None] | None = None
-        self._unread_bytes = 0
         self._unread_timer: Any = None
         self._closing = False
+        self._lingers_until = 0.0
         self.arrived = 0.0
 
     def connectionMade(self) -> None:  # noqa: N802
         """Register the connection and start the idle timer."""
         self._site.connections.add(self)
         self.transport.setTcpNoDelay(True)
+        self.transport.bufferSize = TRANSPORT_BUFFER_BYTES
+        self._output = SendBuffer(self.transport.write)
         self.transport.registerProducer(self, True)
         self._start_idle_timer()
 
     def dataReceived(self, data: bytes) -> None:  # noqa: N802
         """Parse bytes of requests."""
         if self._closing:
+            self._linger()
             return
         if self._task is None and self._head is None and not self._has_unparsed_bytes():
             self._start_head_timer()
-        if (
-            self._task is not None
-            and len(self._h11.trailing_data[0]) > MAX_PIPELINED_BYTES
-        ):
+        if (self._task is not None or self._on_sent is not None) and len(
+            self._h11.trailing_data[0]
+        ) > MAX_PIPELINED_BYTES:
             self.close()
             return
         try:
@@ -149,6 +165,8 @@
         self._site.connections.discard(self)
         self._closing = True
         self._cancel_timer()
+        self._on_sent = None
+        self._output.clear()
         self.resumeProducing()
         self._release_request()
         task, self._task = self._task, None
@@ -162,7 +180,7 @@
         )
 
     def close(self) -> None:
-        """Flush the write buffer and close, with a reset after a timeout.
+        """Close once all is sent, with a reset if the caller reads nothing for long.
 
         A response in progress must not look complete. It is reset towards an HTTP/1.0
         caller, for whom the connection's end is that of the response.
@@ -171,11 +189,9 @@
         self._cancel_timer()
         unfinished = self._h11.our_state is h11.SEND_BODY
         if unfinished and self._h11.their_http_version == b"1.0":
-            self._abort()
+            self._when_sent(self._abort)
             return
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
-        self._timer = self._clock.callLater(CLOSE_TIMEOUT_SECONDS, self._abort)
+        self._when_sent(self._lose_connection)
 
     def write_head(self, status: int, headers: Headers) -> None:
         """Write the head of a response."""
@@ -189,8 +205,6 @@
         """Write a part of a response body."""
         if self._closing:
             return
-        if self._resumed is not None:
-            self._unread_bytes += len(data)
         self._send(h11.Data(data=data))
 
     def end(self) -> None:
@@ -200,6 +214,9 @@
         if self._closing:
             return
         self._send(h11.EndOfMessage())
+        self._when_sent(self._finish_response)
+
+    def _finish_response(self) -> None:
         reusable = self._h11.our_state is self._h11.their_state is h11.DONE
         # The head of a long response may have been sent before the drain began.
         if not reusable or self._site.handler.is_draining():
@@ -224,41 +241,74 @@
         break off its response. A caller that reads nothing for ``MAX_UNREAD_SECONDS``
         is disconnected.
         """
-        if self._resumed is None or self._holds_unread():
+        if not self._output.paused or self._holds_unread():
             return succeed(None)
-        if self._unread_timer is None and self._site.memory is not None:
-            self._unread_timer = self._clock.callLater(MAX_UNREAD_SECONDS, self._abort)
+        if self._resumed is None:
+            self._resumed = Deferred()
+            self._start_unread_timer()
         waiting: Deferred[None] = Deferred()
         self._resumed.chainDeferred(waiting)
         return waiting
 
     def pauseProducing(self) -> None:  # noqa: N802
-        """Make ``wait_writable`` wait: the write buffer is full."""
-        if self._resumed is None:
-            self._resumed = Deferred()
+        """Keep what is written from now on: the transport is full."""
+        self._output.pause()
 
     def resumeProducing(self) -> None:  # noqa: N802
-        """Fire the Deferreds of ``wait_writable``: the write buffer has room."""
-        resumed, self._resumed = self._resumed, None
-        self._unread_bytes = 0
+        """Write on, and tell those that wait for it: the transport is empty."""
+        self._output.resume()
+        if self._unread_timer is not None:
+            self._start_unread_timer()
+        if self._output.paused:
+            if self._on_sent is not None:
+                self._start_timer(MAX_STALL_SECONDS, self._abort)
+            if self._resumed is not None and self._holds_unread():
+                self._resume_source()
+            return
+        if self._site.memory is not None:
+            self._site.memory.release(("response", self))
+        self._resume_source()
+        on_sent, self._on_sent = self._on_sent, None
+        if on_sent is not None:
+            self._cancel_timer()
+            on_sent()
+
+    def _start_unread_timer(self) -> None:
+        self._cancel_unread_timer()
+        if self._site.memory is not None:
+            self._unread_timer = self._clock.callLater(MAX_UNREAD_SECONDS, self._abort)
+
+    def _cancel_unread_timer(self) -> None:
         timer, self._unread_timer = self._unread_timer, None
         if timer is not None and timer.active():
             timer.cancel()
-        if self._site.memory is not None:
-            self._site.memory.release(("response", self))
+
+    def _resume_source(self) -> None:
+        self._cancel_unread_timer()
+        resumed, self._resumed = self._resumed, None
         if resumed is not None:
             resumed.callback(None)
 
+    def _when_sent(self, callback: Callable[[], None]) -> None:
+        """Call back once all is sent, however slowly the caller reads."""
+        self._cancel_unread_timer()
+        if not self._output.paused:
+            callback()
+            return
+        self._on_sent = callback
+        self._start_timer(MAX_STALL_SECONDS, self._abort)
+
     def stopProducing(self) -> None:  # noqa: N802
         """Do nothing: ``connectionLost`` follows."""
 
     def _holds_unread(self) -> bool:
         """Return whether the unread part of the response may be held."""
         memory = self._site.memory
-        if memory is None or self._unread_bytes > MAX_UNREAD_BYTES:
+        unread = self._output.unsent
+        if memory is None or unread > MAX_UNREAD_BYTES:
             return False
         owner = self._site.owner_of(self._head) if self._head is not None else ""
-        return memory.try_hold(("response", self), owner, self._unread_bytes)
+        return memory.try_hold(("response", self), owner, unread)
 
     def _holds_body(self) -> bool:
         """Return whether the request body received so far may be held."""
@@ -353,14 +403,29 @@
         """Half-close, as closing with unread input would reset the connection."""
         self._closing = True
         self._cancel_timer()
+        self._when_sent(self._half_close)
+
+    def _half_close(self) -> None:
         self.transport.unregisterProducer()
         self.transport.loseWriteConnection()
-        self._timer = self._clock.callLater(CLOSE_TIMEOUT_SECONDS, self._abort)
+        self._lingers_until = self._clock.seconds() + MAX_LINGER_SECONDS
+        self._linger()
+
+    def _linger(self) -> None:
+        """Wait on for the end of what a rejected caller sends."""
+        left = self._lingers_until - self._clock.seconds()
+        if left > 0:
+            self._start_timer(min(left, LINGER_SECONDS), self._abort)
+
+    def _lose_connection(self) -> None:
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+        self._start_timer(MAX_STALL_SECONDS, self._abort)
 
     def _send(self, event: Any) -> None:
         data = self._h11.send(event)
         if data:
-            self.transport.write(data)
+            self._output.write(data)
 
     def _start_idle_timer(self) -> None:
         limit = self._site.handler.limits().idle_timeout.total_seconds()
