Handle signals and ports in use from the start of pomelogladed

What operators would see: a daemon that got SIGHUP ended at any time, also while it served calls; one that got SIGTERM in its imports ended with -15 and no line of log; a port that was in use for a moment ended the start, with status 0.

SIGHUP had no handler at all, and a failed start stopped the reactor without an exit status.

The peers' and the callers' port are opened by PortOpener; a start that fails ends with 1. A stop during the imports no longer fails because nobody reads the output. The operators' command runs once and ends with its terminal, so it stays as it is.

--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -2,6 +2,7 @@
 
 import sys
 import time
+from typing import Any
 
 import eliot
 from twisted.internet import reactor
@@ -12,8 +13,10 @@
 from pomeloglade_coordination.members import Member
 
 from .coordination.entry_instance import EntryInstance
+from .process_signals import ProcessSignals
 from .protocol.deployment import decode, without_withdrawn_keys
-from .settings import Settings, run_with_settings
+from .settings import Settings
+from .startup import PortOpener
 from .state.instance_record import InstanceRecord
 from .transport.engines import HttpEngines
 from .transport.http_client import HttpClient
@@ -76,7 +79,7 @@
         self._listed_leaving: Deferred[None] = Deferred()
         self._addresses_by_instance: dict[str, str] = {}
 
-    async def start(self) -> None:
+    async def start(self, opener: PortOpener) -> None:
         """Listen for callers, connect to the peers and start the instance."""
         instance = self._instance
         site = RouterSite(
@@ -86,7 +89,9 @@
             reactor, self._settings.listen_port, interface=self._settings.listen_host
         )
         self._connection_tracker = site.build_factory(self._settings.max_body_bytes)
-        self._listener = await endpoint.listen(self._connection_tracker)
+        self._listener = await opener.open_required(
+            "callers", lambda: endpoint.listen(self._connection_tracker)
+        )
         for address in self._settings.peer_addresses:
             self._links.connect(address)
         instance.instance_list.subscribe(self._on_instance_list)
@@ -155,25 +160,49 @@
         return len(self._instance.open_requests)
 
 
-def run(settings: Settings) -> None:
-    """Run the daemon until a signal stops it."""
-    eliot.to_file(sys.stdout)
-    daemon = Daemon(settings)
-    reactor.callWhenRunning(
-        lambda: Deferred.fromCoroutine(daemon.start()).addErrback(_start_failed)
-    )
-    reactor.run()
-
-
-def _start_failed(failure: object) -> None:
-    eliot.log_message("pomeloglade:not_started", reason=str(failure))
-    reactor.stop()
-
+class _Log:
+    """Writes the events of the start to the daemon's log."""
 
-def main() -> None:
-    """Run ``pomelogladed``."""
-    run_with_settings(run)
+    def event(self, name: str, **fields: Any) -> None:
+        eliot.log_message(f"pomeloglade:{name}", **fields)
 
 
-if __name__ == "__main__":
-    main()
+def run(settings: Settings, signals: ProcessSignals) -> None:
+    """Run the daemon until a signal stops it."""
+    eliot.to_file(sys.stdout)
+    failures: list[object] = []
+    stopping = False
+
+    def failed(failure: object) -> None:
+        failures.append(failure)
+        eliot.log_message("pomeloglade:not_started", reason=str(failure))
+        stop()
+
+    def stop() -> None:
+        nonlocal stopping
+        if not stopping:
+            stopping = True
+            reactor.stop()
+
+    def reload() -> None:
+        """Log a reload request; settings are read at the start only."""
+        eliot.log_message("pomeloglade:reloaded")
+
+    def start() -> None:
+        signals.deliver(reactor.callFromThread, reload, stop)
+        opener = PortOpener(reactor, _Log())
+        Deferred.fromCoroutine(_start(settings, opener)).addErrback(failed)
+
+    reactor.callWhenRunning(start)
+    reactor.run(installSignalHandlers=False)
+    if failures:
+        sys.exit(1)
+
+
+async def _start(settings: Settings, opener: PortOpener) -> None:
+    async def build() -> Daemon:
+        return Daemon(settings)
+
+    # The address of the peers' port is a part of what the daemon is built of.
+    daemon = await opener.open_required("peers", build)
+    await daemon.start(opener)
--- a/packages/pomeloglade/src/pomeloglade/process_signals.py
+++ b/packages/pomeloglade/src/pomeloglade/process_signals.py
@@ -1,5 +1,6 @@
 """Signals of a process, from before its imports until it ends."""
 
+import contextlib
 import os
 import signal
 import time
@@ -67,6 +68,7 @@
         line = (
             f'{{"event":"stopped_early","at":{time.monotonic():.4f},"signal":"{name}"}}'
         )
-        os.write(STDOUT, line.encode() + b"\n")
+        with contextlib.suppress(OSError):
+            os.write(STDOUT, line.encode() + b"\n")
         # An import that is interrupted might catch an exception raised here.
         os._exit(0)
--- a/packages/pomeloglade/src/pomeloglade/startup.py
+++ b/packages/pomeloglade/src/pomeloglade/startup.py
@@ -6,7 +6,7 @@
 from typing import Any, Protocol, TypeVar
 
 from twisted.internet.error import CannotListenError
-from twisted.internet.interfaces import IListeningPort, IReactorTime
+from twisted.internet.interfaces import IReactorTime
 from twisted.internet.task import deferLater
 
 from .errors import SettingsError
@@ -86,26 +86,28 @@
         self._log = log
 
     async def open_required(
-        self, purpose: str, listen: Callable[[], Awaitable[IListeningPort]]
-    ) -> IListeningPort:
+        self, purpose: str, listen: Callable[[], Awaitable[T]]
+    ) -> T:
         """Listen on a port without which the process can't work.
 
+        ``listen`` returns the port, or an object that listens on it.
+
         Raises ``CannotListenError`` if it is in use for ``PORT_SECONDS``.
         """
         return await self._open(purpose, listen, self._clock.seconds() + PORT_SECONDS)
 
     async def open_optional(
-        self, purpose: str, listen: Callable[[], Awaitable[IListeningPort]]
-    ) -> IListeningPort:
+        self, purpose: str, listen: Callable[[], Awaitable[T]]
+    ) -> T:
         """Listen on a port that no request needs, as soon as it is free."""
         return await self._open(purpose, listen, float("inf"))
 
     async def _open(
         self,
         purpose: str,
-        listen: Callable[[], Awaitable[IListeningPort]],
+        listen: Callable[[], Awaitable[T]],
         until: float,
-    ) -> IListeningPort:
+    ) -> T:
         started = self._clock.seconds()
         reported = False
         while True:
--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -163,7 +163,7 @@
         """Start an instance without waiting until it listens."""
         return self.start(
             name,
-            "pomeloglade.daemon",
+            "pomeloglade.pomelogladed",
             f"--instance={name}",
             f"--availability-zone={zone}",
             f"--platform-url={self.platform_url}",
--- a/scripts/load_fleet.py
+++ b/scripts/load_fleet.py
@@ -30,7 +30,7 @@
 from pomeloglade_coordination.configuration_shards import ShardedConfiguration
 from scripts.fleet import HOST, Fleet, Process, call
 
-DAEMON_MODULE = "pomeloglade.daemon"
+DAEMON_MODULE = "pomeloglade.pomelogladed"
 KEY = "load-key"
 ACCOUNT = "load"
 ZONES = ("zone-a", "zone-b", "zone-c")
