Let the soak's engines go on wrongly with streams

The soak broke no promise while engines in trouble put errors, repetitions and gaps into callers' streams: none of its engines ever goes on wrongly. The fault "streams go on wrongly", on request as "slow servers" is, lets a third of the engines break streams off after two events and the others answer runs that go on within one response in each of thirteen wrong forms. Callers send more resumable streams meanwhile.

--- a/soak/callers.py
+++ b/soak/callers.py
@@ -20,6 +20,10 @@
 }
 EVENT_END = b"\n\n"
 
+ROUTE_WEIGHTS = (6, 1, 6, 1)
+STREAM_WEIGHTS = (2, 1, 2, 8)
+"""Weights of the routes in alphabetical order: usual ones, and many ``reports``."""
+
 DISCONNECT_FRACTION = 0.03
 """Fraction of requests whose caller disconnects before the response is complete."""
 
@@ -80,6 +84,8 @@
     ----------
     persistent : bool
         Whether one that reaches no instance then tries again until it does.
+    route_weights : tuple of int
+        How often each route is called, relative to the others.
     """
 
     def __init__(self, fleet: Fleet, random: Random, *, per_second: float) -> None:
@@ -93,6 +99,7 @@
         self._agent = Agent(fleet.reactor, connectTimeout=1.0, pool=self._pool)
         self._stopped = False
         self.persistent = False
+        self.route_weights = ROUTE_WEIGHTS
         self.sent: list[SentRequest] = []
 
     def start(self) -> None:
@@ -110,7 +117,7 @@
 
     def _send(self) -> None:
         random, fleet = self._random, self._fleet
-        route = random.choices(sorted(TIMEOUT_MS_BY_ROUTE), (6, 1, 6, 1))[0]
+        route = random.choices(sorted(TIMEOUT_MS_BY_ROUTE), self.route_weights)[0]
         hot = random.random() < HOT_FRACTION
         account = "hot" if hot else random.choice(("club", "league"))
         key = fleet.keys_by_account[account]
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -7,11 +7,13 @@
 from pomeloglade_platform_standin.backend import BackendFaults, StoreBreak
 from pomeloglade_platform_standin.deployment import REVOKE_SECONDS
 from pomeloglade_platform_standin.store import StoreFaults
+from pomeloglade_platform_standin.wrong_rests import WrongRest
 
 from .callers import (
     CRASHING_LAST_PART,
     CRASHING_PART,
     CRASHING_TARGET,
+    STREAM_WEIGHTS,
     Callers,
 )
 from .fleet import ZONES, Fleet
@@ -35,6 +37,9 @@
 SLOW_PACE = 250
 """Servers that share their machines are slow for such a time, and so much."""
 
+WRONG_SECONDS = 6.0
+WRONG_PHASE_SECONDS = 0.5
+
 CUT_SECONDS = 8.0
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
@@ -102,6 +107,7 @@
         self.inject_by_name["slow servers"] = self._slow_servers
         self.inject_by_name["cold servers"] = self._cool_down
         self.inject_by_name["releases and kills"] = self._release_and_kill
+        self.inject_by_name["streams go on wrongly"] = self._go_on_wrongly
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
@@ -241,6 +247,25 @@
             self._call_later(SLOW_SECONDS, setattr, backend, "faults", BackendFaults())
         return f"pace {SLOW_PACE} in {phases} phases"
 
+    def _go_on_wrongly(self, seconds: float) -> str:
+        """Let a third of the engines break streams off, others in each phase.
+
+        The others go on wrongly with the streams.
+        """
+        engines = [each for each in self._fleet.backends if each.stage == "decode"]
+        breaking = BackendFaults(breaking=True)
+        wrong = BackendFaults(wrong_rests=tuple(WrongRest))
+        phases = round(WRONG_SECONDS / WRONG_PHASE_SECONDS)
+        for phase in range(phases):
+            begin = phase * WRONG_PHASE_SECONDS
+            for number, engine in enumerate(engines):
+                faults = breaking if number % 3 == phase % 3 else wrong
+                self._call_later(begin, setattr, engine, "faults", faults)
+        for engine in engines:
+            self._call_later(WRONG_SECONDS, setattr, engine, "faults", BackendFaults())
+        self._callers.route_weights = STREAM_WEIGHTS
+        return f"{[each.id for each in engines]} in {phases} phases"
+
     def _name_limits(self, seconds: float) -> str:
         """Let one server, or all of its service, name a limit."""
         first = self._random.choice(self._fleet.backends)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -94,6 +94,15 @@
     assert sum(pace > 1.25 for pace in paces) < 0.06 * len(paces)
 
 
+# Guards against passing on what engines in trouble send instead of a stream's next
+# events: ORDER, MIXED (first report of issue 46).
+def test_processes_go_on_with_streams_only_with_their_next_events(tmp_path):
+    fault = ("--fault", "streams go on wrongly", "--seconds", "3")
+    run_soak(tmp_path, "--seed", "1", "--instances", "3", *fault)
+    logs = (path.read_text() for path in (tmp_path / "1").glob("entry-*.log"))
+    assert sum(len(re.findall(r'"\d+ wrong ', log)) for log in logs) > 2
+
+
 # Guards against sending a cold server more requests than it tolerates.
 def test_processes_keep_the_rate_of_cold_servers(tmp_path):
     fault = ("--fault", "cold servers", "--seconds", "8")
