Mutate the checks of streams that go on

Six mutations of the new checks, each seen by test_resumed_streams.py. Two older ones of event_stream.py and model_calls.py named lines that had changed, so that the script stopped at them; both are seen by test_model_calls.py again.

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -42,6 +42,7 @@
 EXCHANGE = ("tests/test_http_exchange.py",)
 ENDS = ("tests/test_server_ends.py",)
 QUARANTINES = ("tests/test_quarantine_store.py", "tests/test_quarantine_trials.py")
+RESUMED = ("tests/test_resumed_streams.py",)
 COLD_SERVERS = ("tests/test_cold_servers.py",)
 CRASHES = ("tests/test_crashing_requests.py", "tests/test_crash_quarantine.py")
 ENDLESS = ("tests/test_endless_responses.py",)
@@ -107,8 +108,8 @@
         "TWICE",
         "a lost stream is resent though its route is not resumable",
         FORWARDING + "model_calls.py",
-        "                    not resolved.route.resumable\n                    or len",
-        "                    len",
+        "                    not stream.may_go_on\n                    or state",
+        "                    state",
         CALLS,
     ),
     Mutation(
@@ -219,7 +220,7 @@
         "ORDER",
         "a partial event of a broken stream is passed on",
         FORWARDING + "event_stream.py",
-        "        if not self.resumable:\n            return data\n",
+        "        return whole if self.resumable else data\n",
         "        return data\n",
         CALLS,
     ),
@@ -703,6 +704,54 @@
         "False",
         ("tests/test_fleet_contact.py",),
     ),
+    Mutation(
+        "ORDER",
+        "a stream goes on with any event",
+        FORWARDING + "event_stream.py",
+        "if self._goes_on and (fault := order.fault(event)):",
+        "if False and (fault := order.fault(event)):",
+        RESUMED,
+    ),
+    Mutation(
+        "ORDER",
+        "a stream may end without going on",
+        FORWARDING + "event_stream.py",
+        "        if not self._answer_has_data and not self.inside_event:\n",
+        "        if False:\n",
+        RESUMED,
+    ),
+    Mutation(
+        "MIXED",
+        "a stream goes on with an answer of any status",
+        FORWARDING + "event_stream.py",
+        "if self._goes_on and status != SUCCESS:",
+        "if False:",
+        RESUMED,
+    ),
+    Mutation(
+        "ORDER",
+        "a stream goes on after a gap",
+        FORWARDING + "event_order.py",
+        "return step == (self.steps[0] if self.steps else 1)",
+        "return step > 0",
+        RESUMED,
+    ),
+    Mutation(
+        "ORDER",
+        "a stream is resumed though its next event is not known",
+        FORWARDING + "event_stream.py",
+        "return self.resumable and not self._order.ended",
+        "return self.resumable",
+        RESUMED,
+    ),
+    Mutation(
+        "BUDGET",
+        "an engine that goes on wrongly counts as ended",
+        "packages/pomeloglade/src/pomeloglade/errors.py",
+        "class WrongContinuationError(InvalidBackendResponseError)",
+        "class WrongContinuationError(BackendLostError)",
+        RESUMED,
+    ),
 )
 
 
