Give the last answers of a planned stop their own time

What callers saw: where the grace period is shorter than the time in which calls are still taken, the answers that end the open calls at its end had no time left to be sent.

Cause: the time to send them counted from the end of the grace period, which had passed by then. It counts from the answers now.

The new test of test_planned_stop.py fails without the change.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/planned_stop.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/planned_stop.py
@@ -63,7 +63,7 @@
         await self._listeners.close()
         if not await self._finished(until):
             self._forwarder.end_open_calls()
-            await self._finished(until + FLUSH_SECONDS)
+            await self._finished(self._clock.seconds() + FLUSH_SECONDS)
 
     async def _finished(self, until: float) -> bool:
         """Wait for the open calls and connections; return whether none is left."""
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -41,7 +41,7 @@
 class StoppingInstance:
     """An instance with the site of its callers, and its planned stop."""
 
-    def __init__(self):
+    def __init__(self, grace=GRACE_SECONDS):
         seconds = {"timeout": timedelta(seconds=14), "max_servers": 2}
         bookings = route("bookings", "/bookings/", CallKind.UNSAFE, "api", **seconds)
         self.harness = Harness(
@@ -57,7 +57,7 @@
             forwarder=self.harness.forwarder,
             listeners=self.listeners,
             sites=(self.site,),
-            grace=GRACE_SECONDS,
+            grace=grace,
         )
         self.stopped_at = None
 
@@ -197,3 +197,17 @@
     caller.connection.dataReceived(rest)
     assert statuses(caller) == [503]
     assert instance.requests == []
+
+
+# Guards against answers that are not sent as the grace is short: LOST.
+def test_connections_have_time_for_the_last_answers_also_if_the_grace_is_short():
+    instance = StoppingInstance(grace=3.0)
+    instance.begin()
+    caller = instance.call("/bookings/1")
+    caller.loseConnection = lambda: None
+    instance.harness.advance(2.65)
+    assert statuses(caller) == [502]
+    assert instance.stopped_at is None
+    caller.connection.connectionLost(Failure(ConnectionDone()))
+    instance.harness.advance(0.1)
+    assert instance.stopped_at < 3.0
