Tell a reset answer of a plain service from one that is whole

What callers saw: a backend server's answer has no length and ends with its connection. The forwarding instances of platform/ don't have this fault.

Cause: twisted's Agent reports the end of such a body as PotentialDataLoss, whether the connection was closed or reset, and treq takes that for its end.

Evidence: test_answer_that_is_broken_off_is_lost with a reset fails on the code before (a PlainAnswer with status 200 and b"half"); its four other cases, among them heads that break off, passed.

Fix: HttpServices sends its calls with ConnectionPool and Exchange, like the forwarding instances. They know how a connection ended, send no call again by themselves, and reset the connection of a call that is given up.

--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -66,7 +66,7 @@
             ),
             sender=self._links,
             engines=HttpEngines(self._http, reactor),
-            services=HttpServices(self._http, reactor),
+            services=HttpServices(reactor),
             decode=lambda value: without_withdrawn_keys(decode(value)),
         )
         self._status = StatusPage(
--- a/packages/pomeloglade/src/pomeloglade/transport/http_client.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_client.py
@@ -89,7 +89,7 @@
             headers.addRawHeader(name.encode("latin-1"), value.encode("latin-1"))
         response: Deferred[IResponse] = agent.request(
             exchange.method.encode("ascii"),
-            _encode_url(exchange.url),
+            encode_url(exchange.url),
             headers,
             _Body(exchange.body) if exchange.body else None,
         )
@@ -120,7 +120,7 @@
         """Do nothing: ``startProducing`` has written everything."""
 
 
-def _encode_url(url: str) -> bytes:
+def encode_url(url: str) -> bytes:
     """Return the bytes of a URL, with invalid characters percent-encoded."""
     return quote(url, safe=punctuation, encoding="latin-1").encode("ascii")
 
--- a/packages/pomeloglade/src/pomeloglade/transport/services.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/services.py
@@ -1,15 +1,21 @@
 """HTTP client for plain services."""
 
-import treq
-from twisted.internet.defer import CancelledError, Deferred
+from collections.abc import Awaitable
+
+from twisted.internet.defer import Deferred, TimeoutError
 from twisted.internet.interfaces import IReactorTime
-from twisted.web.iweb import IResponse
 
 from ..coordination.engine import Services
-from ..errors import BackendError, BackendLostError, InvalidBackendResponseError
+from ..errors import (
+    BackendError,
+    BackendLostError,
+    BackendUnreachableError,
+    InvalidBackendResponseError,
+)
 from ..state.call import Header, PlainAnswer, PlainCall
 from ..state.deployment import BackendServer
-from .http_client import Exchange, HttpClient, base_url
+from .http_client import IDLE_CONNECTION_SECONDS, encode_url
+from .http_exchange import ConnectionPool, Exchange, RequestHead, ResponseHead
 
 HOP_BY_HOP_HEADERS = frozenset(
     {
@@ -33,11 +39,18 @@
 MAX_RESPONSE_BYTES = 16_000_000
 
 
+METHODS_WITHOUT_BODY = frozenset(("GET", "HEAD", "OPTIONS", "TRACE"))
+
+
 class HttpServices(Services):
-    """Forwards calls without the caller's API key."""
+    """Forwards calls without the caller's API key.
 
-    def __init__(self, http: HttpClient, reactor: IReactorTime) -> None:
-        self._http = http
+    It uses ``ConnectionPool``, which tells a response that ends with its connection
+    from one whose connection was reset; twisted's ``Agent`` does not.
+    """
+
+    def __init__(self, reactor: IReactorTime) -> None:
+        self._pool = ConnectionPool(reactor)
         self._reactor = reactor
 
     def call(
@@ -49,60 +62,69 @@
     async def _call(
         self, server: BackendServer, call: PlainCall, new_connection: bool
     ) -> PlainAnswer:
-        exchange = Exchange(
-            call.method,
-            base_url(server) + call.path,
-            "call",
-            server.name,
-            call.body,
-            tuple(
-                (header.name, header.value)
-                for header in call.headers
-                if header.name.lower() not in UNFORWARDED_HEADERS
-            ),
-            call.route.timeout,
-        )
-        response = await self._http.send(exchange, new_connection=new_connection)
-        body = _BoundedBody(server.name)
+        exchange = Exchange(_request_head(server, call), call.body)
         try:
-            received = treq.collect(response, body.append)
-            received.addTimeout(call.route.timeout.total_seconds(), self._reactor)
-            await received
-        except (BackendError, CancelledError):
-            raise
-        except Exception as error:
-            raise BackendLostError(
-                f"response of backend server {server.name!r} was interrupted: "
-                f"{error!r}",
-                step="call",
-                peer=server.name,
+            connection = await self._pool.acquire_connection(
+                server.address,
+                max_idle_seconds=0.0 if new_connection else IDLE_CONNECTION_SECONDS,
+            )
+            exchange.start(connection, self._pool.release)
+            head = await self._in_time(exchange.read_head(), call)
+            body = await self._in_time(_read_body(exchange), call)
+        except BackendUnreachableError as error:
+            text = f"backend server {server.name!r} can't be reached: {error}"
+            raise BackendUnreachableError(
+                text, step="call", peer=server.name
+            ) from error
+        except _TooLongError as error:
+            text = f"response of backend server {server.name!r} {error}"
+            raise InvalidBackendResponseError(
+                text, step="call", peer=server.name
             ) from error
-        return PlainAnswer(response.code, _headers(response), bytes(body.data))
+        except (BackendError, TimeoutError) as error:
+            text = f"response of backend server {server.name!r} was interrupted: "
+            text += repr(error)
+            raise BackendLostError(text, step="call", peer=server.name) from error
+        finally:
+            exchange.cancel()
+        return PlainAnswer(head.status, _headers(head), body)
 
+    def _in_time(self, reading: Awaitable, call: PlainCall) -> "Deferred":
+        """Read a part of a response within the timeout of the call's route."""
+        seconds = call.route.timeout.total_seconds()
+        return Deferred.fromCoroutine(reading).addTimeout(seconds, self._reactor)
 
-class _BoundedBody:
-    """Collects a response body of up to ``MAX_RESPONSE_BYTES``."""
 
-    def __init__(self, peer: str) -> None:
-        self._peer = peer
-        self.data = bytearray()
+def _request_head(server: BackendServer, call: PlainCall) -> RequestHead:
+    headers = [(b"Host", server.address.encode("ascii"))]
+    headers += [
+        (header.name.encode("latin-1"), header.value.encode("latin-1"))
+        for header in call.headers
+        if header.name.lower() not in UNFORWARDED_HEADERS
+    ]
+    if call.method not in METHODS_WITHOUT_BODY:
+        headers.append((b"Content-Length", b"%d" % len(call.body)))
+    return RequestHead(
+        call.method.encode("ascii"), encode_url(call.path), tuple(headers)
+    )
 
-    def append(self, data: bytes) -> None:
-        """Append a part; ``InvalidBackendResponseError`` if the body gets too long."""
-        self.data += data
-        if len(self.data) > MAX_RESPONSE_BYTES:
-            raise InvalidBackendResponseError(
-                f"response of backend server {self._peer!r} is larger than "
-                f"{MAX_RESPONSE_BYTES} bytes",
-                step="call",
-                peer=self._peer,
-            )
+
+class _TooLongError(Exception):
+    """A response body exceeds ``MAX_RESPONSE_BYTES``."""
+
+
+async def _read_body(exchange: Exchange) -> bytes:
+    body = bytearray()
+    while chunk := await exchange.read_chunk():
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            raise _TooLongError(f"is larger than {MAX_RESPONSE_BYTES} bytes")
+    return bytes(body)
 
 
-def _headers(response: IResponse) -> tuple[Header, ...]:
+def _headers(head: ResponseHead) -> tuple[Header, ...]:
     return tuple(
         Header(name.decode("latin-1"), value.decode("latin-1"))
-        for name, values in response.headers.getAllRawHeaders()
-        for value in values
+        for name, value in head.headers
         if name.decode("latin-1").lower() not in HOP_BY_HOP_HEADERS
     )
