Check in the soak that a planned stop cuts no request

The soak's callers use open connections until a process is gone, but none of its checks looked at requests that end without an answer, and the work of its servers is too short to be open when the grace ends.

`--fault "planned stop"` sends SIGTERM to one instance while all servers take 50 times as long for 5 s. The new check counts requests that were sent to the instance from the SIGTERM to a second after the grace, arrived at a server and have no complete answer, though their caller stayed and their time was not up; answers that had begun may break off in the last second. A stop beside other faults isn't judged.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -16,7 +16,7 @@
     STREAM_WEIGHTS,
     Callers,
 )
-from .fleet import ZONES, Fleet
+from .fleet import ZONES, Fleet, PlannedStop
 from .proxy import LinkMode, Proxy
 
 MAX_FAULT_SECONDS = 4.0
@@ -40,6 +40,11 @@
 WRONG_SECONDS = 6.0
 WRONG_PHASE_SECONDS = 0.5
 
+STOP_SECONDS = 5.0
+STOP_PACE = 5000
+"""For how long servers are slow around a planned stop, and how much: a plain call takes
+over a second then."""
+
 CUT_SECONDS = 8.0
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
@@ -108,6 +113,7 @@
         self.inject_by_name["cold servers"] = self._cool_down
         self.inject_by_name["releases and kills"] = self._release_and_kill
         self.inject_by_name["streams go on wrongly"] = self._go_on_wrongly
+        self.inject_by_name["planned stop"] = self._stop_slow_work
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
@@ -350,6 +356,20 @@
         instance.signal(signal.SIGTERM)
         return instance.name
 
+    def _stop_slow_work(self, seconds: float) -> str:
+        """Stop an instance while servers work on its requests to the end of the grace.
+
+        The work is no fault: it ends within the requests' time.
+        """
+        instance = self._random.choice(self._fleet.instances)
+        for backend in self._fleet.backends:
+            backend.faults = BackendFaults(pace=STOP_PACE)
+            self._call_later(STOP_SECONDS, setattr, backend, "faults", BackendFaults())
+        at = self._fleet.ledger.faults[-1]
+        self._fleet.planned_stops.append(PlannedStop(instance, at))
+        instance.signal(signal.SIGTERM)
+        return instance.name
+
     def _kill_all(self, seconds: float) -> str:
         for instance in self._fleet.instances:
             instance.signal(signal.SIGKILL)
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -127,6 +127,14 @@
     end: float = float("inf")
 
 
+@dataclass(frozen=True, slots=True)
+class PlannedStop:
+    """A SIGTERM to an instance while no other fault is active, and its time."""
+
+    instance: InstanceProcess
+    at: float
+
+
 class Fleet:
     """Instances, the platform's store and backend servers, connected by proxies.
 
@@ -155,6 +163,7 @@
         self.backend_proxies: dict[BackendStandIn, Proxy] = {}
         self.instances: list[InstanceProcess] = []
         self.cuts: list[ServerCut] = []
+        self.planned_stops: list[PlannedStop] = []
         self._open_cuts: list[ServerCut] = []
         self.closing = False
         self._written: dict[str, bytes] = {}
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -32,6 +32,7 @@
     SentRequest,
 )
 from .fleet import Fleet
+from .planned_stops import find_cut_requests
 
 NOT_RUN = frozenset((408, 421, 429, 503))
 """Statuses that guarantee that no backend server has run the request."""
@@ -115,6 +116,7 @@
     violations += _check_cold_servers(fleet, requests)
     violations += _check_cuts(fleet, requests)
     violations += _check_evacuations(fleet, requests)
+    violations += find_cut_requests(fleet, requests)
     violations += _check_recovery(fleet, requests, healed_at)
     violations += _check_logs(fleet)
     return violations
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -8,7 +8,7 @@
 
 import pytest
 from soak.callers import CRASHING_TARGET, SentRequest
-from soak.fleet import KEYS_BY_ACCOUNT, ServerCut
+from soak.fleet import KEYS_BY_ACCOUNT, PlannedStop, ServerCut
 from soak.guarantees import find_violations
 from soak.proxy import LinkMode
 
@@ -69,6 +69,12 @@
     run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
 
 
+# Guards against calls that a planned stop cuts without an answer: LOST.
+def test_processes_answer_what_is_open_when_they_are_stopped(tmp_path):
+    fault = ("--fault", "planned stop", "--seconds", "5")
+    run_soak(tmp_path, "--seed", "2", "--instances", "3", *fault)
+
+
 # Guards against sending a server more requests than the limit that it names: LIMIT
 # (inc1, issue 28).
 def test_processes_keep_the_limits_that_servers_name(tmp_path):
@@ -133,6 +139,7 @@
         violations=[],
         ledger=Ledger(),
         cuts=[],
+        planned_stops=[],
         revoked=[],
         keys_by_account=dict(KEYS_BY_ACCOUNT),
     )
@@ -409,3 +416,51 @@
     assert violations(fleet, again) == []
     again.body = stream_event("b", 1) + again.body
     assert violations(fleet, again) != []
+
+
+def cut_in_planned_stop(fleet, **changes):
+    """Return a request that has arrived at a server and has no answer."""
+    stop = PlannedStop(fleet.instances[0], 9.0)
+    fleet.planned_stops.append(stop)
+    fleet.ledger.faults.append(stop.at)
+    sent = sent_request(fleet, "a", **changes)
+    fleet.ledger.arrivals.append((sent.sent_at, "api", sent.attempt))
+    return sent
+
+
+def test_request_that_a_planned_stop_cuts_is_a_violation(fleet):
+    sent = cut_in_planned_stop(fleet)
+    (line,) = violations(fleet, sent)
+    assert "sent 1.00 s after the SIGTERM of entry-0, was cut 1.10 s after it" in line
+    sent.ended_at = 9.0 + 3.5
+    sent.timeout = 5.0
+    assert len(violations(fleet, sent)) == 1
+
+
+@pytest.mark.parametrize(
+    "changes",
+    [
+        {"disconnected": True},
+        {"status": 502, "complete": True},
+        {"ended_at": 12.0},
+        {"at": 8.9},
+        {"at": 14.1},
+        {"route": "digests", "status": 200, "sealed": True, "ended_at": 12.1}
+        | {"timeout": 5.0, "tokens": 1000},
+    ],
+    ids=["left", "answered", "timeout", "before", "after", "begun"],
+)
+def test_other_requests_around_a_planned_stop_are_no_violation(fleet, changes):
+    assert violations(fleet, cut_in_planned_stop(fleet, **changes)) == []
+
+
+def test_requests_cut_beside_other_faults_are_not_counted(fleet):
+    sent = cut_in_planned_stop(fleet)
+    fleet.ledger.faults.append(8.0)
+    assert violations(fleet, sent) == []
+
+
+def test_request_that_did_not_arrive_at_a_server_is_not_cut(fleet):
+    sent = cut_in_planned_stop(fleet)
+    fleet.ledger.arrivals.clear()
+    assert violations(fleet, sent) == []
