Bound what callers leave unread of plain answers

What callers saw: clients that read answers of 1 MB at 25 KB/s, 30 new ones a second at each of three instances, took each over its 150 MB after four seconds, eight times in a minute; all requests of all callers were lost each time.

Cause: a whole answer was written to the transport at once and counted nowhere. HeldMemory was asked by streams only, before they read on from their server, and BodyMemory ends where the answer is complete. Class: memory that the other side decides about, without a bound.

UnreadResponses counts complete answers by account from 16 KB on, until they are read, within a quarter of the machine's memory. An account above its part gets 503 with the reason "memory" before its calls are sent to a server, with a delay that follows from how fast callers read. If the bound is exceeded all the same, answers are broken off: of bookings last, and first of the account that holds most, the one that was not read for longest. Gauges, and a line for each answer that is broken off.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -10,11 +10,12 @@
 from ..errors import BadRequestError
 from ..state.connection_limits import ConnectionLimits
 from ..transport.http_exchange import RequestHead
-from ..transport.http_site import Responder
+from ..transport.responder import Responder
+from ..transport.unread_responses import UnreadResponses
 from .allowed_regions import AllowedRegions
 from .call_state import CallState, Resolution
 from .calls import CallCodec, ForwardedCall, Refused, answer_headers
-from .deployment import Route
+from .deployment import CallKind, Route
 from .event_log import EventLog
 from .forwarding_metrics import ForwardingMetrics
 from .model_calls import ModelCalls
@@ -46,6 +47,8 @@
         The configuration in force, and its age.
     usage : SharedUsage
         Rate limits of the accounts.
+    unread_responses : UnreadResponses or None
+        What callers leave unread; a call whose answer has no room is not sent.
     """
 
     def __init__(
@@ -63,6 +66,7 @@
         log: EventLog,
         metrics: ForwardingMetrics,
         regions: AllowedRegions | None = None,
+        unread_responses: UnreadResponses | None = None,
     ) -> None:
         self._clock = clock
         self._random = random
@@ -76,6 +80,7 @@
         self._log = log
         self._metrics = metrics
         self._regions = regions or AllowedRegions()
+        self.unread_responses = unread_responses
         self._draining = False
         self._last_long_call_at = float("inf")
         self._stops_at = float("inf")
@@ -238,6 +243,8 @@
 
     async def _run(self, state: CallState, responder: Responder) -> None:
         """Run a call here, or pass it on if this instance has no way to servers."""
+        responder.repeatable = state.resolved.route.idempotent
+        self._refuse_without_memory(state)
         try:
             await self._run_here(state, responder)
         except Refused as refused:
@@ -245,6 +252,19 @@
                 raise
             await self._peer_calls.run(state, responder, refused)
 
+    def _refuse_without_memory(self, state: CallState) -> None:
+        """Refuse a call whose answer would not fit beside what callers leave unread.
+
+        Streams are held by their events, and are not refused.
+        """
+        responses, owner = self.unread_responses, state.account_name or ""
+        if responses is None or state.resolved.route.kind is CallKind.STREAMING:
+            return
+        if not responses.has_room(owner):
+            inputs = {"held": responses.total, "account": responses.held_for(owner)}
+            seconds = responses.retry_seconds()
+            raise Refused(503, "memory", retry_after=seconds, inputs=inputs)
+
     async def _run_here(self, state: CallState, responder: Responder) -> None:
         service = self._store_view.deployment.services_by_name.get(state.service())
         if service is not None and service.engines is not None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -16,6 +16,7 @@
 from ..transport.http_exchange import ConnectionPool
 from ..transport.http_site import HttpSite
 from ..transport.text_pages import TextPages
+from ..transport.unread_responses import UnreadResponses, max_unread_bytes
 from .allowed_regions import AllowedRegions
 from .backends import Backends, BackendServer
 from .calls import CallCodec
@@ -262,6 +263,11 @@
             server_choice=self._server_choice,
             random=random,
         )
+        unread = UnreadResponses(
+            max_unread_bytes(settings.machine_bytes),
+            reactor,
+            lambda reason: log.event("response_broken_off", reason=reason),
+        )
         self.forwarder = Forwarder(
             clock=reactor,
             random=random,
@@ -288,6 +294,7 @@
             log=log,
             metrics=metrics,
             regions=regions,
+            unread_responses=unread,
         )
         self._stage_orders = StageOrders(
             clock=reactor,
@@ -323,15 +330,23 @@
         memory = HeldMemory(max_held_bytes(settings.machine_bytes))
         metrics.gauge("held_bytes", lambda: memory.total)
         metrics.gauge("held_bytes_refused", lambda: memory.refused)
+        metrics.gauge("unread_bytes", lambda: unread.total)
+        metrics.gauge(
+            "unread_bytes_largest_account", lambda: unread.largest_account_bytes
+        )
+        metrics.gauge("unread_refused", lambda: unread.refused)
+        metrics.gauge("unread_broken_off", lambda: unread.broken_off)
+        owner_of = self.forwarder.owner_of
         self._site = HttpSite(
-            self.forwarder, reactor, self._rejected, memory, self.forwarder.owner_of
+            self.forwarder, reactor, self._rejected, memory, owner_of, unread
         )
         self._peer_site = HttpSite(
             PassedOnCalls(self.forwarder),
             reactor,
             self._rejected,
             memory,
-            self.forwarder.owner_of,
+            owner_of,
+            unread,
         )
         self._listeners = Listeners(
             reactor,
--- a/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/model_calls.py
@@ -11,7 +11,7 @@
     WrongContinuationError,
 )
 from ..transport.http_exchange import Exchange, ResponseHead, ServerConnection
-from ..transport.http_site import Responder
+from ..transport.responder import Responder
 from .backends import BackendServer
 from .call_state import CallState
 from .calls import SendParameters, answer_headers
--- a/packages/pomeloglade/src/pomeloglade/forwarding/passed_on_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/passed_on_calls.py
@@ -4,7 +4,7 @@
 
 from ..state.connection_limits import ConnectionLimits
 from ..transport.http_exchange import RequestHead
-from ..transport.http_site import Responder
+from ..transport.responder import Responder
 from .forwarder import Forwarder
 
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/peer_calls.py
@@ -18,7 +18,7 @@
 )
 from ..transport.body_memory import MAX_CONTROL_BODY_BYTES
 from ..transport.http_exchange import Exchange, ResponseHead
-from ..transport.http_site import Responder
+from ..transport.responder import Responder
 from .allowed_regions import NO_SERVER_IN_REGION
 from .backends import ZONE_OUT_OF_USE
 from .call_state import CallState
--- a/packages/pomeloglade/src/pomeloglade/transport/http_site.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/http_site.py
@@ -14,7 +14,9 @@
 from ..state.connection_limits import ConnectionLimits
 from .held_memory import HeldMemory
 from .http_exchange import Headers, RequestHead
+from .responder import Responder
 from .send_buffer import SendBuffer
+from .unread_responses import UnreadResponses
 
 MAX_PARSED_HEAD_BYTES = 65_536
 """Upper bound on the size of a request head, even if the configured limit is higher."""
@@ -61,54 +63,11 @@
         """Return whether responses are to carry ``Connection: close``."""
 
     def handle(
-        self, head: RequestHead, body: bytes, responder: "Responder"
+        self, head: RequestHead, body: bytes, responder: Responder
     ) -> "Deferred[None]":
         """Handle a request; the result is cancelled if the caller disconnects."""
 
 
-class Responder:
-    """Writes the response to one request."""
-
-    def __init__(self, connection: "CallerConnection", started: float) -> None:
-        self._connection = connection
-        self.started = started
-        self.head_sent = False
-        self.done = False
-        self.status = 0
-
-    def answer(self, status: int, headers: Headers, body: bytes) -> None:
-        """Write a complete response."""
-        length = ((b"Content-Length", b"%d" % len(body)),)
-        self.write_head(status, headers + length)
-        if body:
-            self.write(body)
-        self.end()
-
-    def write_head(self, status: int, headers: Headers) -> None:
-        """Write the head; the body is chunked if there is no ``Content-Length``."""
-        self.head_sent = True
-        self.status = status
-        self._connection.write_head(status, headers)
-
-    def write(self, data: bytes) -> None:
-        """Write a part of the body."""
-        self._connection.write(data)
-
-    def end(self) -> None:
-        """Complete the body."""
-        self.done = True
-        self._connection.end()
-
-    def abort_response(self) -> None:
-        """Close the connection without completing the response."""
-        self.done = True
-        self._connection.abort_response()
-
-    def wait_writable(self) -> "Deferred[None]":
-        """Wait until the write buffer has room again."""
-        return self._connection.wait_writable()
-
-
 @implementer(IPushProducer)
 class CallerConnection(Protocol):
     """A caller's connection, which serves one request at a time within the limits."""
@@ -165,8 +124,7 @@
         self._site.connections.discard(self)
         self._closing = True
         self._cancel_timer()
-        self._on_sent = None
-        self._output.clear()
+        self._drop_output()
         self.resumeProducing()
         self._release_request()
         task, self._task = self._task, None
@@ -234,6 +192,20 @@
         if not self._closing:
             self.close()
 
+    def hold_unread(self, *, repeatable: bool) -> None:
+        """Count what the transport has no room for, and bound it over all callers."""
+        responses = self._site.responses
+        if responses is None or not self._output.paused:
+            return
+        owner = self._site.owner_of(self._head)
+        responses.hold(self, owner, self._output.unsent, repeatable=repeatable)
+
+    def break_off(self) -> None:
+        """Reset the connection and drop what it holds."""
+        self._closing = True
+        self._drop_output()
+        self._abort()
+
     def wait_writable(self) -> "Deferred[None]":
         """Wait while the caller leaves too much unread.
 
@@ -257,6 +229,8 @@
     def resumeProducing(self) -> None:  # noqa: N802
         """Write on, and tell those that wait for it: the transport is empty."""
         self._output.resume()
+        if self._site.responses is not None:
+            self._site.responses.record_read(self, self._output.unsent)
         if self._unread_timer is not None:
             self._start_unread_timer()
         if self._output.paused:
@@ -322,6 +296,12 @@
         if self._site.memory is not None:
             self._site.memory.release(("request", self))
 
+    def _drop_output(self) -> None:
+        self._on_sent = None
+        self._output.clear()
+        if self._site.responses is not None:
+            self._site.responses.release(self)
+
     def _has_unparsed_bytes(self) -> bool:
         return bool(self._h11.trailing_data[0])
 
@@ -469,6 +449,8 @@
         Bounds what is held of request bodies and unread responses.
     owner_of : callable
         Returns the client account that a request's memory counts for.
+    responses : UnreadResponses or None
+        Bounds what is held of complete responses.
     """
 
     noisy = False
@@ -480,8 +462,10 @@
         on_reject: Callable[[int, str], None],
         memory: HeldMemory | None = None,
         owner_of: Callable[[RequestHead], str] = lambda head: "",
+        responses: UnreadResponses | None = None,
     ) -> None:
         self.handler = handler
+        self.responses = responses
         self.memory = memory
         self.owner_of = owner_of
         self.on_reject = on_reject
