Let the soak's callers read slowly on request

No caller of the soak read slowly, and on a loopback with segments of 64 KB the kernel takes megabytes unread, so it found neither of the faults in docs/incidents/slow-readers.md.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -18,6 +18,7 @@
 )
 from .fleet import ZONES, Fleet, PlannedStop
 from .proxy import LinkMode, Proxy
+from .slow_readers import SlowReaders
 
 MAX_FAULT_SECONDS = 4.0
 STORE_CUT_SECONDS = REVOKE_SECONDS + 3.0
@@ -45,6 +46,8 @@
 """For how long servers are slow around a planned stop, and how much: a plain call takes
 over a second then."""
 
+SLOW_READERS_SECONDS = 4.0
+
 CUT_SECONDS = 8.0
 CUT_MODES = (LinkMode.SILENCE, LinkMode.RESET, LinkMode.REFUSE)
 ZONE_CUT_FRACTION = 0.5
@@ -114,6 +117,7 @@
         self.inject_by_name["releases and kills"] = self._release_and_kill
         self.inject_by_name["streams go on wrongly"] = self._go_on_wrongly
         self.inject_by_name["planned stop"] = self._stop_slow_work
+        self.inject_by_name["slow readers"] = self._read_slowly
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
@@ -272,6 +276,12 @@
         self._callers.route_weights = STREAM_WEIGHTS
         return f"{[each.id for each in engines]} in {phases} phases"
 
+    def _read_slowly(self, seconds: float) -> str:
+        """Let callers of one instance read large answers slowly or not at all."""
+        instance = self._random.choice(self._fleet.instances)
+        SlowReaders(self._fleet, self._callers, instance).start(SLOW_READERS_SECONDS)
+        return f"{instance.name} for {SLOW_READERS_SECONDS} s"
+
     def _name_limits(self, seconds: float) -> str:
         """Let one server, or all of its service, name a limit."""
         first = self._random.choice(self._fleet.backends)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,13 @@
     run_soak(tmp_path, "--seed", "2", "--instances", "3", *fault)
 
 
+# Guards against answers that callers read slowly: cut on the way (LOST), or filling the
+# memory of an instance (FAULT).
+def test_processes_keep_answers_of_slow_readers_within_their_memory(tmp_path):
+    fault = ("--fault", "slow readers", "--seconds", "1")
+    run_soak(tmp_path, "--seed", "1", "--instances", "4", *fault)
+
+
 # Guards against sending a server more requests than the limit that it names: LIMIT
 # (inc1, issue 28).
 def test_processes_keep_the_limits_that_servers_name(tmp_path):
