Let tasks go on after an error that nobody foresaw

Cause: an error in a LoopingCall or in the coroutine of a task is final, and instance.py stopped the reactor at it. The registration handled KeyValueError only; the lease holder swallowed other errors silently, and ended if the listener of its loss failed.

lasting_tasks has the two shapes: guarded for steps that are repeated, keep_running for tasks without an end, which start again after a second. Errors that reach Twisted's log become lines unforeseen_error of the process's own log; they went to standard error, where a process waits if nobody reads it. The soak counts the line as a broken promise as it did task_failed and tracebacks.

Looked at and left: report_relay, stage_orders and server_reach set their next timer before they work; server_probes, cold_servers and local_prefill are single calls; the watch for silent instances in peer_calls can't fail.

--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/lease.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/lease.py
@@ -7,7 +7,12 @@
 from datetime import timedelta
 from typing import Any
 
-from twisted.internet.defer import Deferred, TimeoutError, inlineCallbacks
+from twisted.internet.defer import (
+    Deferred,
+    TimeoutError,
+    inlineCallbacks,
+    maybeDeferred,
+)
 from twisted.python.failure import Failure
 
 from .clock import Clock
@@ -18,6 +23,7 @@
     RevisionConflictError,
 )
 from .key_value import ABSENT, Entry, KeyValueStore
+from .lasting_tasks import report_failure
 from .store_era import era_of
 
 LEASE_TIME_TO_LIVE = timedelta(seconds=5)
@@ -125,12 +131,14 @@
         return done
 
     def _attempt(self) -> None:
-        still_valid = self.valid()
-        if self._fencing_token and not still_valid:
+        maybeDeferred(self._try_to_hold).addErrback(self._failed).addBoth(
+            self._schedule
+        )
+
+    def _try_to_hold(self) -> "Deferred[None]":
+        if self._fencing_token and not self.valid():
             self._record_lost()
-        call = self._renew() if self._fencing_token else self._acquire()
-        call.addErrback(self._failed)
-        call.addBoth(self._schedule)
+        return self._renew() if self._fencing_token else self._acquire()
 
     def _schedule(self, _result: object) -> None:
         if self._running:
@@ -140,8 +148,9 @@
             self._timer = self._clock.callLater(delay, self._attempt)
 
     def _failed(self, failure: Failure) -> None:
-        failure.trap(KeyValueError, TimeoutError)
         self.counters[LeaseCounter.UNAVAILABLE] += 1
+        if not failure.check(KeyValueError, TimeoutError):
+            report_failure(failure, "lease")
 
     @inlineCallbacks
     def _renew(self) -> Generator[Any, Any, None]:
--- a/packages/pomeloglade-coordination/src/pomeloglade_coordination/recovery.py
+++ b/packages/pomeloglade-coordination/src/pomeloglade_coordination/recovery.py
@@ -12,6 +12,7 @@
 
 from .clock import Clock
 from .errors import CoordinationError
+from .lasting_tasks import guarded
 from .members import Member, MembershipView
 from .peer import PeerMessage, PeerSender
 from .rendezvous import owner
@@ -158,7 +159,7 @@
                 self._sweep_server(server)
 
     def _sweep_periodically(self) -> None:
-        self.sweep()
+        guarded("sweep", self.sweep)()
         delay = SWEEP_INTERVAL.total_seconds() * self._random.uniform(0.9, 1.0)
         self._sweep_call = self._clock.callLater(delay, self._sweep_periodically)
 
--- a/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/entry_instance.py
@@ -19,6 +19,7 @@
 from pomeloglade_coordination.clock import Clock
 from pomeloglade_coordination.configuration import ConfigurationSpread
 from pomeloglade_coordination.key_value import KeyValueStore
+from pomeloglade_coordination.lasting_tasks import guarded
 from pomeloglade_coordination.members import Member
 from pomeloglade_coordination.membership import ListedInstance, Membership
 from pomeloglade_coordination.peer import PeerSender
@@ -207,7 +208,7 @@
             shares=self.components.shares,
             random=self._randomness,
         )
-        self._ticker = LoopingCall(self._tick)
+        self._ticker = LoopingCall(guarded("ticks", self._tick))
         self._ticker.clock = self.clock
 
     def _register_receivers_and_counters(self) -> None:
--- a/packages/pomeloglade/src/pomeloglade/coordination/health.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/health.py
@@ -4,6 +4,7 @@
 from twisted.internet.task import LoopingCall
 
 from pomeloglade_coordination.clock import Clock
+from pomeloglade_coordination.lasting_tasks import guarded
 from pomeloglade_coordination.placement import Placement
 
 from ..errors import BackendError
@@ -54,7 +55,7 @@
         self._placement = placement
         self._metrics = metrics
         self._failed: set[str] = set()
-        self._loop = LoopingCall(self._poll)
+        self._loop = LoopingCall(guarded("health", self._poll))
         self._loop.clock = clock
 
     def start(self) -> None:
--- a/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
+++ b/packages/pomeloglade/src/pomeloglade/coordination/instance_list.py
@@ -10,6 +10,7 @@
 from pomeloglade_coordination.errors import KeyValueError
 from pomeloglade_coordination.json_decoding import decode_json
 from pomeloglade_coordination.key_value import Entry, KeyValueStore
+from pomeloglade_coordination.lasting_tasks import guarded
 
 from ..state.instance_record import INSTANCES_PREFIX, InstanceRecord
 from ..state.metrics import Metrics
@@ -24,7 +25,7 @@
         self._store = store
         self._metrics = metrics
         self._subscribers: list[Callable[[tuple[InstanceRecord, ...]], None]] = []
-        self._loop = LoopingCall(self._poll)
+        self._loop = LoopingCall(guarded("instance_list", self._poll))
         self._loop.clock = clock
 
     def subscribe(self, on_read: Callable[[tuple[InstanceRecord, ...]], None]) -> None:
--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -25,6 +25,7 @@
 from .transport.services import HttpServices
 from .transport.site import RouterSite
 from .transport.status_page import StatusPage
+from .unforeseen_errors import log_unforeseen_errors
 
 LISTING_TIMEOUT_SECONDS = 10.0
 """Longest wait of a shutdown for the platform's list to show this instance leaving."""
@@ -170,6 +171,7 @@
 def run(settings: Settings, signals: ProcessSignals) -> None:
     """Run the daemon until a signal stops it."""
     eliot.to_file(sys.stdout)
+    log_unforeseen_errors(_Log().event)
     failures: list[object] = []
     stopping = False
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/engine_queue.py
@@ -359,8 +359,10 @@
 
     def _retry(self) -> None:
         self._retry_scheduled = False
-        self.place_waiting()
-        self._schedule_retry()
+        try:
+            self.place_waiting()
+        finally:
+            self._schedule_retry()
 
     def has_room(self, server: BackendServer, tokens: int) -> bool:
         """Return whether an engine has a free slot and KV memory for ``tokens`` more.
--- a/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/instance.py
@@ -5,9 +5,9 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.python.failure import Failure
 
 from pomeloglade_coordination.key_value import KeyValueStore
+from pomeloglade_coordination.lasting_tasks import keep_running
 
 from ..transport.held_memory import (
     HeldMemory,
@@ -357,15 +357,13 @@
             peers=self._peer_site,
             reports=self._exchange,
         )
-        self._tasks: list[Deferred[None]] = []
 
     async def start(self) -> None:
         """Start listening, following the store and registering."""
         await self._listeners.open()
         self._relay.start()
-        for task in (self._follower.start(), self._registration.start()):
-            task.addErrback(self._task_failed)
-            self._tasks.append(task)
+        keep_running(self._reactor, "store_follower", self._follower.start)
+        keep_running(self._reactor, "registration", self._registration.start)
         self._stage_orders.start()
         if self.store_view.quarantine is not None:
             self._quarantine_store.start()
@@ -461,10 +459,6 @@
     def _rejected(self, status: int, reason: str) -> None:
         self._log.event("request_rejected", status=status, reason=reason)
 
-    def _task_failed(self, failure: Failure) -> None:
-        self._log.event("task_failed", reason=repr(failure.value))
-        self._reactor.stop()
-
     def _drain(self) -> "Deferred[None]":
         return Deferred.fromCoroutine(self._shut_down())
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/plain_queue.py
@@ -438,9 +438,11 @@
 
     def _tick(self) -> None:
         self._tick_scheduled = False
-        if self._waiters:
-            self._update()
-            self._release(self._clock.seconds() - self._ticked_at)
+        try:
+            if self._waiters:
+                self._update()
+                self._release(self._clock.seconds() - self._ticked_at)
+        finally:
             self._schedule_tick()
 
     def _update(self) -> None:
--- a/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/quarantine_store.py
@@ -12,6 +12,7 @@
 
 from pomeloglade_coordination.errors import KeyValueError, RevisionConflictError
 from pomeloglade_coordination.key_value import ABSENT, Entry, KeyValueStore
+from pomeloglade_coordination.lasting_tasks import guarded
 
 from ..protocol.quarantine import (
     QuarantineEntry,
@@ -125,7 +126,7 @@
         self._due_since_by_key: dict[int, float] = {}
         self._called_at_by_key: dict[int, float] = {}
         self._service_by_run: dict[ServerRun, str] = {}
-        self._timer = LoopingCall(self.check)
+        self._timer = LoopingCall(guarded("quarantine_store", self.check))
         self._timer.clock = clock
         self.calls = 0
         self.trials = QuarantineTrials(quarantine, backends, self.entry, self._claim)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
@@ -4,7 +4,7 @@
 from datetime import timedelta
 from typing import NamedTuple
 
-from twisted.internet.defer import Deferred
+from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
 
 from pomeloglade_coordination.errors import (
@@ -88,7 +88,7 @@
         await pause
 
     async def _run(self) -> None:
-        lease = None
+        lease = self._written = None
         while True:
             try:
                 if lease is None:
@@ -112,6 +112,11 @@
             except KeyValueError as error:
                 self._log.event("instance_not_renewed", reason=str(error))
                 await self._wait(RETRY_SECONDS)
+            except CancelledError:
+                raise
+            except Exception as error:
+                self._log.event("instance_not_renewed", reason=repr(error)[:200])
+                await self._wait(RETRY_SECONDS)
 
     async def _write(self, lease: str) -> None:
         """Write the key in place of what is there, also a write of an earlier run."""
--- a/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/version_history.py
@@ -13,6 +13,7 @@
 
 from pomeloglade_coordination.errors import KeyValueError, RevisionConflictError
 from pomeloglade_coordination.key_value import ABSENT, Entry, KeyValueStore
+from pomeloglade_coordination.lasting_tasks import guarded
 
 from ..protocol.software_versions import (
     VersionRecord,
@@ -122,7 +123,7 @@
         self._due_since_by_service: dict[str, float] = {}
         self._called_at_by_service: dict[str, float] = {}
         self._was_read = False
-        self._timer = LoopingCall(self.check)
+        self._timer = LoopingCall(guarded("version_history", self.check))
         self._timer.clock = clock
         self.calls = 0
 
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -496,7 +496,7 @@
                 except json.JSONDecodeError:
                     # A killed process may have left an incomplete line.
                     continue
-            if event_name in ("internal_error", "task_failed") or (
+            if event_name in ("internal_error", "unforeseen_error") or (
                 "Unhandled" in line or "Traceback" in line
             ):
                 violations.append(f"{instance.name} logged {line[:300]}")
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -215,3 +215,35 @@
     shared.grant_lease = grant
     run(clock, REGISTERED_WITHIN)
     assert registered(shared) == b"here"
+
+
+# Guards against an error that ends the registration, and the process with it: FAULT.
+@pytest.mark.parametrize("call", ["grant_lease", "renew_lease", "put"])
+def test_unforeseen_error_of_the_store_does_not_end_the_registration(
+    clock, shared, monkeypatch, call
+):
+    broken = RuntimeError("an answer that nobody foresaw")
+    with monkeypatch.context() as patch:
+        patch.setattr(LateStore, call, lambda *_, **options: fail(broken))
+        task, log = register(clock, shared)
+        run(clock, RENEW_SECONDS + RETRY_SECONDS)
+        assert not task.called
+        assert ("instance_not_renewed", {"reason": repr(broken)}) in log.events
+    run(clock, REGISTERED_WITHIN)
+    assert registered(shared) == b"here"
+    run(clock, 2 * LEASE_SECONDS)
+    assert registered(shared) == b"here"
+
+
+def test_registration_that_is_started_again_ties_the_key_to_its_new_lease(
+    clock, shared
+):
+    task = Registration(clock, shared, KEY, lambda: b"here", ListLog())
+    first = task.start()
+    first.addErrback(lambda _: None)
+    run(clock, 1.0)
+    first.cancel()
+    task.start()
+    for _ in range(300):
+        run(clock, 0.1)
+        assert registered(shared) == b"here"
