Start and stop without a reader of the standard streams

What operators would see: a process started with its standard output closed ended with 1; one whose output nobody reads and that got SIGTERM in its imports waited in a write until it was killed.

Cause: the log took the number of sys.stdout, which is None for a closed stream. Had it taken number 1, that could have been a socket, as closed numbers are given to what is opened next. The line about an early stop was a blocking write.

--- a/packages/pomeloglade/src/pomeloglade/daemon.py
+++ b/packages/pomeloglade/src/pomeloglade/daemon.py
@@ -1,5 +1,6 @@
 """The daemon of one entry instance: sockets, start and graceful shutdown."""
 
+import os
 import sys
 import time
 from typing import Any
@@ -16,6 +17,7 @@
 from .process_signals import ProcessSignals
 from .protocol.deployment import decode, without_withdrawn_keys
 from .settings import Settings
+from .standard_streams import STDOUT
 from .startup import PortOpener
 from .state.instance_record import InstanceRecord
 from .transport.engines import HttpEngines
@@ -170,7 +172,7 @@
 
 def run(settings: Settings, signals: ProcessSignals) -> None:
     """Run the daemon until a signal stops it."""
-    eliot.to_file(sys.stdout)
+    eliot.to_file(sys.stdout or os.fdopen(STDOUT, "w"))
     log_unforeseen_errors(_Log().event)
     failures: list[object] = []
     stopping = False
--- a/packages/pomeloglade/src/pomeloglade/process_signals.py
+++ b/packages/pomeloglade/src/pomeloglade/process_signals.py
@@ -7,8 +7,9 @@
 from collections.abc import Callable
 from types import FrameType
 
+from .standard_streams import STDOUT
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
-STDOUT = 1
 
 
 class ProcessSignals:
@@ -69,6 +70,8 @@
             f'{{"event":"stopped_early","at":{time.monotonic():.4f},"signal":"{name}"}}'
         )
         with contextlib.suppress(OSError):
+            # A reader that has stopped must not hold up the end.
+            os.set_blocking(STDOUT, False)
             os.write(STDOUT, line.encode() + b"\n")
         # An import that is interrupted might catch an exception raised here.
         os._exit(0)
--- a/tests/test_daemon_process.py
+++ b/tests/test_daemon_process.py
@@ -5,6 +5,7 @@
 import socket
 import subprocess
 import sys
+import time
 
 import pytest
 
@@ -25,7 +26,7 @@
     """Starts a daemon whose output includes a line for each imported module."""
     processes = []
 
-    def start_process(stdout=subprocess.PIPE):
+    def start_process(stdout=subprocess.PIPE, **options):
         process = subprocess.Popen(
             [
                 *(sys.executable, "-X", "importtime", "-m", "pomeloglade.pomelogladed"),
@@ -38,6 +39,7 @@
             stdout=stdout,
             stderr=subprocess.STDOUT if stdout == subprocess.PIPE else subprocess.PIPE,
             text=True,
+            **options,
         )
         processes.append(process)
         return process
@@ -118,3 +120,15 @@
     assert "pomeloglade:listening" in read_until(
         process.stdout, "pomeloglade:listening"
     ), process.wait()
+
+
+# Guards against a daemon that ends as its output is closed: FAULT.
+def test_daemon_without_standard_streams_starts(launch, ports):
+    process = launch(preexec_fn=lambda: os.closerange(0, 3))
+    for _ in range(300):
+        assert process.poll() is None
+        with socket.socket() as connection:
+            if not connection.connect_ex((HOST, ports["callers"])):
+                return
+        time.sleep(0.1)
+    pytest.fail("the daemon never listened")
--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -49,13 +49,13 @@
     )
     processes = []
 
-    def start_process():
+    def start_process(**options):
+        streams = {"stdout": subprocess.PIPE, "stderr": subprocess.STDOUT}
         process = subprocess.Popen(
             [sys.executable, "-X", "importtime", "-m", "pomeloglade_platform"],
             env={**os.environ, "POMELOGLADE_BOOT": str(settings)},
-            stdout=subprocess.PIPE,
-            stderr=subprocess.STDOUT,
             text=True,
+            **{**streams, **options},
         )
         processes.append(process)
         return process
@@ -66,10 +66,10 @@
         process.wait()
 
 
-def read_until(process, text):
+def read_until(process, text, stream=None):
     """Return the output up to the first line with ``text``, or to its end."""
     lines = []
-    for line in process.stdout:
+    for line in stream or process.stdout:
         lines.append(line)
         if text in line:
             break
@@ -200,3 +200,37 @@
     completed = start(settings, *arguments)
     assert completed.returncode == 2
     assert arguments[0] in completed.stderr
+
+
+# Guards against a process that ends as its output is closed, or writes lines of log
+# into a socket that got the output's number: FAULT.
+def test_process_without_standard_streams_starts_and_answers(launch, free_port):
+    process = launch(preexec_fn=lambda: os.closerange(0, 3))
+    address = (HOST, free_port + PORTS_BY_PURPOSE["readiness"])
+    for _ in range(10 * START_SECONDS):
+        assert process.poll() is None
+        try:
+            connection = socket.create_connection(address)
+            break
+        except ConnectionRefusedError:
+            time.sleep(0.1)
+    with connection:
+        connection.sendall(b"GET /v1/readiness HTTP/1.1\r\nHost: entry\r\n\r\n")
+        assert connection.recv(4096).startswith(b"HTTP/1.1 503 ")
+    process.send_signal(signal.SIGTERM)
+    assert process.wait() == 0
+
+
+# Guards against a process that waits for a reader of its output: FAULT.
+@pytest.mark.parametrize("module", ["msgspec", "pomeloglade_platform.program"])
+def test_process_whose_output_nobody_reads_stops(launch, module):
+    readable, writable = os.pipe()
+    os.set_blocking(writable, False)
+    os.write(writable, b" " * 2**20)
+    os.set_blocking(writable, True)
+    process = launch(stdout=writable, stderr=subprocess.PIPE)
+    assert module in read_until(process, f" {module}\n", process.stderr)
+    process.send_signal(signal.SIGTERM)
+    assert process.wait(START_SECONDS) == 0
+    os.close(readable)
+    os.close(writable)
