Add mutations and rows of the proofs for slow readers

Five mutations disable one of the new mechanisms each; each is detected by the tests of its row (run alone, all five).

--- a/scripts/mutations.py
+++ b/scripts/mutations.py
@@ -46,6 +46,8 @@
 COLD_SERVERS = ("tests/test_cold_servers.py",)
 CRASHES = ("tests/test_crashing_requests.py", "tests/test_crash_quarantine.py")
 ENDLESS = ("tests/test_endless_responses.py",)
+SLOW_READERS = ("tests/test_slow_readers.py",)
+UNREAD = ("tests/test_unread_responses.py",)
 
 MUTATIONS = (
     Mutation(
@@ -352,6 +354,47 @@
         "        if False:\n",
         CALLS,
     ),
+    Mutation(
+        "LOST, slow readers",
+        "the time to read a response runs from its begin",
+        TRANSPORT + "http_site.py",
+        "                self._start_timer(MAX_STALL_SECONDS, self._abort)\n"
+        "            if self._resumed",
+        "                pass\n            if self._resumed",
+        SLOW_READERS,
+    ),
+    Mutation(
+        "LOST, slow readers",
+        "a connection counts as idle while its response is read",
+        TRANSPORT + "http_site.py",
+        "        self._when_sent(self._finish_response)\n",
+        "        self._finish_response()\n",
+        SLOW_READERS,
+    ),
+    Mutation(
+        "Fault, unread responses",
+        "complete responses are not counted",
+        TRANSPORT + "responder.py",
+        "            self._connection.hold_unread(repeatable=self.repeatable)\n",
+        "",
+        UNREAD,
+    ),
+    Mutation(
+        "Fault, unread responses",
+        "bookings give way like other calls",
+        TRANSPORT + "unread_responses.py",
+        "(not known.repeatable, -owner_bytes, known.read_at)",
+        "(-owner_bytes, known.read_at)",
+        UNREAD,
+    ),
+    Mutation(
+        "Fault, unread responses",
+        "calls are sent though their answers have no room",
+        FORWARDING + "forwarder.py",
+        "        if not responses.has_room(owner):\n",
+        "        if False:\n",
+        UNREAD,
+    ),
     Mutation(
         "LOST",
         "a connection stays open after a response that began before the drain",
