Let the soak trouble instances while they start

Why: the soak sent signals only to processes that were ready, never held a port and never touched a settings file, so it could not find that processes ended at their start.

The trouble "starts" ends all instances, one after the other with overlaps, and each meets SIGHUP (some also SIGTERM) during its imports, a port in use for 1 to 2 s, or a settings file that is empty or half written. Signals begin once a first library is in the process's memory, as none can be handled before the interpreter runs the first line.

--- a/soak/faults.py
+++ b/soak/faults.py
@@ -19,6 +19,7 @@
 from .fleet import ZONES, Fleet, PlannedStop
 from .proxy import LinkMode, Proxy
 from .slow_readers import SlowReaders
+from .start_faults import StartFaults
 
 MAX_FAULT_SECONDS = 4.0
 STORE_CUT_SECONDS = REVOKE_SECONDS + 3.0
@@ -118,6 +119,7 @@
         self.inject_by_name["streams go on wrongly"] = self._go_on_wrongly
         self.inject_by_name["planned stop"] = self._stop_slow_work
         self.inject_by_name["slow readers"] = self._read_slowly
+        self.inject_by_name["starts"] = StartFaults(fleet, random).inject
         self.inject_by_name[ZONE_OUT_OF_USE] = self._evacuate_zone
 
     def inject(self, name: str | None = None) -> None:
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -4,6 +4,7 @@
 import os
 import signal
 import sys
+from collections.abc import Callable
 from dataclasses import dataclass
 from pathlib import Path
 from random import Random
@@ -37,11 +38,16 @@
 """Memory of the platform's smallest machines."""
 
 
+FIRST_LIBRARY = "_zope_interface_coptimizations"
+"""What a process has in its memory from an early import on."""
+
+
 class InstanceProcess(ProcessProtocol):
     """One instance as a real process.
 
     ``stopping`` is set once the process was told to end. ``disturbed_at`` has the times
-    of its signals and exits, and of the faults of the link to its callers.
+    of its signals and exits, and of the faults of the link to its callers. ``on_start``
+    is called once, after the next start.
     """
 
     def __init__(self, fleet: "Fleet", number: int) -> None:
@@ -52,8 +58,8 @@
         self._fleet = fleet
         self.store_proxy = Proxy(fleet.reactor, HOST, (HOST, fleet.store_port))
         self.front_proxy = Proxy(fleet.reactor, HOST, (self.host, fleet.base_port))
-        self._settings = fleet.folder / f"{self.name}.toml"
-        self._settings.write_text(
+        self.settings = fleet.folder / f"{self.name}.toml"
+        self.settings.write_text(
             settings_text(
                 name=self.name,
                 host=self.host,
@@ -68,6 +74,7 @@
         self.running = False
         self.paused = False
         self.disturbed_at: list[float] = []
+        self.on_start: Callable[[], None] = lambda: None
         self._process: Any = None
         self._log_file: Any = None
 
@@ -76,7 +83,7 @@
         self._log_file = self.log.open("ab")
         self.stopping = False
         self.running = True
-        environment = {**os.environ, "POMELOGLADE_BOOT": str(self._settings)}
+        environment = {**os.environ, "POMELOGLADE_BOOT": str(self.settings)}
         self._process = self._fleet.reactor.spawnProcess(
             self,
             sys.executable,
@@ -84,6 +91,13 @@
             env=environment,
             childFDs={0: "w", 1: self._log_file.fileno(), 2: self._log_file.fileno()},
         )
+        on_start, self.on_start = self.on_start, lambda: None
+        on_start()
+
+    def imports_begun(self) -> bool:
+        """Return whether the process has imported a first library."""
+        maps = Path(f"/proc/{self._process.pid}/maps").read_text()
+        return FIRST_LIBRARY in maps
 
     def signal(self, number: signal.Signals) -> None:
         """Send a signal to the process if it is running."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -116,6 +116,12 @@
     assert sum(len(re.findall(r'"\d+ wrong ', log)) for log in logs) > 2
 
 
+# Guards against processes that end by themselves while they start: FAULT.
+def test_processes_start_in_spite_of_signals_ports_in_use_and_cut_settings(tmp_path):
+    fault = ("--fault", "starts", "--seconds", "5")
+    run_soak(tmp_path, "--seed", "1", "--instances", "6", *fault)
+
+
 # Guards against sending a cold server more requests than it tolerates.
 def test_processes_keep_the_rate_of_cold_servers(tmp_path):
     fault = ("--fault", "cold servers", "--seconds", "8")
@@ -389,6 +395,8 @@
 def test_error_in_a_log_is_found(fleet):
     fleet.instances[0].log.write_text("Unhandled error in Deferred\n")
     assert any("logged" in line for line in violations(fleet))
+    fleet.instances[0].log.write_text('{"event":"unforeseen_error"}\n')
+    assert any("logged" in line for line in violations(fleet))
 
 
 @pytest.mark.parametrize(("version", "found"), [("v1", False), ("v2", True)])
