List connections that take all descriptors as a known failure

What callers would see: readiness resets connections, and no call reaches a server, while others hold as many connections with incomplete requests as the process may have descriptors. The process goes on, and serves again once they are closed.

Cause: connections of callers are not bounded, and nothing is kept back for readiness, the store and servers. Not fixed yet.

Evidence: the new test fails with 300 descriptors and 350 connections (readiness is reset).

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -1,6 +1,8 @@
 """Tests of the platform's program as a process: arguments, start and signals."""
 
+import contextlib
 import os
+import resource
 import signal
 import socket
 import subprocess
@@ -234,3 +236,27 @@
     assert process.wait(START_SECONDS) == 0
     os.close(readable)
     os.close(writable)
+
+
+MAX_DESCRIPTORS = 300
+
+
+# Guards against callers whose connections leave none for readiness, store and servers.
+def test_callers_do_not_use_up_the_descriptors(launch, free_port):
+    limits = (MAX_DESCRIPTORS, MAX_DESCRIPTORS)
+    process = launch(
+        preexec_fn=lambda: resource.setrlimit(resource.RLIMIT_NOFILE, limits)
+    )
+    assert '"started"' in read_until(process, '"started"')
+    with contextlib.ExitStack() as connections:
+        for _ in range(MAX_DESCRIPTORS + 50):
+            connection = connections.enter_context(socket.socket())
+            connection.connect((HOST, free_port))
+            with contextlib.suppress(OSError):
+                connection.sendall(b"GET /lookups HTTP")
+        time.sleep(0.5)
+        ready = connections.enter_context(socket.socket())
+        ready.settimeout(2.0)
+        ready.connect((HOST, free_port + PORTS_BY_PURPOSE["readiness"]))
+        ready.sendall(b"GET /v1/readiness HTTP/1.1\r\nHost: entry\r\n\r\n")
+        assert ready.recv(4096).startswith(b"HTTP/1.1 503 ")
