Check the answer to a caller that takes up a stream, and accept keep-alives

What callers saw: a caller that took up its stream with the id of its last event was passed on whatever the engine answered with status 200: events that begin again at the first id, the last one again, a gap, an error, the head of another answer, each as a whole stream that the caller joins to what it has (ORDER, MIXED). The opposite as well: an event without data that repeats the last id, as a keep-alive, broke a sound stream that another engine went on with.

Cause: the first answer of a call counted as the stream's begin, although the caller had named what it has; the same cause as where the router itself goes on. And EventOrder accepted a repeated id without data in what was sent, but not in what goes on.

The answer is checked like that of a run that goes on. It may be empty, as nothing else tells a caller that it has all events, and an error status is passed on. The end of an event is searched from the last received bytes on, not again in all of a long event.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_order.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_order.py
@@ -126,7 +126,8 @@
             return f"{_shown(event.foreign)} is no field of an event"
         if event.reports_error:
             return "event that reports an error"
-        if event.id is None and not event.has_data and not event.extended:
+        empty = not event.has_data and not event.extended
+        if empty and event.id in (None, self.last):
             return None
         if event.id and self._follows(event.id):
             return None
--- a/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/event_stream.py
@@ -9,6 +9,9 @@
 END_OF_EVENT = re.compile(rb"(?:\r\n|\n|\r(?!\n)){2}")
 """An empty line ends an event; each of the three line ends is allowed."""
 
+MAX_END_BYTES = 4
+"""Length of the longest end of an event, two times CRLF."""
+
 
 SUCCESS = 200
 
@@ -27,7 +30,8 @@
     after the last whole event, so the caller must not receive a part of the next one.
     Partial events of other streams are forwarded and remembered. The answers of the
     servers that a stream goes on at are received one after the other. The first one is
-    forwarded as it is; of the others only the events that come next in the stream.
+    forwarded as it is, unless the caller takes up a stream; of the others only the
+    events that come next in the stream.
 
     Parameters
     ----------
@@ -57,8 +61,7 @@
         self._partial = b""
         self._answer_has_events = self._answer_has_data = False
         self._order = EventOrder(last_id)
-        self._goes_on = False
-        self._answer_has_data = False
+        self._goes_on = self._takes_up = False
         self.begun = False
         self.origin: StreamOrigin | None = None
         self.forwarded_bytes = 0
@@ -91,6 +94,7 @@
         """Expect the answer of another server from now on."""
         self.discard_answer()
         self._goes_on = self.begun
+        self._takes_up = self.resumable and bool(self.last_id)
         self._answer_first_id = self._answer_last_id = None
 
     def feed(self, data: bytes) -> bytes:
@@ -100,9 +104,10 @@
         have no data, and ``WrongContinuationError`` if one does not come next in a
         stream that goes on; of the data, nothing may be forwarded then.
         """
+        searched = max(0, len(self._partial) - MAX_END_BYTES + 1)
         received = self._partial + data
         events, end = [], 0
-        for match in END_OF_EVENT.finditer(received):
+        for match in END_OF_EVENT.finditer(received, searched):
             events.append(received[end : match.end()])
             end = match.end()
         whole, self._partial = received[:end], received[end:]
@@ -122,7 +127,8 @@
                 self._answer_last_id = event.id
                 if self._answer_first_id is None:
                     self._answer_first_id = event.id
-            if self._goes_on and (fault := order.fault(event)):
+            checked = self._goes_on or self._takes_up
+            if checked and (fault := order.fault(event)):
                 raise WrongContinuationError(fault, step="resume")
             if self.resumable:
                 order = order.after(event)
@@ -159,13 +165,16 @@
 
         A server that has lost the stream may answer without an event, and so may a
         server whose events were all received; a caller can take up what is broken off,
-        but not what looks complete.
+        but not what looks complete. The answer to a caller that takes up a stream may
+        be empty: no other answer tells it that it has all events.
         """
-        if not self._goes_on:
+        if not (self._goes_on or self._takes_up):
             return
         if not begins_event(self._partial):
             text = "the rest of a resumed stream is no event"
             raise WrongContinuationError(text, step="resume")
+        if not self._goes_on:
+            return
         if not self._answer_has_data and not self.inside_event:
             text = "resumed stream was answered without an event"
             raise WrongContinuationError(text, step="resume")
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -273,6 +273,82 @@
     assert responder.body == b"id: 8\ndata: x\n\n"
 
 
+def take_up(harness, last_id):
+    """Start a call that takes up a stream; return its responder and its engine."""
+    responder, _ = harness.call(
+        TARGET,
+        headers=(
+            (b"Last-Event-Id", last_id),
+            (b"X-Pomeloglade-Model", b"m"),
+            (b"X-Pomeloglade-Token-Counts", b"100,100"),
+        ),
+    )
+    return responder, running_engine(harness)
+
+
+def running_engine(harness):
+    """Return the engine that was asked last, after the prefill before it if any."""
+    if harness.network.requests[-1].prefill:
+        harness.network.requests[-1].answer_prefill()
+    return harness.network.requests[-1]
+
+
+# Guards against joining an engine's error, repetition or gap to what a caller has that
+# takes up its stream: ORDER, MIXED.
+@pytest.mark.parametrize(
+    "parts",
+    [
+        (b"id: 1\ndata: x\n\n", b"id: 2\ndata: x\n\n"),
+        (b"id: 7\ndata: x\n\n", b"id: 8\ndata: x\n\n"),
+        (b"id: 10\ndata: x\n\n",),
+        (b"event: error\ndata: overloaded\n\n",),
+        (b"data: no id\n\n",),
+        (HEAD,),
+        (b'{"error": "overloaded"}',),
+    ],
+)
+def test_stream_that_a_caller_takes_up_goes_on_only_with_its_next_events(parts):
+    harness = with_engines("d", "dd", "ddd")
+    responder, engine = take_up(harness, b"7")
+    feed(*parts)(engine)
+    assert not responder.done
+    assert responder.body == b""
+    again = running_engine(harness)
+    assert again is not engine
+    assert again.header("Last-Event-Id") == b"7"
+    feed(b"id: 8\ndata: x\n\n")(again)
+    assert responder.done
+    assert not responder.was_aborted
+    assert responder.body == b"id: 8\ndata: x\n\n"
+
+
+# Nothing else tells a caller that the stream had ended with the last event it has.
+def test_caller_that_takes_up_a_stream_of_which_it_has_all_gets_an_empty_answer():
+    responder, engine = take_up(with_engines("d", "dd"), b"7")
+    feed()(engine)
+    assert responder.done
+    assert not responder.was_aborted
+    assert (responder.status, responder.body) == (200, b"")
+
+
+def test_error_status_for_a_caller_that_takes_up_a_stream_is_passed_on():
+    responder, engine = take_up(with_engines("d", "dd"), b"7")
+    feed(b"gone", status=404)(engine)
+    assert (responder.status, responder.body) == (404, b"gone")
+
+
+# Guards against breaking a sound stream whose engine keeps the connection alive.
+@pytest.mark.parametrize(
+    "alive", [b"id: 2\n\n", b"id: 2\ndata:\n\n", b"id: 2\nevent: ping\n\n"]
+)
+def test_event_without_data_may_repeat_the_last_id(harness, alive):
+    responder = begin_stream(harness, 1, 2)
+    feed(alive, EVENT_3)(lose_engine(harness))
+    assert responder.done
+    assert not responder.was_aborted
+    assert responder.body.endswith(alive + EVENT_3)
+
+
 # Guards against refusing a request as one that ends servers because sound engines
 # answered its stream by errors (issue 46).
 @pytest.mark.parametrize("name", ["status 500", "status 404", "nothing", "gap", "JSON"])
