Send no waiting call while a planned stop ends the open ones

What callers saw: at the end of the grace period, a call that held a place at a server and was still connecting was ended before the calls that wait. One of these got its place, was sent, and was answered 502 a moment later, although it could have been told that it had not run.

Cause: the order in which calls were ended followed from whether they may have run, and a call that connects has not. All open calls are marked as stopped first now, and a stopped call is refused where calls are checked for the last time before they are sent.

Found by a review of the fix, on scripted servers; the new test of test_planned_stop.py fails without the change.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/call_state.py
@@ -13,6 +13,9 @@
 """Retry delay given with a refusal: by then another instance may have a free server
 or retries left in its budget."""
 
+STOPPING_RETRY_AFTER_SECONDS = 0.05
+"""Retry delay given by an instance that stops: the retry reaches another instance."""
+
 TIME_LIMIT_SPREAD = 0.16
 """Relative spread of the time limits of callers' first attempts on one route."""
 
@@ -191,6 +194,10 @@
         milliseconds = round((self._now() - self.call.arrived) * 1000)
         self.steps.append(f"{milliseconds} {outcome} {server} {detail}".rstrip())
 
+    def stop_refusal(self) -> Refused:
+        """Return the refusal of a call at an instance that stops."""
+        return Refused(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
+
     def give_up_refusal(self, reason: str) -> Refused:
         """Return the refusal of a call that will not be sent again.
 
--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -28,9 +28,6 @@
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
 """Statuses that promise the caller that the call has not run."""
 
-STOPPING_RETRY_AFTER_SECONDS = 0.05
-"""Retry delay given by an instance that stops: the retry reaches another instance."""
-
 MAX_LOGGED_PARTS = 8
 """Parts of a prompt in a call's log line; the ones that calls share come first."""
 
@@ -103,13 +100,12 @@
 
         An answer that has begun is broken off.
         """
-        running = sorted(
-            self._running.items(),
-            # A call that ends gives its place at a server to one that waits.
-            key=lambda each: each[0].may_have_run,
-        )
-        for state, run in running:
+        running = list(self._running.items())
+        # A call that ends gives its place at a server to one that waits, which must
+        # not be sent any more.
+        for state, _ in running:
             state.stopped = True
+        for _, run in running:
             run.cancel()
 
     def limits(self) -> ConnectionLimits:
@@ -184,7 +180,7 @@
         if self._clock.seconds() <= self._last_long_call_at:
             return
         if state.deadline() > self._stops_at:
-            raise _stopping_refusal()
+            raise state.stop_refusal()
 
     def _longest_time_limit(self, state: CallState) -> float:
         """Return the longest time limit on the call's route, this call included."""
@@ -228,7 +224,7 @@
             await run
         except CancelledError as error:
             if state.stopped:
-                raise _stopping_refusal() from error
+                raise state.stop_refusal() from error
             if not state.expired:
                 raise
             if state.may_have_run:
@@ -403,7 +399,3 @@
                 call.prompt.max_output_tokens if call and call.prompt else None
             ),
         )
-
-
-def _stopping_refusal() -> Refused:
-    return Refused(503, "stopping", retry_after=STOPPING_RETRY_AFTER_SECONDS)
--- a/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/send_context.py
@@ -111,6 +111,8 @@
         Raises ``Refused`` or ``BackendNotServingError`` if the call may not be sent
         any more.
         """
+        if state.stopped:
+            raise state.stop_refusal()
         state.resolve()
         self.ensure_not_quarantined(state)
         self.backends.ensure_serves(server, state.service(), state.resolved.zones)
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -211,3 +211,22 @@
     caller.connection.connectionLost(Failure(ConnectionDone()))
     instance.harness.advance(0.1)
     assert instance.stopped_at < 3.0
+
+
+# Guards against a call that is sent as a call that connects gives it its place: LOST.
+def test_waiting_call_is_not_sent_as_a_call_that_connects_is_ended(instance):
+    harness = instance.harness
+    instance.call("/bookings/1")
+    harness.advance(0.1)
+    instance.requests[0].answer(x_pomeloglade_server_load=b"0,0,1,100")
+    instance.begin()
+    harness.advance(2.3)
+    harness.network.slow[server("a").address] = None
+    for _ in range(6):
+        instance.call("/bookings/1")
+    harness.network.slow.clear()
+    waiting = [instance.call("/lookups/1") for _ in range(12)]
+    sent = len(instance.requests)
+    harness.advance(GRACE_SECONDS - 2.3)
+    assert len(instance.requests) == sent
+    assert [statuses(each) for each in waiting] == 12 * [[503]]
