Tell an account when its own callers will have read on

Cause: Retry-After followed from what all accounts hold and read, the refusal from the account's own part. The delay follows from the account's rate now, or from all if it holds nothing. The new test of test_unread_responses.py covers such an account and a new one.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/forwarder.py
@@ -258,7 +258,7 @@
             return
         if not responses.has_room(owner):
             inputs = {"held": responses.total, "account": responses.held_for(owner)}
-            seconds = responses.retry_seconds()
+            seconds = responses.retry_seconds(owner)
             raise Refused(503, "memory", retry_after=seconds, inputs=inputs)
 
     async def _run_here(self, state: CallState, responder: Responder) -> None:
--- a/packages/pomeloglade/src/pomeloglade/transport/unread_responses.py
+++ b/packages/pomeloglade/src/pomeloglade/transport/unread_responses.py
@@ -91,8 +91,8 @@
         self._unread: dict[Holder, _Unread] = {}
         self._bytes_by_owner: Counter[str] = Counter()
         self._window_started = 0.0
-        self._window_bytes = 0
-        self._rate = 0.0
+        self._window_bytes: Counter[str] = Counter()
+        self._rate_by_owner: dict[str, float] = {}
         self.total = 0
         self.refused = 0
         self.broken_off = 0
@@ -121,12 +121,19 @@
         self.refused += not room
         return room
 
-    def retry_seconds(self) -> float:
-        """Return when callers will have read half of what is held, at their rate."""
-        self._update_rate()
-        if self._rate <= 0:
+    def retry_seconds(self, owner: str) -> float:
+        """Return when half of what is held is read, at the rate of its callers.
+
+        It is what is held for the account, or for all if it holds nothing itself.
+        """
+        self._update_rates()
+        held = self._bytes_by_owner.get(owner, 0)
+        rate = self._rate_by_owner.get(owner, 0.0)
+        if not held:
+            held, rate = self.total, sum(self._rate_by_owner.values())
+        if rate <= 0:
             return MAX_RETRY_SECONDS
-        seconds = self.total / 2 / self._rate
+        seconds = held / 2 / rate
         return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
 
     def hold(self, holder: Holder, owner: str, size: int, *, repeatable: bool) -> None:
@@ -145,7 +152,7 @@
         known = self._unread.get(holder)
         if known is None:
             return
-        self._window_bytes += max(0, known.size - size)
+        self._window_bytes[known.owner] += max(0, known.size - size)
         known.read_at = self._clock.seconds()
         self._resize(known, size)
         if not size:
@@ -179,13 +186,15 @@
         self._bytes_by_owner[known.owner] += size - known.size
         known.size = size
 
-    def _update_rate(self) -> None:
+    def _update_rates(self) -> None:
         now = self._clock.seconds()
         passed = now - self._window_started
         if passed >= RATE_WINDOW_SECONDS:
-            self._rate = self._window_bytes / passed
+            self._rate_by_owner = {
+                owner: size / passed for owner, size in self._window_bytes.items()
+            }
             self._window_started = now
-            self._window_bytes = 0
+            self._window_bytes.clear()
 
     def _drop_if_empty(self, owner: str) -> None:
         if self._bytes_by_owner[owner] <= 0:
--- a/tests/test_unread_responses.py
+++ b/tests/test_unread_responses.py
@@ -11,7 +11,11 @@
 from twisted.internet.task import Clock
 
 from pomeloglade.transport.http_site import MAX_STALL_SECONDS, HttpSite
-from pomeloglade.transport.unread_responses import UnreadResponses, max_unread_bytes
+from pomeloglade.transport.unread_responses import (
+    MAX_RETRY_SECONDS,
+    UnreadResponses,
+    max_unread_bytes,
+)
 
 MEGABYTE = 1024 * 1024
 BOUND = 16 * MEGABYTE
@@ -166,13 +170,27 @@
     slow = Connection()
     responses.hold(slow, "club", 8 * MEGABYTE, repeatable=True)
     clock.advance(2.0)
-    assert responses.retry_seconds() == 5.0
+    assert responses.retry_seconds("club") == 5.0
     responses.record_read(slow, 4 * MEGABYTE)
     clock.advance(2.0)
-    assert responses.retry_seconds() == 1.0
+    assert responses.retry_seconds("club") == 1.0
     responses.record_read(slow, 2 * MEGABYTE)
     clock.advance(4.0)
-    assert responses.retry_seconds() == 2.0
+    assert responses.retry_seconds("club") == 2.0
+
+
+# Guards against a Retry-After that is not true where callers read nothing.
+def test_retry_delay_follows_from_how_fast_the_accounts_own_callers_read(
+    responses, clock
+):
+    responses.hold(Connection(), "stuck", 8 * MEGABYTE, repeatable=True)
+    fast = Connection()
+    for _ in range(3):
+        responses.hold(fast, "fast", MEGABYTE, repeatable=True)
+        responses.record_read(fast, 0)
+        clock.advance(1.0)
+    assert responses.retry_seconds("stuck") == MAX_RETRY_SECONDS
+    assert responses.retry_seconds("new") < MAX_RETRY_SECONDS
 
 
 @given(
