Report unforeseen errors of the registration as such

An unforeseen error of the registration was logged as instance_not_renewed, the line for a store that is away, which the soak does not count; before, it ended the process, which the soak counted. It is reported like those of other lasting tasks now, as unforeseen_error. The soak also counts entry_failed and store_not_applied, which stand for errors that no decoder foresees. Found by a review.

--- a/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
+++ b/packages/pomeloglade/src/pomeloglade/forwarding/registration.py
@@ -6,6 +6,7 @@
 
 from twisted.internet.defer import CancelledError, Deferred
 from twisted.internet.interfaces import IDelayedCall, IReactorTime
+from twisted.python.failure import Failure
 
 from pomeloglade_coordination.errors import (
     KeyValueError,
@@ -13,6 +14,7 @@
     RevisionConflictError,
 )
 from pomeloglade_coordination.key_value import ABSENT, KeyValueStore
+from pomeloglade_coordination.lasting_tasks import report_failure
 
 from .event_log import EventLog
 
@@ -115,7 +117,7 @@
             except CancelledError:
                 raise
             except Exception as error:
-                self._log.event("instance_not_renewed", reason=repr(error)[:200])
+                report_failure(Failure(error), "registration")
                 await self._wait(RETRY_SECONDS)
 
     async def _write(self, lease: str) -> None:
--- a/soak/guarantees.py
+++ b/soak/guarantees.py
@@ -34,6 +34,11 @@
 from .fleet import Fleet
 from .planned_stops import find_cut_requests
 
+ERROR_EVENTS = frozenset(
+    ("internal_error", "unforeseen_error", "entry_failed", "store_not_applied")
+)
+"""Log lines of errors that the program does not foresee."""
+
 NOT_RUN = frozenset((408, 421, 429, 503))
 """Statuses that guarantee that no backend server has run the request."""
 
@@ -496,7 +501,7 @@
                 except json.JSONDecodeError:
                     # A killed process may have left an incomplete line.
                     continue
-            if event_name in ("internal_error", "unforeseen_error") or (
+            if event_name in ERROR_EVENTS or (
                 "Unhandled" in line or "Traceback" in line
             ):
                 violations.append(f"{instance.name} logged {line[:300]}")
--- a/tests/test_registration.py
+++ b/tests/test_registration.py
@@ -10,6 +10,7 @@
 from twisted.internet.defer import Deferred, fail
 from twisted.internet.task import Clock
 
+from pomeloglade.forwarding import registration
 from pomeloglade.forwarding.registration import (
     LEASE_SECONDS,
     RENEW_SECONDS,
@@ -217,18 +218,30 @@
     assert registered(shared) == b"here"
 
 
+@pytest.fixture
+def reported(monkeypatch):
+    """Errors that were reported as unforeseen, with the tasks that met them."""
+    errors = []
+    monkeypatch.setattr(
+        registration,
+        "report_failure",
+        lambda failure, task: errors.append((failure.value, task)),
+    )
+    return errors
+
+
 # Guards against an error that ends the registration, and the process with it: FAULT.
 @pytest.mark.parametrize("call", ["grant_lease", "renew_lease", "put"])
 def test_unforeseen_error_of_the_store_does_not_end_the_registration(
-    clock, shared, monkeypatch, call
+    clock, shared, monkeypatch, reported, call
 ):
     broken = RuntimeError("an answer that nobody foresaw")
     with monkeypatch.context() as patch:
         patch.setattr(LateStore, call, lambda *_, **options: fail(broken))
-        task, log = register(clock, shared)
+        task, _ = register(clock, shared)
         run(clock, RENEW_SECONDS + RETRY_SECONDS)
         assert not task.called
-        assert ("instance_not_renewed", {"reason": repr(broken)}) in log.events
+        assert (broken, "registration") in reported
     run(clock, REGISTERED_WITHIN)
     assert registered(shared) == b"here"
     run(clock, 2 * LEASE_SECONDS)
