Start the process of the second SIGTERM's test like those of its neighbours

The test wrote its settings and started its process as the fixture launch does. It uses the fixture; its assertions are unchanged.

--- a/tests/test_platform_process.py
+++ b/tests/test_platform_process.py
@@ -163,23 +163,8 @@
     assert '"started"' in read_until(process, '"started"'), process.wait()
 
 
-def test_second_sigterm_does_not_interrupt_the_shutdown(settings, free_port):
-    settings.write_text(
-        settings_text(
-            name="entry-1",
-            host=HOST,
-            zone="zone-a",
-            base_port=free_port,
-            store=f"{HOST}:1",
-        )
-    )
-    process = subprocess.Popen(
-        [sys.executable, "-m", "pomeloglade_platform"],
-        env={**os.environ, "POMELOGLADE_BOOT": str(settings)},
-        stdout=subprocess.PIPE,
-        stderr=subprocess.STDOUT,
-        text=True,
-    )
+def test_second_sigterm_does_not_interrupt_the_shutdown(launch):
+    process = launch()
     lines = []
     for line in process.stdout:
         lines.append(line)
